--- /dev/null
+++ b/packages/clients/src/budget.ts
@@ -0,0 +1,108 @@
+import type { Clock } from './ports';
+
+/** Most urgent first. */
+export const URGENCY = { renew: 0, cancel: 1, accept: 2, deal: 3, finish: 4, rest: 5 } as const;
+export type Urgency = (typeof URGENCY)[keyof typeof URGENCY];
+
+export class Overloaded extends Error {
+  constructor() {
+    super('request budget is used up');
+    this.name = 'Overloaded';
+  }
+}
+
+interface Waiting {
+  readonly urgency: Urgency;
+  readonly writes: number;
+  readonly until: number;
+  readonly go: () => void;
+  readonly refuse: (error: Error) => void;
+}
+
+/**
+ * This controller's share of the state service's limits: two token buckets, one of requests and one of changes. All
+ * controllers together stay below the limits because each keeps to its share.
+ */
+export class Budget {
+  #requests: number;
+  #writes: number;
+  #filledAt: number;
+  #queue: Waiting[] = [];
+  #cancelTimer: (() => void) | null = null;
+
+  constructor(
+    readonly clock: Clock,
+    readonly requestsPerS: number,
+    readonly writesPerS: number,
+  ) {
+    // An earlier process may just have spent the burst.
+    this.#requests = requestsPerS / 2;
+    this.#writes = writesPerS / 2;
+    this.#filledAt = clock.now();
+  }
+
+  /** Waits for the right to send a request with so many changes; gives up with `Overloaded` after `patienceMs`. */
+  acquire(urgency: Urgency, writes: number, patienceMs: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      const until = this.clock.now() + patienceMs;
+      const entry: Waiting = { urgency, writes, until, go: resolve, refuse: reject };
+      let at = this.#queue.length;
+      while (at > 0 && this.#queue[at - 1]!.urgency > urgency) at--;
+      this.#queue.splice(at, 0, entry);
+      this.#pump();
+    });
+  }
+
+  /** How long a request of this urgency would wait now, about. */
+  waitMs(urgency: Urgency): number {
+    this.#fill();
+    const ahead = this.#queue.filter((w) => w.urgency <= urgency);
+    const writes = ahead.reduce((sum, w) => sum + w.writes, 1);
+    return Math.max(
+      0,
+      ((writes - this.#writes) / this.writesPerS) * 1000,
+      ((ahead.length + 1 - this.#requests) / this.requestsPerS) * 1000,
+    );
+  }
+
+  #fill(): void {
+    const now = this.clock.now();
+    const s = (now - this.#filledAt) / 1000;
+    this.#filledAt = now;
+    this.#requests = Math.min(this.requestsPerS, this.#requests + s * this.requestsPerS);
+    this.#writes = Math.min(this.writesPerS, this.#writes + s * this.writesPerS);
+  }
+
+  #pump(): void {
+    this.#fill();
+    const now = this.clock.now();
+    this.#queue = this.#queue.filter((w) => {
+      if (w.until >= now) return true;
+      w.refuse(new Overloaded());
+      return false;
+    });
+    for (;;) {
+      const next = this.#queue[0];
+      // A transaction larger than the bucket goes when the bucket is full, and leaves it in debt.
+      if (next === undefined) break;
+      if (this.#requests < 1 || this.#writes < Math.min(next.writes, this.writesPerS)) break;
+      this.#queue.shift();
+      this.#requests -= 1;
+      this.#writes -= next.writes;
+      next.go();
+    }
+    this.#cancelTimer?.();
+    this.#cancelTimer = null;
+    const next = this.#queue[0];
+    if (next === undefined) return;
+    const wait = Math.max(
+      (1 - this.#requests) / this.requestsPerS,
+      (Math.min(next.writes, this.writesPerS) - this.#writes) / this.writesPerS,
+      0.002,
+    );
+    this.#cancelTimer = this.clock.after(wait * 1000, () => {
+      this.#cancelTimer = null;
+      this.#pump();
+    });
+  }
+}
--- /dev/null
+++ b/packages/clients/src/state.ts
@@ -0,0 +1,162 @@
+import {
+  type Change,
+  type Condition,
+  decode,
+  encode,
+  eventsOf,
+  leaseMap,
+  leaseOf,
+  listOf,
+  revisionOf,
+  STATE_PATHS,
+  type StateEvent,
+  type StateItem,
+  txnMap,
+} from '@gingerlock/wire';
+import { type Budget, Overloaded, type Urgency, URGENCY } from './budget';
+import { type Clock, type Http, type HttpAnswer, NoAnswer } from './ports';
+
+export type TxnResult =
+  | { readonly kind: 'done'; readonly revision: number }
+  /** A condition did not hold: nothing was changed. */
+  | { readonly kind: 'conflict'; readonly revision: number }
+  | { readonly kind: 'no lease' }
+  /** Surely not carried out: refused, or never sent. */
+  | { readonly kind: 'refused'; readonly why: string }
+  /** It may have been carried out, or may be yet. */
+  | { readonly kind: 'unknown'; readonly why: string };
+
+/** The state service refused a request, or gave an answer that is none. */
+export class StateRefused extends Error {
+  constructor(
+    readonly status: number,
+    what: string,
+  ) {
+    super(`${what}: status ${status}`);
+    this.name = 'StateRefused';
+  }
+}
+
+export interface StateOptions {
+  readonly http: Http;
+  readonly addr: string;
+  readonly budget: Budget;
+  readonly clock: Clock;
+  readonly timeoutMs: number;
+}
+
+export class StateService {
+  /** The highest revision that any answer has named. */
+  seen = 0;
+  /** Transactions whose outcome is not known. */
+  unanswered = 0;
+
+  constructor(readonly options: StateOptions) {}
+
+  async #send(
+    urgency: Urgency,
+    writes: number,
+    method: 'GET' | 'POST' | 'DELETE',
+    path: string,
+    body: unknown,
+    patienceMs = this.options.timeoutMs,
+  ): Promise<HttpAnswer> {
+    const { http, addr, budget, timeoutMs } = this.options;
+    await budget.acquire(urgency, writes, patienceMs);
+    return http(addr, method, path, body === null ? null : encode(body), timeoutMs);
+  }
+
+  #saw(revision: number): number {
+    if (revision > this.seen) this.seen = revision;
+    return revision;
+  }
+
+  async list(prefix: string): Promise<{ items: StateItem[]; revision: number }> {
+    const items: StateItem[] = [];
+    let revision = 0;
+    for (let after = '', more = true; more;) {
+      const answer = await this.#send(URGENCY.rest, 0, 'GET', STATE_PATHS.list(prefix, after, 1000), null);
+      if (answer.status !== 200) throw new StateRefused(answer.status, 'list');
+      const page = listOf(decode(answer.body));
+      // The pages are read one after the other: what changed meanwhile is followed from the first one's revision.
+      if (after === '') revision = page.revision;
+      items.push(...page.items);
+      after = page.items.at(-1)?.key ?? after;
+      more = page.more && page.items.length > 0;
+    }
+    this.#saw(revision);
+    return { items, revision };
+  }
+
+  /** Changes after a revision; null if that is too long ago and all has to be read again. */
+  async follow(prefix: string, after: number): Promise<{ events: StateEvent[]; revision: number } | null> {
+    const answer = await this.#send(URGENCY.cancel, 0, 'GET', STATE_PATHS.follow(prefix, after, 0), null);
+    if (answer.status === 410) return null;
+    if (answer.status !== 200) throw new StateRefused(answer.status, 'follow');
+    const followed = eventsOf(decode(answer.body));
+    this.#saw(followed.revision);
+    return followed;
+  }
+
+  async txn(
+    urgency: Urgency,
+    conditions: readonly Condition[],
+    changes: readonly Change[],
+    patienceMs?: number,
+  ): Promise<TxnResult> {
+    this.unanswered++;
+    let known = true;
+    try {
+      const answer = await this.#send(
+        urgency,
+        changes.length,
+        'POST',
+        STATE_PATHS.txn,
+        txnMap(conditions, changes),
+        patienceMs,
+      );
+      switch (answer.status) {
+        case 200:
+          return { kind: 'done', revision: this.#saw(revisionOf(decode(answer.body))) };
+        case 409:
+          return { kind: 'conflict', revision: this.#saw(revisionOf(decode(answer.body))) };
+        case 400:
+          return changes.some((c) => 'put' in c && c.lease !== undefined)
+            ? { kind: 'no lease' }
+            : { kind: 'refused', why: 'malformed' };
+        case 429:
+        case 503:
+          return { kind: 'refused', why: `status ${answer.status}` };
+        default:
+          known = false;
+          return { kind: 'unknown', why: `status ${answer.status}` };
+      }
+    } catch (error) {
+      if (error instanceof Overloaded) return { kind: 'refused', why: error.message };
+      known = false;
+      return { kind: 'unknown', why: error instanceof Error ? error.message : 'failed' };
+    } finally {
+      this.unanswered--;
+      if (!known) this.doubtfulSince = this.options.clock.now();
+    }
+  }
+
+  /** When a transaction last went unanswered: it may be carried out yet. */
+  doubtfulSince: number | null = null;
+
+  async grantLease(ttlMs: number): Promise<number> {
+    const answer = await this.#send(URGENCY.renew, 0, 'POST', STATE_PATHS.leases, leaseMap(ttlMs));
+    if (answer.status !== 200) throw new StateRefused(answer.status, 'lease');
+    return leaseOf(decode(answer.body));
+  }
+
+  /** False: the lease has ended. */
+  async renewLease(lease: number): Promise<boolean> {
+    const answer = await this.#send(URGENCY.renew, 0, 'POST', STATE_PATHS.renew(lease), {});
+    if (answer.status === 404) return false;
+    if (answer.status !== 200) throw new StateRefused(answer.status, 'renew');
+    return true;
+  }
+}
+
+export { NoAnswer };
--- /dev/null
+++ b/packages/core/src/claims.ts
@@ -0,0 +1,683 @@
+// The claim book of one part: which machines report to it, which tasks were dealt to it, and which machine holds which
+// task. Pure and clock-free: every call is told the time (steady milliseconds).
+//
+// Nothing here is ever guessed. A claim ends only when the worker's own later report, a later session, its lease run out
+// under this very owner, or the cloud's word proves that the task is off the machine.
+import {
+  type ExitCause,
+  type MachineType,
+  parseTaskName,
+  type ReportedTask,
+  taskName,
+  type WorkerCommand,
+  type WorkerReport,
+} from '@gingerlock/wire';
+import { type Amounts, type Facts, fits, NOTHING, plus, typeAllows, workerLeaseBoundMs } from './facts';
+import type { Job, JobTable } from './jobs';
+import { betterElsewhere, choosePreemption } from './placement';
+
+/**
+ * uncertain: dealt before this owner's takeover and seen nowhere yet, so an unheard machine may hold it.
+ * waiting:   no machine holds it; it is posted in a wake.
+ * claimed:   a machine holds it, or may.
+ * finishing: completed; the state service has yet to be told.
+ * leaving:   a change of the job's record that gives it back is on its way.
+ */
+export type SlotState = 'uncertain' | 'waiting' | 'claimed' | 'finishing' | 'leaving';
+
+const MOVES: Record<SlotState, readonly SlotState[]> = {
+  uncertain: ['waiting', 'claimed', 'finishing'],
+  waiting: ['claimed', 'leaving', 'finishing'],
+  claimed: ['waiting', 'finishing'],
+  finishing: ['claimed'],
+  leaving: ['waiting', 'claimed', 'finishing'],
+};
+
+export interface Claim {
+  readonly machine: Machine;
+  readonly attempt: number;
+  readonly session: number;
+  readonly grantedAt: number;
+  /** What the worker said last; `granted` until it has said anything. */
+  stage: 'granted' | 'fetching' | 'running' | 'saving';
+  /** Set when the task is to be stopped, with the time it gets for saving. */
+  stopGraceS: number | null;
+}
+
+export interface Slot {
+  readonly job: Job;
+  readonly index: number;
+  readonly name: string;
+  readonly zone: string | null;
+  state: SlotState;
+  claim: Claim | null;
+  /** Since when it is in this state. */
+  since: number;
+  /** Not granted before: a task that failed waits a while. */
+  notBefore: number;
+  failures: number;
+  /** Until when room that is being freed for it counts as its own. */
+  preemptingUntil: number;
+  /** Version of the job's record on which the change that gives this task back is conditional. */
+  leavingVersion: number;
+}
+
+export interface Machine {
+  readonly name: string;
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  session: number;
+  seq: number;
+  /** A report that carries this owner's term has come: no older command can run there any more. */
+  settled: boolean;
+  /** Answers given in a row to reports that did not carry our term. */
+  unsettledAnswers: number;
+  /** When the last report that was answered was received; null: none was, or its lease has run out since. */
+  answeredAt: number | null;
+  noticed: boolean;
+  /** Its name is in the state service's roster, so that a new owner knows to ask for it. */
+  rostered: boolean;
+  draining: boolean;
+  reported: readonly ReportedTask[];
+  readonly claims: Map<string, Slot>;
+  /** Our guess at its image cache, the most recently used last. */
+  readonly cache: Map<string, number>;
+  emptySince: number;
+  /** Grants in a row that the next report did not show. */
+  lostGrants: number;
+  deafUntil: number;
+  /** Jobs that failed here since a task last went well. */
+  readonly failedJobs: Set<string>;
+}
+
+export type ReportOutcome =
+  | { readonly kind: 'answer'; readonly commands: WorkerCommand[] }
+  /** An older copy, or one that must not be answered: it changes nothing and renews nothing. */
+  | { readonly kind: 'refuse'; readonly why: string }
+  /** The worker has seen a higher token: somebody else owns this part. */
+  | { readonly kind: 'superseded' };
+
+/** Attempts of one term are numbered below this; a term times this is far below 2^53. */
+export const ATTEMPTS_PER_TERM = 2 ** 20;
+
+/** A report interval varies by up to a quarter. */
+const REPORT_VARIES = 1.25;
+
+/** DESIGN's grant lease: a machine silent for three report intervals is suspect. */
+const SUSPECT_INTERVALS = 3;
+
+export interface BookOptions {
+  readonly facts: Facts;
+  readonly part: number;
+  readonly term: number;
+  readonly clearAt: number;
+  readonly jobs: JobTable;
+  readonly types: () => ReadonlyMap<string, MachineType>;
+  readonly roster: Iterable<readonly [string, string]>;
+  readonly log?: (message: string, detail: Record<string, unknown>) => void;
+}
+
+export class PartBook {
+  readonly facts: Facts;
+  readonly part: number;
+  readonly term: number;
+  readonly clearAt: number;
+  readonly machines = new Map<string, Machine>();
+  readonly slots = new Map<string, Map<number, Slot>>();
+  /** Machines of the roster that may run tasks of an earlier owner. */
+  readonly unheard: Map<string, string>;
+  readonly #goneNames = new Set<string>();
+  readonly #jobs: JobTable;
+  readonly #types: () => ReadonlyMap<string, MachineType>;
+  readonly #log: (message: string, detail: Record<string, unknown>) => void;
+  /** The wake queue: jobs with waiting tasks, merged, the most urgent and then the oldest first. */
+  #wakes: Job[] = [];
+  readonly #posted = new Set<string>();
+  #wakesSorted = true;
+  #counter = 0;
+  #cleared = false;
+  /** Goes up with every change that alters rooms or waiting tasks. */
+  changes = 0;
+
+  constructor(options: BookOptions) {
+    this.facts = options.facts;
+    this.part = options.part;
+    this.term = options.term;
+    this.clearAt = options.clearAt;
+    this.#jobs = options.jobs;
+    this.#types = options.types;
+    this.unheard = new Map(options.roster);
+    this.#log = options.log ?? (() => undefined);
+  }
+
+  get cleared(): boolean {
+    return this.#cleared;
+  }
+
+  typeOf(machine: Machine): MachineType | undefined {
+    return this.#types().get(machine.type);
+  }
+
+  // --- tasks -------------------------------------------------------------------------------------------------------
+
+  /** The one function that changes a slot's state. */
+  #move(slot: Slot, next: SlotState, now: number, claim: Claim | null = null): void {
+    if (slot.state !== next && !MOVES[slot.state].includes(next)) {
+      throw new Error(`task ${slot.name}: no move from ${slot.state} to ${next}`);
+    }
+    if (slot.claim !== null) slot.claim.machine.claims.delete(slot.name);
+    slot.claim = claim;
+    if (claim !== null) claim.machine.claims.set(slot.name, slot);
+    slot.state = next;
+    slot.since = now;
+    if (next === 'waiting') this.#post(slot.job);
+    this.changes++;
+  }
+
+  #post(job: Job): void {
+    if (this.#posted.has(job.id)) return;
+    this.#posted.add(job.id);
+    this.#wakes.push(job);
+    this.#wakesSorted = false;
+  }
+
+  /** The wakes in order; those without a waiting task are dropped. */
+  wakes(): readonly Job[] {
+    if (!this.#wakesSorted) {
+      this.#wakes.sort((a, b) => a.rank - b.rank || a.acceptedAt - b.acceptedAt || (a.id < b.id ? -1 : 1));
+      this.#wakesSorted = true;
+    }
+    return this.#wakes;
+  }
+
+  *waitingSlots(job: Job): Iterable<Slot> {
+    if (job.cancelled) return;
+    for (const slot of this.slots.get(job.id)?.values() ?? []) if (slot.state === 'waiting') yield slot;
+  }
+
+  /** The recovery scan: posts every job that has a waiting task and no wake, drops wakes that have none. */
+  scan(): void {
+    this.#wakes = [];
+    this.#posted.clear();
+    for (const slots of this.slots.values()) {
+      for (const slot of slots.values()) {
+        if (slot.state === 'waiting') {
+          this.#post(slot.job);
+          break;
+        }
+      }
+    }
+    this.#wakesSorted = false;
+  }
+
+  /** Brings the slots of a job in line with its record. */
+  syncJob(id: string, now: number): void {
+    const job = this.#jobs.live.get(id);
+    let slots = this.slots.get(id);
+    const wanted = new Map<number, { zone: string | null; term: number }>();
+    for (const r of job?.rounds ?? []) {
+      if (r.part !== this.part) continue;
+      for (let i = r.from; i < r.from + r.count; i++) {
+        if (!job!.isFinished(i)) wanted.set(i, { zone: r.zone, term: r.term });
+      }
+    }
+    for (const [index, slot] of slots ?? []) {
+      if (!wanted.has(index) || slot.job !== job) {
+        // Off our books: if a machine runs it still, it is a stray there and is told to stop.
+        if (slot.claim !== null) slot.claim.machine.claims.delete(slot.name);
+        slots!.delete(index);
+        this.changes++;
+      }
+    }
+    if (wanted.size > 0) {
+      slots ??= new Map();
+      this.slots.set(id, slots);
+      for (const [index, { zone, term }] of wanted) {
+        const known = slots.get(index);
+        if (known !== undefined) {
+          // Only a newer record proves that the change under way can not happen any more.
+          if (known.state === 'leaving' && job!.version !== known.leavingVersion) this.#move(known, 'waiting', now);
+          continue;
+        }
+        const slot: Slot = {
+          job: job!,
+          index,
+          name: taskName(id, index),
+          zone,
+          state: 'uncertain',
+          claim: null,
+          since: now,
+          notBefore: 0,
+          failures: 0,
+          preemptingUntil: 0,
+          leavingVersion: 0,
+        };
+        slots.set(index, slot);
+        // A task dealt under this owner's term can be held by nobody yet.
+        if (term === this.term || this.#cleared) this.#move(slot, 'waiting', now);
+      }
+    }
+    if (slots?.size === 0) this.slots.delete(id);
+    if (job?.cancelled === true) this.#cancel(job);
+    this.changes++;
+  }
+
+  #cancel(job: Job): void {
+    for (const slot of this.slots.get(job.id)?.values() ?? []) {
+      if (slot.claim !== null) slot.claim.stopGraceS = 0;
+    }
+  }
+
+  slotOf(task: string): Slot | undefined {
+    const parsed = parseTaskName(task);
+    return parsed === null ? undefined : this.slots.get(parsed.job)?.get(parsed.index);
+  }
+
+  // --- machines ----------------------------------------------------------------------------------------------------
+
+  setRostered(name: string, rostered: boolean): void {
+    const machine = this.machines.get(name);
+    if (machine !== undefined) machine.rostered = rostered;
+  }
+
+  /** The cloud's word that a machine and all that was on it are gone. */
+  gone(name: string, now: number): void {
+    this.#goneNames.add(name);
+    this.unheard.delete(name);
+    const machine = this.machines.get(name);
+    if (machine === undefined) return;
+    this.#endClaims(machine, now, 'machine gone');
+    this.machines.delete(name);
+    this.changes++;
+  }
+
+  isGone(name: string): boolean {
+    return this.#goneNames.has(name);
+  }
+
+  #endClaims(machine: Machine, now: number, why: string): void {
+    for (const slot of [...machine.claims.values()]) {
+      this.#log('claim ended', { task: slot.name, machine: machine.name, why });
+      this.#move(slot, 'waiting', now);
+    }
+  }
+
+  isSuspect(machine: Machine, now: number): boolean {
+    return machine.answeredAt === null || now - machine.answeredAt > this.facts.reportMs * SUSPECT_INTERVALS;
+  }
+
+  /** A machine on which task after task of different jobs fails is itself at fault. */
+  isSick(machine: Machine): boolean {
+    return machine.failedJobs.size >= 2;
+  }
+
+  /** What a machine has left, by its claims and by strays that it reports. */
+  room(machine: Machine): Amounts {
+    const type = this.typeOf(machine);
+    if (type === undefined) return NOTHING;
+    let room: Amounts = { cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb };
+    for (const slot of machine.claims.values()) room = plus(room, slot.job.spec, -1);
+    for (const task of machine.reported) {
+      if (task.state === 'exited' || machine.claims.has(task.task)) continue;
+      const parsed = parseTaskName(task.task);
+      const spec = parsed === null ? undefined : this.#jobs.live.get(parsed.job)?.spec;
+      // A stray of unknown size: nothing is known to be free until it is gone.
+      if (spec === undefined) return NOTHING;
+      room = plus(room, spec, -1);
+    }
+    return room;
+  }
+
+  /** Whether new work may be bound to the machine at all. */
+  takesWork(machine: Machine, now: number): boolean {
+    return (
+      machine.settled &&
+      !machine.draining &&
+      !machine.noticed &&
+      !this.isSick(machine) &&
+      now >= machine.deafUntil &&
+      !this.isSuspect(machine, now)
+    );
+  }
+
+  // --- reports -----------------------------------------------------------------------------------------------------
+
+  /**
+   * Takes a report received at `now`. `mayGrant` says whether this owner is surely entitled to start tasks now; the
+   * caller has made sure that it may answer at all.
+   */
+  report(r: WorkerReport, now: number, mayGrant: boolean): ReportOutcome {
+    if (r.token > this.term) return { kind: 'superseded' };
+    if (this.#goneNames.has(r.machine)) return { kind: 'refuse', why: 'machine was returned' };
+    let m = this.machines.get(r.machine);
+    if (m !== undefined && (r.session < m.session || (r.session === m.session && r.seq <= m.seq))) {
+      return { kind: 'refuse', why: 'older copy of a report' };
+    }
+    if (m === undefined) {
+      m = {
+        name: r.machine,
+        addr: r.addr,
+        type: r.type,
+        zone: r.zone,
+        spot: r.spot,
+        session: r.session,
+        seq: r.seq,
+        settled: false,
+        unsettledAnswers: 0,
+        answeredAt: null,
+        noticed: false,
+        rostered: this.unheard.has(r.machine),
+        draining: false,
+        reported: [],
+        claims: new Map(),
+        cache: new Map(),
+        emptySince: now,
+        lostGrants: 0,
+        deafUntil: 0,
+        failedJobs: new Set(),
+      };
+      this.machines.set(r.machine, m);
+    }
+    if (r.session > m.session) {
+      // The worker's lease expired in between: it has killed and forgotten all that ran before.
+      this.#endClaims(m, now, 'new session');
+    }
+    m.addr = r.addr;
+    m.session = r.session;
+    m.seq = r.seq;
+    m.noticed = r.noticeS !== null;
+    m.reported = r.tasks;
+    this.changes++;
+
+    if (r.token < this.term) {
+      m.settled = false;
+      // A worker that goes on without our term does not get our answers. Answering it for ever would keep its lease
+      // in doubt for ever, and with it every uncertain task of this part.
+      if (++m.unsettledAnswers > 4) return { kind: 'refuse', why: 'does not take our token' };
+      m.answeredAt = now;
+      return { kind: 'answer', commands: [] };
+    }
+    m.settled = true;
+    m.unsettledAnswers = 0;
+    m.answeredAt = now;
+    const commands = this.#take(m, r, now);
+    this.unheard.delete(m.name);
+    this.#clear(now);
+    if (mayGrant) this.#grant(m, now, commands);
+    if (m.claims.size > 0 || r.tasks.some((t) => t.state !== 'exited')) m.emptySince = now;
+    return { kind: 'answer', commands };
+  }
+
+  /** Takes what a settled worker says of its tasks; returns what it has to stop and forget. */
+  #take(m: Machine, r: WorkerReport, now: number): WorkerCommand[] {
+    const forget: WorkerCommand[] = [];
+    const stop: WorkerCommand[] = [];
+    const listed = new Map(r.tasks.map((t) => [`${t.task} ${t.attempt}`, t]));
+
+    for (const slot of [...m.claims.values()]) {
+      const task = listed.get(`${slot.name} ${slot.claim!.attempt}`);
+      if (task !== undefined) continue;
+      // One report in flight at a time, and an answer is dropped after its time: what the last answer started and this
+      // later report lacks has not started and will not.
+      const lost = slot.claim!.stage === 'granted';
+      if (lost && ++m.lostGrants >= 2) m.deafUntil = now + this.facts.leaseMs;
+      this.#log('claim ended', {
+        task: slot.name,
+        machine: m.name,
+        why: lost ? 'start was lost' : 'not reported any more',
+      });
+      this.#move(slot, 'waiting', now);
+    }
+    for (const task of r.tasks) {
+      if (task.state !== 'exited') continue;
+      const keep = this.#exited(m, task, now);
+      if (!keep) forget.push({ op: 'forget', task: task.task, attempt: task.attempt });
+    }
+    for (const task of r.tasks) {
+      if (task.state === 'exited') continue;
+      let slot = this.slotOf(task.task);
+      if (slot !== undefined && slot.claim === null && slot.state !== 'finishing') {
+        // Held here since an earlier owner's time.
+        this.#move(slot, 'claimed', now, {
+          machine: m,
+          attempt: task.attempt,
+          session: m.session,
+          grantedAt: now,
+          stage: task.state,
+          stopGraceS: slot.job.cancelled ? 0 : null,
+        });
+        this.#touchImage(m, slot.job.spec.image, slot.job.spec.imageGb);
+      }
+      if (slot?.claim?.machine !== m || slot.claim.attempt !== task.attempt) slot = undefined;
+      if (slot === undefined) {
+        stop.push({ op: 'stop', task: task.task, attempt: task.attempt, graceS: 0 });
+        continue;
+      }
+      const claim = slot.claim!;
+      if (claim.stage === 'granted') m.lostGrants = 0;
+      if (claim.stage !== task.state) {
+        claim.stage = task.state;
+        this.#touchImage(m, slot.job.spec.image, slot.job.spec.imageGb);
+      }
+      if (claim.stopGraceS !== null && (task.state !== 'saving' || claim.stopGraceS === 0)) {
+        stop.push({ op: 'stop', task: task.task, attempt: task.attempt, graceS: claim.stopGraceS });
+      }
+    }
+    return [...forget, ...stop];
+  }
+
+  /** Takes an exited task; true if it must not be forgotten yet. */
+  #exited(m: Machine, task: ReportedTask, now: number): boolean {
+    const slot = this.slotOf(task.task);
+    if (slot === undefined) return false;
+    const ours = slot.claim?.machine === m && slot.claim.attempt === task.attempt;
+    if (task.cause === 'done' && slot.job.spec.kind === 'array') {
+      if (slot.state === 'finishing') return true;
+      if (slot.claim !== null && !ours) return false;
+      m.failedJobs.clear();
+      this.#move(slot, 'finishing', now);
+      return true;
+    }
+    if (!ours) return false;
+    this.#blame(m, slot, task.cause ?? 'error', now);
+    this.#log('claim ended', { task: slot.name, machine: m.name, why: `exited: ${task.cause}` });
+    this.#move(slot, 'waiting', now);
+    return false;
+  }
+
+  #blame(m: Machine, slot: Slot, cause: ExitCause, now: number): void {
+    if (cause === 'error' || cause === 'unknown') {
+      if (cause === 'error') m.failedJobs.add(slot.job.id);
+      slot.failures++;
+      const backoff = this.facts.reportMs * 2 ** Math.min(slot.failures - 2, 4);
+      slot.notBefore = slot.failures < 2 ? now : now + backoff;
+    } else if (cause === 'no_room') {
+      m.deafUntil = now + this.facts.reportMs * 2;
+    }
+  }
+
+  #touchImage(m: Machine, image: string, gb: number): void {
+    m.cache.delete(image);
+    m.cache.set(image, gb);
+    let total = 0;
+    for (const size of m.cache.values()) total += size;
+    const limit = this.typeOf(m)?.cacheGb ?? 0;
+    for (const [name, size] of m.cache) {
+      if (total <= limit) break;
+      if (name === image) continue;
+      m.cache.delete(name);
+      total -= size;
+    }
+  }
+
+  /** Binds waiting tasks to the machine that reports now. */
+  #grant(m: Machine, now: number, commands: WorkerCommand[]): void {
+    if (!m.rostered || !this.takesWork(m, now)) return;
+    let room = this.room(m);
+    for (const job of this.wakes()) {
+      if (!typeAllows(job.spec, m.type, m.zone, m.spot)) continue;
+      for (const slot of this.waitingSlots(job)) {
+        if (!fits(job.spec, room)) break;
+        if (slot.notBefore > now || (slot.zone !== null && slot.zone !== m.zone)) continue;
+        if (m.failedJobs.has(job.id)) break;
+        if (betterElsewhere(this, slot, m, now)) continue;
+        const attempt = this.term * ATTEMPTS_PER_TERM + ++this.#counter;
+        this.#move(slot, 'claimed', now, {
+          machine: m,
+          attempt,
+          session: m.session,
+          grantedAt: now,
+          stage: 'granted',
+          stopGraceS: null,
+        });
+        this.#touchImage(m, job.spec.image, job.spec.imageGb);
+        room = plus(room, job.spec, -1);
+        commands.push({ op: 'start', task: slot.name, attempt });
+        this.#log('task bound', { task: slot.name, machine: m.name, attempt });
+      }
+    }
+  }
+
+  // --- time --------------------------------------------------------------------------------------------------------
+
+  #clear(now: number): void {
+    if (this.#cleared) return;
+    if (this.unheard.size > 0) {
+      if (now < this.clearAt) return;
+      for (const name of this.unheard.keys()) {
+        const answeredAt = this.machines.get(name)?.answeredAt ?? null;
+        // We ourselves may have kept this machine's lease alive without its ever taking our token.
+        if (answeredAt !== null && now <= answeredAt + workerLeaseBoundMs(this.facts)) return;
+      }
+    }
+    this.#cleared = true;
+    this.unheard.clear();
+    for (const slots of this.slots.values()) {
+      for (const slot of slots.values()) if (slot.state === 'uncertain') this.#move(slot, 'waiting', now);
+    }
+    this.#log('part cleared', { part: this.part, term: this.term });
+  }
+
+  /** Ends what time alone ends; returns the machines whose lease has run out. */
+  tick(now: number): string[] {
+    const lapsed: string[] = [];
+    const bound = workerLeaseBoundMs(this.facts);
+    for (const m of this.machines.values()) {
+      if (m.answeredAt === null || now <= m.answeredAt + bound) continue;
+      m.answeredAt = null;
+      m.reported = [];
+      if (m.settled) {
+        this.#endClaims(m, now, 'lease ran out');
+        this.unheard.delete(m.name);
+        lapsed.push(m.name);
+      }
+    }
+    this.#clear(now);
+    return lapsed;
+  }
+
+  /**
+   * Packs the waiting tasks into the rooms as the coming reports would. Returns what is left of each room, and the
+   * tasks that no machine of this part can take.
+   */
+  pack(now: number): { rooms: Map<Machine, Amounts>; stuck: Slot[] } {
+    const rooms = new Map<Machine, Amounts>();
+    for (const m of this.machines.values()) {
+      if (m.rostered ? this.takesWork(m, now) : m.settled && !m.draining && !m.noticed) rooms.set(m, this.room(m));
+    }
+    const stuck: Slot[] = [];
+    for (const job of this.wakes()) {
+      for (const slot of this.waitingSlots(job)) {
+        let best: Machine | undefined;
+        for (const [m, room] of rooms) {
+          if (slot.zone !== null && slot.zone !== m.zone) continue;
+          if (!typeAllows(job.spec, m.type, m.zone, m.spot) || !fits(job.spec, room) || m.failedJobs.has(job.id))
+            continue;
+          if (
+            best === undefined ||
+            (m.cache.has(job.spec.image) ? 1 : 0) > (best.cache.has(job.spec.image) ? 1 : 0) ||
+            (m.cache.has(job.spec.image) === best.cache.has(job.spec.image) && room.gpus < rooms.get(best)!.gpus)
+          ) {
+            best = m;
+          }
+        }
+        if (best === undefined) stuck.push(slot);
+        else rooms.set(best, plus(rooms.get(best)!, job.spec, -1));
+      }
+    }
+    return { rooms, stuck };
+  }
+
+  /** Stops work of lower priority for tasks that have no room; returns how many were told to stop. */
+  preempt(stuck: readonly Slot[], now: number): number {
+    let stopped = 0;
+    for (const slot of stuck) {
+      if (slot.preemptingUntil > now || slot.notBefore > now) continue;
+      const victims = choosePreemption(this, slot, now);
+      if (victims === null) continue;
+      slot.preemptingUntil = now + this.facts.leaseMs;
+      for (const victim of victims) {
+        const spec = victim.job.spec;
+        victim.claim!.stopGraceS = spec.checkpointS > 0 ? spec.saveS * REPORT_VARIES : 0;
+        this.#log('task preempted', { task: victim.name, machine: victim.claim!.machine.name, for: slot.name });
+        stopped++;
+      }
+    }
+    if (stopped > 0) this.changes++;
+    return stopped;
+  }
+
+  /**
+   * Tasks that can be given back to the leader, by job: those of cancelled jobs that surely run nowhere, and those that
+   * have waited a while for room that this part does not have.
+   */
+  giveBack(stuck: readonly Slot[], now: number): Map<string, Slot[]> {
+    const back = new Map<string, Slot[]>();
+    const add = (slot: Slot): void => {
+      const list = back.get(slot.job.id);
+      if (list === undefined) back.set(slot.job.id, [slot]);
+      else list.push(slot);
+    };
+    for (const slots of this.slots.values()) {
+      for (const slot of slots.values()) {
+        if (slot.job.cancelled && (slot.state === 'waiting' || slot.state === 'finishing')) add(slot);
+      }
+    }
+    const patience = this.facts.reportMs / 2;
+    for (const slot of stuck) {
+      if (slot.state === 'waiting' && now - slot.since > patience && slot.preemptingUntil <= now) add(slot);
+    }
+    return back;
+  }
+
+  /** The record's change is on its way: until its outcome is known nobody may be granted these. */
+  leaving(slots: readonly Slot[], now: number): void {
+    for (const slot of slots) {
+      if (slot.state !== 'waiting') continue;
+      this.#move(slot, 'leaving', now);
+      slot.leavingVersion = slot.job.version;
+    }
+  }
+
+  finishing(): Map<string, Slot[]> {
+    const byJob = new Map<string, Slot[]>();
+    for (const [id, slots] of this.slots) {
+      const list = [...slots.values()].filter((s) => s.state === 'finishing' && !s.job.cancelled);
+      if (list.length > 0) byJob.set(id, list);
+    }
+    return byJob;
+  }
+
+  /** How many tasks of each job run here, for display. */
+  running(): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const [id, slots] of this.slots) {
+      let n = 0;
+      for (const slot of slots.values()) if (slot.claim?.stage === 'running' || slot.claim?.stage === 'saving') n++;
+      if (n > 0) counts.set(id, n);
+    }
+    return counts;
+  }
+}
--- /dev/null
+++ b/packages/core/src/division.ts
@@ -0,0 +1,227 @@
+// The leader's division of waiting tasks among the parts by free room, with the arithmetic of team limits and zones.
+import type { Round } from '@gingerlock/wire';
+import { type Amounts, type Facts, fits, limitAllows, NOTHING, plus, typeAllows } from './facts';
+import { type Job, joinRounds } from './jobs';
+
+/** What a part's owner says of one machine. */
+export interface MachineRoom {
+  readonly name: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  /** Left after its claims and after the waiting tasks that the owner expects to bind here. */
+  readonly free: Amounts;
+  /** What stopping its claims of each rank would free, by rank. */
+  readonly byRank: readonly Amounts[];
+  readonly images: readonly string[];
+  readonly takesWork: boolean;
+  readonly draining: boolean;
+  readonly noticed: boolean;
+  readonly sick: boolean;
+  readonly empty: boolean;
+  /** How long it has been empty. */
+  readonly emptyMs: number;
+  /** Since its last report that was answered. */
+  readonly silentMs: number;
+}
+
+export interface PartSummary {
+  readonly part: number;
+  readonly term: number;
+  /** The owner's replica stood at this revision: later deals are not in it yet. */
+  readonly revision: number;
+  readonly machines: readonly MachineRoom[];
+  readonly running: readonly (readonly [string, number])[];
+}
+
+export interface Deal {
+  readonly job: Job;
+  readonly rounds: Round[];
+  /** Which machine each task was meant for: counted against its room until the owner's summary shows it. */
+  readonly meant: readonly { machine: string; need: Amounts }[];
+}
+
+/** Tasks that have no room anywhere, though their team's limit allows them. */
+export interface Unmet {
+  readonly job: Job;
+  readonly count: number;
+  /** Zones it may go to; null: any. */
+  readonly zones: readonly string[] | null;
+}
+
+export interface DivisionInput {
+  readonly jobs: Iterable<Job>;
+  readonly summaries: readonly PartSummary[];
+  /** Deals that a summary may not show yet. */
+  readonly recent: readonly { revision: number; machine: string; part: number; need: Amounts }[];
+  readonly facts: Facts;
+  readonly most: number;
+}
+
+interface Bin {
+  readonly room: MachineRoom;
+  readonly part: number;
+  readonly term: number;
+  free: Amounts;
+  byRank: Amounts[];
+}
+
+export function jobOrder(a: Job, b: Job): number {
+  return a.rank - b.rank || a.acceptedAt - b.acceptedAt || (a.id < b.id ? -1 : 1);
+}
+
+/** What the dealt and unfinished tasks of every team add up to. */
+export function teamUse(jobs: Iterable<Job>): Map<string, Amounts> {
+  const use = new Map<string, Amounts>();
+  for (const job of jobs) {
+    const n = dealtUnfinished(job);
+    if (n > 0) use.set(job.spec.team, plus(use.get(job.spec.team) ?? NOTHING, job.spec, n));
+  }
+  return use;
+}
+
+export function dealtUnfinished(job: Job): number {
+  let n = 0;
+  for (const r of job.rounds) {
+    if (job.finishedCount === 0) n += r.count;
+    else for (let i = r.from; i < r.from + r.count; i++) if (!job.isFinished(i)) n++;
+  }
+  return n;
+}
+
+/** At most this many tasks of a spread job in one zone. */
+export function spreadCap(job: Job): number {
+  return Math.ceil(job.spec.tasks / 2);
+}
+
+function zoneCounts(job: Job): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const r of job.rounds) {
+    if (r.zone !== null) counts.set(r.zone, (counts.get(r.zone) ?? 0) + r.count);
+  }
+  return counts;
+}
+
+export function divide(input: DivisionInput): { deals: Deal[]; unmet: Unmet[] } {
+  const bins: Bin[] = [];
+  for (const s of input.summaries) {
+    for (const room of s.machines) {
+      if (!room.takesWork) continue;
+      let free = room.free;
+      for (const d of input.recent) {
+        if (d.part === s.part && d.machine === room.name && d.revision > s.revision) free = plus(free, d.need, -1);
+      }
+      bins.push({ room, part: s.part, term: s.term, free, byRank: [...room.byRank] });
+    }
+  }
+  const jobs = [...input.jobs];
+  const use = teamUse(jobs);
+  const deals: Deal[] = [];
+  const unmet: Unmet[] = [];
+  for (const job of jobs.filter((j) => !j.cancelled).sort(jobOrder)) {
+    const gaps = job.undealt();
+    if (gaps.length === 0) continue;
+    const team = input.facts.teams.get(job.spec.team);
+    // A team that is gone from the settings gets no more room; what it had goes on.
+    if (team === undefined) continue;
+    let allowed = limitAllows(team, use.get(team.name) ?? NOTHING, job.spec);
+    if (allowed === 0) continue;
+    const zones = zoneCounts(job);
+    const oneZone = job.spec.oneZone ? ([...zones.keys()][0] ?? bestZone(job, bins)) : null;
+    const cap = spreadCap(job);
+    const rounds: Round[] = [];
+    const meant: { machine: string; need: Amounts }[] = [];
+    let missing = 0;
+    tasks: for (const [from, count] of gaps) {
+      for (let index = from; index < from + count; index++) {
+        if (job.isFinished(index)) continue;
+        if (allowed <= 0) break tasks;
+        const bin =
+          missing > 0 || deals.length >= input.most
+            ? undefined
+            : pick(
+                job,
+                bins,
+                (zone) => (oneZone === null || zone === oneZone) && (!job.spec.spread || (zones.get(zone) ?? 0) < cap),
+              );
+        allowed--;
+        if (bin === undefined) {
+          missing++;
+          continue;
+        }
+        take(bin, job);
+        const zone = job.spec.spread || job.spec.oneZone ? bin.room.zone : job.spec.zone;
+        if (zone !== null) zones.set(zone, (zones.get(zone) ?? 0) + 1);
+        rounds.push({ from: index, count: 1, part: bin.part, zone, term: bin.term });
+        meant.push({ machine: bin.room.name, need: job.spec });
+      }
+    }
+    use.set(team.name, plus(use.get(team.name) ?? NOTHING, job.spec, rounds.length + missing));
+    if (rounds.length > 0) deals.push({ job, rounds: joinRounds([...job.rounds, ...rounds]), meant });
+    if (missing > 0) {
+      const open = job.spec.spread ? input.facts.zones.filter((z) => (zones.get(z) ?? 0) < cap) : null;
+      unmet.push({
+        job,
+        count: missing,
+        zones: oneZone !== null ? [oneZone] : job.spec.zone !== null ? [job.spec.zone] : open,
+      });
+    }
+  }
+  return { deals, unmet };
+}
+
+function suits(job: Job, bin: Bin): boolean {
+  return typeAllows(job.spec, bin.room.type, bin.room.zone, bin.room.spot);
+}
+
+/** The zone in which most tasks of the job fit now. */
+function bestZone(job: Job, bins: readonly Bin[]): string | null {
+  const byZone = new Map<string, number>();
+  for (const bin of bins) {
+    if (!suits(job, bin) || !fits(job.spec, bin.free)) continue;
+    byZone.set(bin.room.zone, (byZone.get(bin.room.zone) ?? 0) + bin.free.gpus + bin.free.cpus / 1000);
+  }
+  let best: string | null = job.spec.zone;
+  for (const [zone, room] of byZone) if (best === null || room > (byZone.get(best) ?? 0)) best = zone;
+  return best;
+}
+
+/** Lower is better: what is cached, then what is cheap to hold, then what is fuller already. */
+function cost(job: Job, bin: Bin): number {
+  const cached = bin.room.images.includes(job.spec.image) ? 0 : 4;
+  const kind = job.spec.spot && !bin.room.spot ? 2 : 0;
+  const total = bin.free.gpus + bin.byRank.reduce((sum, a) => sum + a.gpus, 0);
+  return cached + kind + (total > 0 ? bin.free.gpus / total : 1);
+}
+
+function pick(job: Job, bins: readonly Bin[], zoneAllowed: (zone: string) => boolean): Bin | undefined {
+  let best: Bin | undefined;
+  let bestCost = Infinity;
+  for (const bin of bins) {
+    if (!zoneAllowed(bin.room.zone) || !suits(job, bin)) continue;
+    let c: number;
+    if (fits(job.spec, bin.free)) {
+      c = cost(job, bin);
+    } else {
+      let room = bin.free;
+      let rank = bin.byRank.length - 1;
+      for (; rank > job.rank && !fits(job.spec, room); rank--) room = plus(room, bin.byRank[rank]!);
+      if (!fits(job.spec, room)) continue;
+      c = 100 + cost(job, bin) + (bin.byRank.length - rank);
+    }
+    if (c < bestCost) {
+      best = bin;
+      bestCost = c;
+    }
+  }
+  return best;
+}
+
+/** Takes the task's room from the bin, by preemption of the least urgent work where it is not free. */
+function take(bin: Bin, job: Job): void {
+  for (let rank = bin.byRank.length - 1; rank > job.rank && !fits(job.spec, bin.free); rank--) {
+    bin.free = plus(bin.free, bin.byRank[rank]!);
+    bin.byRank[rank] = NOTHING;
+  }
+  bin.free = plus(bin.free, job.spec, -1);
+}
--- /dev/null
+++ b/packages/core/src/facts.ts
@@ -0,0 +1,121 @@
+import type { JobSpec, MachineType } from '@gingerlock/wire';
+
+export interface Team {
+  readonly name: string;
+  /** What is guaranteed; 0: no guarantee is counted in this kind. */
+  readonly cpus: number;
+  readonly gpus: number;
+  /** What its tasks may use at most; 0: no limit is set on this kind. */
+  readonly cpusMax: number;
+  readonly gpusMax: number;
+}
+
+/** What the platform's settings say, in milliseconds wherever it is a time. Every constant is a ratio to one of these. */
+export interface Facts {
+  readonly controllers: number;
+  readonly zones: readonly string[];
+  readonly teams: ReadonlyMap<string, Team>;
+  readonly reportMs: number;
+  readonly leaseMs: number;
+  readonly cancelMs: number;
+  readonly skewMs: number;
+  readonly listLagMs: number;
+}
+
+/** The protocol's bound on how far two steady clocks drift apart, for both of two clocks and rounded up. */
+export const DRIFT = 0.001;
+
+/** Slack for timers and for answers under way, on top of drift: a small part of a report interval. */
+export function marginMs(facts: Facts): number {
+  return facts.reportMs / 5;
+}
+
+/** A worker whose report was answered at T has surely killed its tasks by T plus this. */
+export function workerLeaseBoundMs(facts: Facts): number {
+  return facts.leaseMs * (1 + DRIFT) + marginMs(facts);
+}
+
+/** How long after its last contact with the state service an owner may still answer workers. */
+export function answerBoundMs(facts: Facts): number {
+  return (facts.cancelMs - facts.leaseMs) * (1 - DRIFT) - 3 * marginMs(facts);
+}
+
+/** How old a controller's view of the jobs may be for it to start tasks. */
+export function grantViewMs(facts: Facts): number {
+  return facts.cancelMs / 10;
+}
+
+export interface Amounts {
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memoryGb: number;
+}
+
+/** Sums of decimal amounts are compared with this much slack. */
+const EPSILON = 1e-6;
+
+export function fits(need: Amounts, room: Amounts): boolean {
+  return (
+    need.cpus <= room.cpus + EPSILON && need.gpus <= room.gpus + EPSILON && need.memoryGb <= room.memoryGb + EPSILON
+  );
+}
+
+export function plus(a: Amounts, b: Amounts, factor = 1): Amounts {
+  return { cpus: a.cpus + b.cpus * factor, gpus: a.gpus + b.gpus * factor, memoryGb: a.memoryGb + b.memoryGb * factor };
+}
+
+export const NOTHING: Amounts = { cpus: 0, gpus: 0, memoryGb: 0 };
+
+/** How many times `need` goes into `room`. */
+export function timesIn(need: Amounts, room: Amounts): number {
+  const ratio = (n: number, r: number): number => (n <= 0 ? Infinity : Math.floor((r + EPSILON) / n));
+  return Math.max(
+    0,
+    Math.min(ratio(need.cpus, room.cpus), ratio(need.gpus, room.gpus), ratio(need.memoryGb, room.memoryGb)),
+  );
+}
+
+/** How many more tasks of this size a team's limit allows, given what it uses. */
+export function limitAllows(team: Team, used: Amounts, need: Amounts): number {
+  const left = (max: number, usedOf: number, needOf: number): number =>
+    max <= 0 || needOf <= 0 ? Infinity : Math.floor((max - usedOf + EPSILON) / needOf);
+  return Math.max(0, Math.min(left(team.cpusMax, used.cpus, need.cpus), left(team.gpusMax, used.gpus, need.gpus)));
+}
+
+export function typeAllows(job: JobSpec, type: string, zone: string, spot: boolean): boolean {
+  return (
+    (job.types === null || job.types.includes(type)) && (job.zone === null || job.zone === zone) && (!spot || job.spot)
+  );
+}
+
+/** Why a job can never run, or null if it can. */
+export function neverRuns(job: JobSpec, facts: Facts, types: readonly MachineType[]): string | null {
+  const team = facts.teams.get(job.team);
+  if (team === undefined) return `unknown team ${job.team}`;
+  const fitting = types.filter(
+    (t) =>
+      (job.types === null || job.types.includes(t.name)) &&
+      (job.zone === null || t.zones.includes(job.zone)) &&
+      fits(job, t),
+  );
+  if (fitting.length === 0) return 'a task fits no allowed machine type';
+  const atOnce = job.kind === 'service' ? job.tasks : 1;
+  if (limitAllows(team, NOTHING, job) < atOnce) return `needs more than the limit of team ${job.team}`;
+  if (job.spread && job.tasks > 1 && (job.oneZone || job.zone !== null)) {
+    return 'tasks can not be both in one zone and spread over zones';
+  }
+  return null;
+}
+
+/** A stable hash (FNV-1a) of a machine's name: which part it belongs to. */
+export function partOf(machine: string, parts: number): number {
+  let hash = 0x811c9dc5;
+  for (let i = 0; i < machine.length; i++) {
+    hash = Math.imul(hash ^ machine.charCodeAt(i), 0x01000193);
+  }
+  // The last bytes of names that count up differ least; mixing spreads them.
+  hash ^= hash >>> 15;
+  hash = Math.imul(hash, 0x2c1b3c6d);
+  hash ^= hash >>> 12;
+  return (hash >>> 0) % parts;
+}
--- /dev/null
+++ b/packages/core/src/fleet.ts
@@ -0,0 +1,291 @@
+// What the leader rents, drains and returns. It only plans; the controller talks to the cloud and to the owners.
+import type { CloudMachine, MachineType, RentRequest } from '@gingerlock/wire';
+import type { MachineRoom, PartSummary, Unmet } from './division';
+import { type Amounts, type Facts, fits, plus, typeAllows, workerLeaseBoundMs } from './facts';
+
+/** What the operators have set. */
+export interface FleetLimits {
+  /** Free room kept on ordinary machines, as a share of what is in use. */
+  readonly headroom: number;
+  readonly maxOrdinaryMachines: number;
+  readonly maxSpotMachines: number;
+}
+
+export interface FleetInput {
+  readonly now: number;
+  readonly types: ReadonlyMap<string, MachineType>;
+  readonly summaries: readonly PartSummary[];
+  readonly unmet: readonly Unmet[];
+  /** Every part has an owner whose summary is current: silence of a machine means something. */
+  readonly allHeard: boolean;
+}
+
+export interface FleetPlan {
+  readonly rent: RentRequest[];
+  readonly giveBack: string[];
+  /** Machines that are to get no more work. */
+  readonly drain: string[];
+}
+
+interface Known {
+  readonly name: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly bornAt: number;
+  state: 'booting' | 'running' | 'failed';
+  listed: boolean;
+  /** Since when it is up, as far as lists and reports tell. */
+  upSince: number | null;
+  /** When it was last seen in a summary, or, if it never was, null. */
+  heardAt: number | null;
+  missingSince: number | null;
+}
+
+interface Refusal {
+  until: number;
+  backoff: number;
+}
+
+/** A machine that takes longer than this many usual boot times counts as late; its room is rented once more. */
+const LATE_BOOTS = 2;
+/** One that takes longer than this many is returned. */
+const STUCK_BOOTS = 4;
+
+export class Fleet {
+  readonly known = new Map<string, Known>();
+  readonly #returned = new Map<string, number>();
+  readonly #refused = new Map<string, Refusal>();
+  #draining = new Set<string>();
+  #counter = 0;
+  #firstList = true;
+
+  constructor(
+    readonly facts: Facts,
+    readonly term: number,
+    readonly limits: FleetLimits,
+  ) {}
+
+  rented(names: readonly string[], r: RentRequest, now: number): void {
+    this.#refused.delete(place(r.type, r.zone, r.spot));
+    for (const name of names) {
+      if (this.known.has(name) || this.#returned.has(name)) continue;
+      this.known.set(name, this.#entry(name, r.type, r.zone, r.spot, now));
+    }
+    if (names.length < r.count) this.refused(r, now);
+  }
+
+  refused(r: RentRequest, now: number): void {
+    const key = place(r.type, r.zone, r.spot);
+    const last = this.#refused.get(key);
+    const backoff = Math.min((last?.backoff ?? this.facts.reportMs) * 2, this.facts.reportMs * 16);
+    this.#refused.set(key, { until: now + backoff, backoff });
+  }
+
+  returned(names: readonly string[], now: number): void {
+    for (const name of names) {
+      this.known.delete(name);
+      this.#draining.delete(name);
+      this.#returned.set(name, now);
+    }
+  }
+
+  #entry(name: string, type: string, zone: string, spot: boolean, bornAt: number): Known {
+    return {
+      name,
+      type,
+      zone,
+      spot,
+      bornAt,
+      state: 'booting',
+      listed: false,
+      upSince: null,
+      heardAt: null,
+      missingSince: null,
+    };
+  }
+
+  /** Takes a whole list of machines. Returns those that are surely gone. */
+  listed(machines: readonly CloudMachine[], now: number): { failed: string[] } {
+    const names = new Set(machines.map((m) => m.name));
+    for (const m of machines) {
+      // A list may be older than the return.
+      if (this.#returned.has(m.name)) continue;
+      let k = this.known.get(m.name);
+      if (k === undefined) {
+        k = this.#entry(m.name, m.type, m.zone, m.spot, now - m.ageS * 1000);
+        this.known.set(m.name, k);
+      }
+      k.listed = true;
+      k.missingSince = null;
+      if (k.state !== 'failed') k.state = m.state;
+      if (m.state === 'running') k.upSince ??= this.#firstList ? now - m.ageS * 1000 : now;
+    }
+    this.#firstList = false;
+    for (const k of this.known.values()) {
+      if (names.has(k.name)) continue;
+      k.missingSince ??= now;
+      // Listed once and missing now: deleted or taken. Lists may go back in time, so not at once.
+      const wait = this.facts.listLagMs * (k.listed ? 2 : 6);
+      if (now - k.missingSince > wait && (k.heardAt === null || now - k.heardAt > this.facts.leaseMs))
+        this.known.delete(k.name);
+    }
+    for (const [name, at] of this.#returned) if (now - at > this.facts.listLagMs * 20) this.#returned.delete(name);
+    return { failed: [...this.known.values()].filter((k) => k.state === 'failed').map((k) => k.name) };
+  }
+
+  plan(input: FleetInput): FleetPlan {
+    const { now, types } = input;
+    const rooms = new Map<string, MachineRoom>();
+    for (const s of input.summaries) for (const m of s.machines) rooms.set(m.name, m);
+    for (const m of rooms.values()) {
+      if (this.#returned.has(m.name)) continue;
+      let k = this.known.get(m.name);
+      if (k === undefined) {
+        k = this.#entry(m.name, m.type, m.zone, m.spot, now);
+        this.known.set(m.name, k);
+      }
+      if (k.state === 'booting') k.state = 'running';
+      k.upSince ??= now;
+      if (m.silentMs < this.facts.leaseMs) k.heardAt = now - m.silentMs;
+    }
+
+    const giveBack: string[] = [];
+    const drain = new Set<string>();
+    const booting: Known[] = [];
+    for (const k of this.known.values()) {
+      const bootMs = (types.get(k.type)?.bootS ?? 60) * 1000;
+      const room = rooms.get(k.name);
+      if (k.state === 'failed') giveBack.push(k.name);
+      else if (k.state === 'booting' && room === undefined) {
+        if (now - k.bornAt > bootMs * STUCK_BOOTS) giveBack.push(k.name);
+        else if (now - k.bornAt < bootMs * LATE_BOOTS) booting.push(k);
+      } else if (
+        input.allHeard &&
+        now - Math.max(k.heardAt ?? 0, k.upSince ?? 0) > 2 * workerLeaseBoundMs(this.facts)
+      ) {
+        // Up, and silent for longer than any lease.
+        giveBack.push(k.name);
+      } else if (room?.sick === true) drain.add(k.name);
+    }
+    const rent = this.#rent(input, booting);
+    this.#idle(input, rooms, booting, drain, giveBack, rent.length > 0);
+    this.#draining = drain;
+    return { rent, giveBack, drain: [...drain] };
+  }
+
+  #rent(input: FleetInput, booting: readonly Known[]): RentRequest[] {
+    const { now, types } = input;
+    const bins: { type: string; zone: string; spot: boolean; free: Amounts; fresh: boolean }[] = [];
+    for (const k of booting) {
+      const t = types.get(k.type);
+      if (t !== undefined) bins.push({ type: k.type, zone: k.zone, spot: k.spot, free: amounts(t), fresh: false });
+    }
+    const perZone = new Map<string, number>();
+    const count = { ordinary: 0, spot: 0 };
+    for (const k of this.known.values()) {
+      perZone.set(k.zone, (perZone.get(k.zone) ?? 0) + 1);
+      count[k.spot ? 'spot' : 'ordinary']++;
+    }
+    const belowLimit = (spot: boolean): boolean =>
+      spot ? count.spot < this.limits.maxSpotMachines : count.ordinary < this.limits.maxOrdinaryMachines;
+    const open = (t: string, z: string, spot: boolean): boolean =>
+      (this.#refused.get(place(t, z, spot))?.until ?? 0) <= now;
+
+    const request = (spec: Unmet['job']['spec'], zones: readonly string[] | null): boolean => {
+      let best: { type: MachineType; zone: string; spot: boolean; cost: number } | undefined;
+      for (const type of types.values()) {
+        if (!fits(spec, type)) continue;
+        for (const zone of type.zones) {
+          if (zones !== null && !zones.includes(zone)) continue;
+          for (const spot of [false, true]) {
+            if (!typeAllows(spec, type.name, zone, spot) || !open(type.name, zone, spot) || !belowLimit(spot)) continue;
+            const price = spot ? type.spotPrice : type.price;
+            const cost = price * (1 + (perZone.get(zone) ?? 0) / 1000);
+            if (best === undefined || cost < best.cost) best = { type, zone, spot, cost };
+          }
+        }
+      }
+      if (best === undefined) return false;
+      count[best.spot ? 'spot' : 'ordinary']++;
+      perZone.set(best.zone, (perZone.get(best.zone) ?? 0) + 1);
+      bins.push({
+        type: best.type.name,
+        zone: best.zone,
+        spot: best.spot,
+        free: plus(amounts(best.type), spec, -1),
+        fresh: true,
+      });
+      return true;
+    };
+
+    for (const { job, count, zones } of input.unmet) {
+      for (let i = 0; i < count; i++) {
+        const bin = bins.find(
+          (b) =>
+            (zones === null || zones.includes(b.zone)) &&
+            typeAllows(job.spec, b.type, b.zone, b.spot) &&
+            fits(job.spec, b.free),
+        );
+        if (bin !== undefined) bin.free = plus(bin.free, job.spec, -1);
+        else if (!request(job.spec, zones)) break;
+      }
+    }
+    const groups = new Map<string, RentRequest>();
+    for (const b of bins.filter((bin) => bin.fresh)) {
+      const key = place(b.type, b.zone, b.spot);
+      const r = groups.get(key);
+      if (r !== undefined) groups.set(key, { ...r, count: Math.min(50, r.count + 1) });
+      else groups.set(key, { request: '', type: b.type, zone: b.zone, spot: b.spot, count: 1 });
+    }
+    // Names are never reused: they carry the leader's term.
+    return [...groups.values()].map((r) => ({ ...r, request: `r-${this.term}-${++this.#counter}` }));
+  }
+
+  /** Machines that have been empty for about a boot time go, if enough room is left without them. */
+  #idle(
+    input: FleetInput,
+    rooms: ReadonlyMap<string, MachineRoom>,
+    booting: readonly Known[],
+    drain: Set<string>,
+    giveBack: string[],
+    renting: boolean,
+  ): void {
+    let ordinary = 0;
+    let used = 0;
+    const empties: MachineRoom[] = [];
+    for (const m of rooms.values()) {
+      const type = input.types.get(m.type);
+      if (type === undefined || m.noticed || this.#returned.has(m.name)) continue;
+      if (!m.spot && m.takesWork) ordinary += m.free.gpus;
+      used += type.gpus - m.free.gpus;
+      if (m.empty) empties.push(m);
+    }
+    const largest = Math.max(0, ...[...input.types.values()].map((t) => t.gpus));
+    const headroom = Math.max(largest / 2, used * this.limits.headroom);
+    for (const m of empties.sort((a, b) => b.emptyMs - a.emptyMs)) {
+      if (giveBack.includes(m.name)) continue;
+      const type = input.types.get(m.type)!;
+      const idle = m.emptyMs > type.bootS * 1000 * IDLE_BOOTS;
+      const spare = m.spot || ordinary - type.gpus >= headroom;
+      const leave =
+        drain.has(m.name) || this.#draining.has(m.name) || (idle && spare && !(renting && booting.length === 0));
+      if (!leave) continue;
+      if (!m.spot && m.takesWork) ordinary -= type.gpus;
+      drain.add(m.name);
+      // The owner says that it binds nothing there any more and that nothing is there.
+      if (m.draining) giveBack.push(m.name);
+    }
+  }
+}
+
+/** An empty machine is kept for this many boot times. */
+const IDLE_BOOTS = 0.5;
+
+function place(type: string, zone: string, spot: boolean): string {
+  return `${type}/${zone}/${spot ? 'spot' : 'ordinary'}`;
+}
+
+function amounts(t: MachineType): Amounts {
+  return { cpus: t.cpus, gpus: t.gpus, memoryGb: t.memoryGb };
+}
--- /dev/null
+++ b/packages/core/src/ownership.ts
@@ -0,0 +1,192 @@
+// Who owns a part, or the lead. One holding per slot, as a state machine; the controller carries out what it decides.
+import type { Condition, Change, HoldRecord, OwnerRecord } from '@gingerlock/wire';
+import { holdRecord, KEYS, ownerRecord, termRecord } from '@gingerlock/wire';
+import { type Facts, marginMs, workerLeaseBoundMs } from './facts';
+
+/**
+ * away:     somebody else's, or nobody's.
+ * taking:   a takeover is on its way; its outcome is not known yet.
+ * held:     ours.
+ * resuming: ours, our state lease had lapsed, and the hold is being put back under the same term.
+ */
+export type HoldingState = 'away' | 'taking' | 'held' | 'resuming';
+
+const MOVES: Record<HoldingState, readonly HoldingState[]> = {
+  away: ['taking'],
+  taking: ['held', 'away'],
+  held: ['away', 'resuming'],
+  resuming: ['held', 'away'],
+};
+
+export interface Versioned<T> {
+  readonly record: T;
+  readonly version: number;
+}
+
+/** What the replica says of one slot. */
+export interface SlotView {
+  readonly owner: Versioned<OwnerRecord> | null;
+  readonly hold: Versioned<HoldRecord> | null;
+  readonly term: Versioned<number> | null;
+}
+
+export interface Me {
+  readonly node: string;
+  readonly process: string;
+}
+
+export interface Txn {
+  readonly conditions: Condition[];
+  readonly changes: Change[];
+}
+
+export type Decision =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'lost' }
+  | { readonly kind: 'take'; readonly txn: Txn; readonly term: number; readonly movedAt: number }
+  | { readonly kind: 'resume'; readonly txn: Txn };
+
+/** How long a state lease of a controller lasts without renewal. */
+export function stateLeaseMs(facts: Facts): number {
+  return facts.reportMs * 2.5;
+}
+
+export class Holding {
+  state: HoldingState = 'away';
+  term = 0;
+  /** Version of our owner record: every write of ours is conditional on it. */
+  version = 0;
+  takenAt = 0;
+  clearAt = 0;
+  /** Since when the slot has been seen without a hold; null: it has one. */
+  #absentSince: number | null = null;
+  #movedAt = 0;
+  #takeSentAt = 0;
+
+  constructor(
+    readonly slot: string,
+    readonly facts: Facts,
+    readonly me: Me,
+    /** Intervals to leave to controllers that come before us for this slot. */
+    readonly turn: number,
+  ) {}
+
+  get owned(): boolean {
+    return this.state === 'held' || this.state === 'resuming';
+  }
+
+  /** The one function that changes the state. */
+  #move(next: HoldingState): void {
+    if (!MOVES[this.state].includes(next)) throw new Error(`slot ${this.slot}: no move from ${this.state} to ${next}`);
+    this.state = next;
+  }
+
+  /** Looks at an up-to-date view. `lease` is our state lease, known to be valid, or null. */
+  decide(view: SlotView, lease: number | null, now: number, wallNow: number): Decision {
+    if (view.hold !== null) this.#absentSince = null;
+    else this.#absentSince ??= now;
+
+    if (this.state === 'taking' || this.state === 'resuming') return { kind: 'none' };
+    if (this.state === 'held') {
+      if (view.owner === null || view.owner.version !== this.version) {
+        this.#move('away');
+        return { kind: 'lost' };
+      }
+      if (view.hold === null && lease !== null) {
+        // Our state lease lapsed, and nobody took the slot: the owner key proves it. The term and all claims stand.
+        this.#move('resuming');
+        return {
+          kind: 'resume',
+          txn: {
+            conditions: [
+              { key: KEYS.owner(this.slot), version: this.version },
+              { key: KEYS.hold(this.slot), version: 0 },
+            ],
+            changes: [{ put: KEYS.hold(this.slot), value: holdRecord.write(this.me), lease }],
+          },
+        };
+      }
+      return { kind: 'none' };
+    }
+    if (lease === null) return { kind: 'none' };
+    // A hold that names this controller is an earlier process's, and that one is dead: there is one at a time.
+    const earlierSelf = view.hold?.record.node === this.me.node;
+    if (view.hold !== null && !earlierSelf) return { kind: 'none' };
+    const wait = this.turn * this.facts.reportMs;
+    if (!earlierSelf && now - (this.#absentSince ?? now) < wait) return { kind: 'none' };
+
+    const term = (view.term?.record ?? 0) + 1;
+    const previous = view.owner?.record ?? null;
+    // The time of the last takeover between controllers outlives our own restarts.
+    this.#movedAt =
+      previous === null
+        ? 0
+        : previous.node === this.me.node && view.hold?.record.process !== this.me.process
+          ? previous.movedAt
+          : wallNow;
+    this.#takeSentAt = now;
+    this.term = term;
+    this.#move('taking');
+    return {
+      kind: 'take',
+      term,
+      movedAt: this.#movedAt,
+      txn: {
+        conditions: [
+          { key: KEYS.hold(this.slot), version: view.hold?.version ?? 0 },
+          { key: KEYS.term, version: view.term?.version ?? 0 },
+          { key: KEYS.owner(this.slot), version: view.owner?.version ?? 0 },
+        ],
+        changes: [
+          { put: KEYS.term, value: termRecord.write(term) },
+          {
+            put: KEYS.owner(this.slot),
+            value: ownerRecord.write({ term, node: this.me.node, movedAt: this.#movedAt }),
+          },
+          { put: KEYS.hold(this.slot), value: holdRecord.write(this.me), lease },
+        ],
+      },
+    };
+  }
+
+  /**
+   * The takeover was carried out at `version`. False: it took so long that the time written with it is no bound any
+   * more, so it has to be taken once more.
+   */
+  taken(version: number, hadOwner: boolean, now: number, wallNow: number): boolean {
+    if (this.#movedAt > 0 && now - this.#takeSentAt > this.facts.reportMs) {
+      this.#move('away');
+      return false;
+    }
+    this.#move('held');
+    this.version = version;
+    this.takenAt = now;
+    // DESIGN: tasks of an earlier owner are granted again only once the old workers' leases have surely run out.
+    const own = hadOwner ? now + workerLeaseBoundMs(this.facts) : now;
+    const moved =
+      this.#movedAt === 0
+        ? now
+        : now +
+          (this.#movedAt - wallNow) +
+          this.facts.cancelMs +
+          2 * this.facts.skewMs +
+          stateLeaseMs(this.facts) +
+          2 * marginMs(this.facts);
+    this.clearAt = Math.max(own, moved);
+    return true;
+  }
+
+  /** A takeover or a resumption that was surely not carried out. */
+  failed(): void {
+    if (this.state === 'taking' || this.state === 'resuming') this.#move('away');
+  }
+
+  resumed(): void {
+    if (this.state === 'resuming') this.#move('held');
+  }
+
+  /** Somebody else is known to own the slot. */
+  stepDown(): void {
+    if (this.owned) this.#move('away');
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/controller.ts
@@ -0,0 +1,670 @@
+// One controller: its view of the state service, the parts it owns, the lead if it has it, and the answers to users,
+// workers and peers. Everything it needs of the world comes in through ports.
+import {
+  Budget,
+  type Clock,
+  type Http,
+  Replica,
+  sleep,
+  StateService,
+  type TxnResult,
+  URGENCY,
+} from '@gingerlock/clients';
+import {
+  answerBoundMs,
+  dealtUnfinished,
+  type Decision,
+  DRIFT,
+  grantViewMs,
+  Holding,
+  type Job,
+  marginMs,
+  neverRuns,
+  partOf,
+  stateLeaseMs,
+} from '@gingerlock/core';
+import type { PeerLink, PeerMessage } from '@gingerlock/peer';
+import {
+  decodeReport,
+  decodeSubmission,
+  encodeError,
+  encodeJobState,
+  encodeOrders,
+  encodeReportTo,
+  FORMAT,
+  isJobId,
+  jobRecord,
+  type JobSpec,
+  type JobState,
+  KEYS,
+  LEAD,
+  Malformed,
+  metaRecord,
+  PREFIX,
+  type WorkerReport,
+} from '@gingerlock/wire';
+import { Leader, type SeenSummary } from './leader';
+import type { Log } from './log';
+import { PartOwner } from './owner';
+import type { Settings } from './settings';
+import { Shared } from './shared';
+import { Store } from './store';
+
+export interface Reply {
+  readonly status: number;
+  readonly body: Buffer | null;
+  readonly retryAfterS?: number;
+}
+
+export interface ControllerPorts {
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly http: Http;
+  readonly link: PeerLink;
+  readonly log: Log;
+}
+
+interface Relaying {
+  readonly resolve: (reply: Reply) => void;
+}
+
+interface Redirected {
+  readonly owner: string;
+  readonly at: number;
+  /** Since when its reports are relayed. */
+  relayedSince: number | null;
+}
+
+export class Controller {
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly link: PeerLink;
+  readonly state: StateService;
+  readonly replica: Replica;
+  readonly store = new Store();
+  readonly shared: Shared;
+  readonly process: string;
+  readonly #http: Http;
+  readonly #owners = new Map<number, PartOwner>();
+  readonly #holdings = new Map<string, Holding>();
+  readonly #seen = new Map<number, SeenSummary>();
+  readonly #redirected = new Map<string, Redirected>();
+  readonly #relays = new Map<number, Relaying>();
+  readonly #peerContact = new Map<string, { ageMs: number; at: number }>();
+  #leader: Leader | null = null;
+  #lease: number | null = null;
+  #relayCounter = 0;
+  #stopped = false;
+  #summarySentAt = -Infinity;
+  #summaryChanges = -1;
+  /** Asked of the peers while the state service is out of reach. */
+  #asked: { id: number; at: number; vouched: Set<string> } | null = null;
+  #askCounter = 0;
+  /** Up to when all peers have vouched that nothing has happened that we have not seen. */
+  #vouchedAt = -Infinity;
+
+  constructor(ports: ControllerPorts) {
+    this.settings = ports.settings;
+    this.clock = ports.clock;
+    this.log = ports.log;
+    this.link = ports.link;
+    this.#http = ports.http;
+    const { facts } = ports.settings;
+    this.process = Math.floor(ports.clock.random() * 2 ** 48).toString(36);
+    const share = 0.95 / facts.controllers;
+    const budget = new Budget(ports.clock, this.settings.stateRps * share, this.settings.stateWriteRps * share);
+    this.state = new StateService({
+      http: ports.http,
+      addr: this.settings.state,
+      budget,
+      clock: ports.clock,
+      timeoutMs: Math.max(facts.reportMs / 2, 1000),
+    });
+    this.replica = new Replica({
+      state: this.state,
+      clock: ports.clock,
+      prefix: PREFIX,
+      minIntervalMs: Math.max(facts.reportMs / 15, 4000 / (this.settings.stateRps * share)),
+      idleIntervalMs: facts.reportMs / 5,
+      onChange: (key, value, version) => {
+        try {
+          this.store.apply(key, value, version);
+        } catch (error) {
+          this.log.error({ key, error: String(error) }, 'unreadable record');
+        }
+      },
+      onSync: () => this.#synced(),
+      onError: (error) => this.log.info({ error: String(error) }, 'state service can not be read'),
+    });
+    this.shared = new Shared(this.settings, ports.clock, ports.log, this.state, this.replica, this.store);
+    this.shared.announce = (revision) => this.#broadcast({ kind: 'Hint', revision });
+    this.store.onJob = (id) => {
+      for (const owner of this.#owners.values()) owner.jobChanged(id);
+    };
+    this.store.onRoster = (part, machine, present) => this.#owners.get(part)?.book.setRostered(machine, present);
+    this.link.onMessage = (from, message) => {
+      try {
+        this.#fromPeer(from, message);
+      } catch (error) {
+        this.log.error({ from, kind: message.kind, error: String(error) }, 'message from peer failed');
+      }
+    };
+  }
+
+  start(): void {
+    this.replica.start();
+    void this.#leaseLoop();
+    this.#tickLater();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+    this.#leader?.stop();
+    this.replica.stop();
+  }
+
+  // --- time --------------------------------------------------------------------------------------------------------
+
+  #tickLater(): void {
+    if (this.#stopped) return;
+    this.clock.after(this.settings.facts.reportMs / 15, () => {
+      try {
+        this.#tick();
+      } catch (error) {
+        this.log.error({ error: error instanceof Error ? error.stack : String(error) }, 'tick failed');
+      }
+      this.#tickLater();
+    });
+  }
+
+  #tick(): void {
+    const now = this.clock.now();
+    for (const owner of this.#owners.values()) owner.tick(now);
+    this.#summarise(now);
+    this.#leader?.tick();
+    this.#askPeers(now);
+    for (const [machine, r] of this.#redirected) {
+      if (now - r.at > this.settings.facts.leaseMs * 4) this.#redirected.delete(machine);
+    }
+  }
+
+  async #leaseLoop(): Promise<void> {
+    const { facts } = this.settings;
+    const ttl = stateLeaseMs(facts);
+    while (!this.#stopped) {
+      const sent = this.clock.now();
+      try {
+        if (this.#lease === null) this.#lease = await this.state.grantLease(ttl);
+        else if (!(await this.state.renewLease(this.#lease))) {
+          this.log.info({ lease: this.#lease }, 'state lease ended');
+          this.#lease = null;
+          this.shared.leaseUntil = -Infinity;
+          continue;
+        }
+        // Counted from the sending: the service may have started counting then.
+        this.shared.leaseUntil = sent + ttl * (1 - DRIFT) - marginMs(facts) / 2;
+      } catch (error) {
+        this.log.info({ error: String(error) }, 'state lease not renewed');
+      }
+      await sleep(this.clock, Math.max(0, sent + ttl / 4 - this.clock.now()) + 1);
+    }
+  }
+
+  // --- ownership ---------------------------------------------------------------------------------------------------
+
+  #synced(): void {
+    const { store } = this;
+    if (store.meta === null) {
+      void this.#found();
+      return;
+    }
+    if (this.#holdings.size === 0) this.#openHoldings(store.meta.parts);
+    const now = this.clock.now();
+    for (const holding of this.#holdings.values()) {
+      const wasOwned = holding.owned;
+      const lease = this.shared.leaseValid() ? this.#lease : null;
+      const decision = holding.decide(store.view(holding.slot), lease, now, this.clock.wall());
+      if (wasOwned && !holding.owned) this.#released(holding);
+      if (decision.kind === 'take' || decision.kind === 'resume') void this.#take(holding, decision);
+    }
+  }
+
+  async #found(): Promise<void> {
+    // About half of a value's room, in bits of base64: a page of a finished set always fits.
+    const pageTasks = Math.max(64, Math.floor(this.settings.valueBytes / 2) * 6);
+    const meta = { format: FORMAT, parts: this.settings.facts.controllers, pageTasks: pageTasks - (pageTasks % 8) };
+    const changes = [{ put: KEYS.meta, value: metaRecord.write(meta) }];
+    const result = await this.state.txn(URGENCY.accept, [{ key: KEYS.meta, version: 0 }], changes);
+    if (result.kind === 'done') this.replica.applyOwn(changes, result.revision);
+  }
+
+  #openHoldings(parts: number): void {
+    const { node, peers, facts } = this.settings;
+    const nodes = [node, ...peers.map((p) => p.node)].sort();
+    const mine = nodes.indexOf(node);
+    const me = { node, process: this.process };
+    const turn = (home: number): number => (mine - home + nodes.length * parts) % nodes.length;
+    for (let part = 0; part < parts; part++) {
+      this.#holdings.set(String(part), new Holding(String(part), facts, me, turn(part)));
+    }
+    this.#holdings.set(LEAD, new Holding(LEAD, facts, me, turn(0) / 2));
+  }
+
+  async #take(holding: Holding, decision: Extract<Decision, { kind: 'take' | 'resume' }>): Promise<void> {
+    const { slot } = holding;
+    const hadOwner = this.store.owners.has(slot);
+    const { conditions, changes } = decision.txn;
+    const revision = await this.shared.settle(URGENCY.renew, conditions, changes, () => !this.#stopped);
+    if (revision === 0) {
+      holding.failed();
+      if (decision.kind === 'resume') this.#released(holding);
+      return;
+    }
+    if (decision.kind === 'resume') {
+      holding.resumed();
+      this.log.info({ slot, term: holding.term }, 'resumed');
+      return;
+    }
+    // What the old owner wrote before it lost the slot has to be seen first: its roster above all.
+    while (this.replica.revision < revision) {
+      try {
+        await this.replica.barrier();
+      } catch {
+        await sleep(this.clock, this.settings.facts.reportMs / 5);
+      }
+    }
+    if (this.store.owners.get(slot)?.version !== revision) {
+      holding.failed();
+      return;
+    }
+    if (!holding.taken(revision, hadOwner, this.clock.now(), this.clock.wall())) return;
+    this.log.info({ slot, term: holding.term, clearInMs: Math.round(holding.clearAt - this.clock.now()) }, 'taken');
+    if (slot === LEAD) {
+      this.#leader = new Leader(this.shared, holding, () => [...this.#seen.values()], this.#http);
+    } else {
+      this.#owners.set(Number(slot), new PartOwner(this.shared, Number(slot), holding));
+    }
+  }
+
+  #released(holding: Holding): void {
+    this.log.info({ slot: holding.slot, term: holding.term }, 'released');
+    if (holding.slot === LEAD) {
+      this.#leader?.stop();
+      this.#leader = null;
+    } else {
+      this.#owners.delete(Number(holding.slot));
+      this.#seen.delete(Number(holding.slot));
+    }
+  }
+
+  // --- workers -----------------------------------------------------------------------------------------------------
+
+  /** Up to when nothing can have been accepted, cancelled or taken that we have not seen. */
+  #contactAt(): number {
+    return Math.max(this.replica.contactAt ?? -Infinity, this.#vouchedAt);
+  }
+
+  async checkin(body: Buffer): Promise<Reply> {
+    let report: WorkerReport;
+    try {
+      report = decodeReport(body);
+    } catch (error) {
+      return refusal(400, error instanceof Malformed ? error.message : 'malformed');
+    }
+    const { meta } = this.store;
+    if (meta === null) return refusal(503, 'starting');
+    const part = partOf(report.machine, meta.parts);
+    if (this.#owners.has(part)) return this.#answer(part, report);
+    return this.#sendOn(part, report, body);
+  }
+
+  #answer(part: number, report: WorkerReport): Reply {
+    const owner = this.#owners.get(part)!;
+    const now = this.clock.now();
+    const { facts } = this.settings;
+    // The bound within which a part's next owner, and users who cancel, may count on our silence.
+    if (now > this.#contactAt() + answerBoundMs(facts)) return refusal(503, 'no contact with the state service');
+    const mayGrant =
+      owner.holding.state === 'held' &&
+      this.shared.leaseValid() &&
+      this.replica.contactAt !== null &&
+      now < this.replica.contactAt + grantViewMs(facts);
+    const outcome = owner.book.report(report, now, mayGrant);
+    switch (outcome.kind) {
+      case 'answer':
+        return { status: 200, body: encodeOrders(owner.holding.term, outcome.commands) };
+      case 'refuse':
+        this.log.debug({ machine: report.machine, why: outcome.why }, 'report refused');
+        return refusal(503, outcome.why);
+      case 'superseded':
+        this.log.info({ part, machine: report.machine, token: report.token }, 'superseded');
+        owner.holding.stepDown();
+        this.#released(owner.holding);
+        return { status: 421, body: encodeReportTo(null) };
+    }
+  }
+
+  /** The worker belongs to a part of another controller. */
+  async #sendOn(part: number, report: WorkerReport, body: Buffer): Promise<Reply> {
+    const { facts, node } = this.settings;
+    const owner = this.store.owners.get(String(part))?.record.node ?? null;
+    const held = this.store.holds.has(String(part));
+    if (owner === null || owner === node || !held) return refusal(503, 'part has no owner now');
+    const now = this.clock.now();
+    const last = this.#redirected.get(report.machine);
+    // Back within its lease after it was sent there: it can not reach the owner, but we may.
+    const cut = last !== undefined && last.owner === owner && now - last.at < facts.leaseMs;
+    const relayed = last?.relayedSince ?? null;
+    if (cut && (relayed === null || now - relayed < facts.leaseMs * 2)) {
+      this.#redirected.set(report.machine, { owner, at: now, relayedSince: relayed ?? now });
+      return this.#relay(owner, body);
+    }
+    this.#redirected.set(report.machine, { owner, at: now, relayedSince: null });
+    return { status: 421, body: encodeReportTo(owner) };
+  }
+
+  #relay(owner: string, body: Buffer): Promise<Reply> {
+    const id = ++this.#relayCounter;
+    const message: PeerMessage = { kind: 'Relay', id, from: this.settings.node, to: owner, body };
+    const via = this.link.alive(owner) ? owner : this.link.nodes.find((n) => n !== owner && this.link.alive(n));
+    if (via === undefined || !this.link.send(via, message))
+      return Promise.resolve(refusal(503, 'owner is out of reach'));
+    return new Promise((resolve) => {
+      const cancel = this.clock.after(this.settings.facts.reportMs, () => {
+        this.#relays.delete(id);
+        resolve(refusal(503, 'owner did not answer'));
+      });
+      this.#relays.set(id, {
+        resolve: (reply) => {
+          cancel();
+          this.#relays.delete(id);
+          resolve(reply);
+        },
+      });
+    });
+  }
+
+  // --- peers -------------------------------------------------------------------------------------------------------
+
+  #broadcast(message: PeerMessage): void {
+    for (const node of this.link.nodes) this.link.send(node, message);
+  }
+
+  #fromPeer(from: string, message: PeerMessage): void {
+    const now = this.clock.now();
+    switch (message.kind) {
+      case 'Hello':
+        return;
+      case 'Alive':
+        this.#peerContact.set(from, { ageMs: message.contactAgeMs, at: now });
+        this.replica.hint(message.revision);
+        return;
+      case 'Hint':
+        this.replica.hint(message.revision);
+        return;
+      case 'Summary': {
+        const { part, term, revision, machines } = message;
+        if (this.#owners.has(part)) return;
+        const running = message.running.map((r) => [r.job, r.tasks] as const);
+        this.#seen.set(part, { summary: { part, term, revision, machines, running }, at: now });
+        return;
+      }
+      case 'FleetOrders':
+        if (this.store.owners.get(LEAD)?.record.term === message.term) this.#obey(message.drain, message.gone);
+        return;
+      case 'Ask':
+        this.link.send(from, {
+          kind: 'Vouch',
+          id: message.id,
+          vouches: this.#canVouch(message.revision),
+          contactAgeMs: this.#contactAgeMs(now),
+        });
+        return;
+      case 'Vouch': {
+        const asked = this.#asked;
+        if (asked === null || asked.id !== message.id || !message.vouches) return;
+        asked.vouched.add(from);
+        if (this.link.nodes.every((n) => asked.vouched.has(n))) this.#vouchedAt = Math.max(this.#vouchedAt, asked.at);
+        return;
+      }
+      case 'Relay':
+        if (message.to === this.settings.node) {
+          void this.#relayed(from, message);
+        } else if (from === message.from && this.link.nodes.includes(message.to)) {
+          this.link.send(message.to, message);
+        }
+        return;
+      case 'RelayAnswer':
+        if (message.to !== this.settings.node) this.link.send(message.to, message);
+        else this.#relays.get(message.id)?.resolve({ status: message.status, body: Buffer.from(message.body) });
+        return;
+    }
+  }
+
+  async #relayed(via: string, message: Extract<PeerMessage, { kind: 'Relay' }>): Promise<void> {
+    let reply: Reply;
+    try {
+      const report = decodeReport(message.body);
+      const part = partOf(report.machine, this.store.meta?.parts ?? 1);
+      reply = this.#owners.has(part) ? this.#answer(part, report) : refusal(503, 'not the owner');
+    } catch {
+      reply = refusal(400, 'malformed');
+    }
+    this.link.send(via, {
+      kind: 'RelayAnswer',
+      id: message.id,
+      to: message.from,
+      status: reply.status,
+      body: reply.body ?? Buffer.alloc(0),
+    });
+  }
+
+  #obey(drain: readonly string[], gone: readonly string[]): void {
+    const draining = new Set(drain);
+    for (const owner of this.#owners.values()) {
+      for (const m of owner.book.machines.values()) m.draining = draining.has(m.name);
+      for (const name of gone) {
+        if (partOf(name, this.store.meta!.parts) === owner.part && !owner.book.isGone(name)) owner.gone(name);
+      }
+    }
+  }
+
+  /** Tells the peers how our parts stand, and that we are there. */
+  #summarise(now: number): void {
+    const { facts } = this.settings;
+    let changes = 0;
+    for (const owner of this.#owners.values()) changes += owner.book.changes + 1;
+    const since = now - this.#summarySentAt;
+    if (since < facts.reportMs / 6 || (changes === this.#summaryChanges && since < facts.reportMs / 2)) return;
+    this.#summarySentAt = now;
+    this.#summaryChanges = changes;
+    for (const owner of this.#owners.values()) {
+      const summary = owner.summary(now);
+      this.#seen.set(owner.part, { summary, at: now });
+      this.#broadcast({
+        kind: 'Summary',
+        part: summary.part,
+        term: summary.term,
+        revision: summary.revision,
+        machines: summary.machines.map((m) => ({ ...m, byRank: [...m.byRank], images: [...m.images] })),
+        running: summary.running.map(([job, tasks]) => ({ job, tasks })),
+      });
+    }
+    this.#broadcast({ kind: 'Alive', contactAgeMs: this.#contactAgeMs(now), revision: this.replica.revision });
+    const leader = this.#leader;
+    if (leader !== null && leader.holding.owned) {
+      const { drain, gone } = leader.orders();
+      this.#obey(drain, gone);
+      this.#broadcast({ kind: 'FleetOrders', term: leader.holding.term, drain: [...drain], gone: [...gone] });
+    }
+  }
+
+  #contactAgeMs(now: number): number {
+    return this.replica.contactAt === null ? 1e9 : now - this.replica.contactAt;
+  }
+
+  // --- an outage of the state service ------------------------------------------------------------------------------
+
+  /**
+   * Whether we know of nothing past that revision. A process that has not reached the state service since its start
+   * can't say what its predecessor has told users; nor can one that may have changed something without knowing.
+   */
+  #canVouch(revision: number): boolean {
+    const doubt = this.state.doubtfulSince;
+    const contact = this.replica.contactAt;
+    const clean = this.state.unanswered === 0 && (doubt === null || (contact !== null && contact > doubt));
+    return this.replica.loaded && contact !== null && this.replica.failures > 0 && clean && this.state.seen <= revision;
+  }
+
+  #askPeers(now: number): void {
+    const { reportMs } = this.settings.facts;
+    if (this.replica.failures === 0 || this.replica.contactAt === null || this.#owners.size === 0) {
+      this.#asked = null;
+      return;
+    }
+    if (this.#asked !== null && now - this.#asked.at < reportMs) return;
+    this.#asked = { id: ++this.#askCounter, at: now, vouched: new Set() };
+    this.#broadcast({ kind: 'Ask', id: this.#asked.id, revision: this.replica.revision });
+  }
+
+  // --- users -------------------------------------------------------------------------------------------------------
+
+  /** Whether to send users here: not while we alone lack the state service. */
+  up(): Reply {
+    const now = this.clock.now();
+    const { reportMs } = this.settings.facts;
+    if (!this.replica.loaded || this.store.meta === null) return refusal(503, 'starting');
+    const stale = this.#contactAgeMs(now) > reportMs * 2;
+    const peerHasIt = [...this.#peerContact].some(
+      ([node, c]) => this.link.alive(node) && now - c.at < reportMs * 2 && c.ageMs < reportMs,
+    );
+    return stale && peerHasIt ? refusal(503, 'state service is out of reach') : { status: 200, body: null };
+  }
+
+  #stateOf(id: string): JobState | null {
+    const final = this.store.jobs.finals.get(id);
+    if (final !== undefined) return { id, status: final };
+    const job = this.store.jobs.live.get(id);
+    if (job === undefined) return null;
+    if (job.cancelled) return { id, status: 'cancelled' };
+    let running = 0;
+    for (const { summary } of this.#seen.values()) {
+      for (const [name, tasks] of summary.running) if (name === id) running += tasks;
+    }
+    return { id, status: running > 0 ? 'running' : 'queued', done: job.finishedCount, running };
+  }
+
+  #reply(id: string, status: number): Reply {
+    const state = this.#stateOf(id);
+    return state === null ? refusal(404, 'no such job') : { status, body: encodeJobState(state) };
+  }
+
+  /** Whether what the replica says of the job can not change any more. */
+  #settled(id: string): boolean {
+    return this.store.jobs.finals.has(id) || this.store.jobs.live.get(id)?.cancelled === true;
+  }
+
+  #known(id: string): boolean {
+    return this.store.jobs.finals.has(id) || this.store.jobs.live.has(id);
+  }
+
+  async poll(id: string): Promise<Reply> {
+    if (!isJobId(id)) return refusal(404, 'no such job');
+    if (!this.#settled(id)) {
+      try {
+        await this.replica.barrier();
+      } catch {
+        return this.#unavailable();
+      }
+    }
+    return this.#reply(id, 200);
+  }
+
+  #unavailable(): Reply {
+    return refusal(503, 'state service is out of reach', 1);
+  }
+
+  async submit(body: Buffer): Promise<Reply> {
+    let spec: JobSpec;
+    try {
+      spec = decodeSubmission(body);
+    } catch (error) {
+      return refusal(400, error instanceof Malformed ? error.message : 'malformed');
+    }
+    const { id } = spec;
+    if (this.#known(id)) return this.poll(id);
+    if (this.store.types.size === 0) return refusal(503, 'machine types are not known yet', 1);
+    const never = neverRuns(spec, this.settings.facts, [...this.store.types.values()]);
+    if (never !== null) {
+      // Another controller may have accepted it under other settings or types.
+      const known = await this.poll(id);
+      return known.status === 404 ? refusal(422, never) : known;
+    }
+    const wait = this.state.options.budget.waitMs(URGENCY.accept);
+    if (wait > 2000) return refusal(429, 'too many requests', Math.ceil(wait / 1000));
+    const key = KEYS.job(id);
+    const record = { final: null, spec, acceptedAt: this.clock.wall(), cancelled: false, rounds: [] };
+    const changes = [{ put: key, value: jobRecord.write(record) }];
+    const result = await this.state.txn(URGENCY.accept, [{ key, version: 0 }], changes, 2000);
+    switch (result.kind) {
+      case 'done':
+        this.replica.applyOwn(changes, result.revision);
+        this.shared.announce(result.revision);
+        this.log.debug({ job: id }, 'accepted');
+        return this.#reply(id, 201);
+      case 'conflict':
+        return this.poll(id);
+      default:
+        return this.#undecided(id, result);
+    }
+  }
+
+  async #undecided(id: string, result: TxnResult): Promise<Reply> {
+    this.log.info({ job: id, result }, 'outcome not known');
+    if (result.kind === 'refused') return this.#unavailable();
+    // Read back before answering: it may have been carried out.
+    const reply = await this.poll(id);
+    return reply.status === 200 ? reply : this.#unavailable();
+  }
+
+  async cancel(id: string): Promise<Reply> {
+    if (!isJobId(id)) return refusal(404, 'no such job');
+    const until = this.clock.now() + 3000;
+    while (!this.#settled(id)) {
+      let job: Job | undefined = this.store.jobs.live.get(id);
+      if (job === undefined) {
+        const reply = await this.poll(id);
+        if (reply.status !== 200) return reply;
+        job = this.store.jobs.live.get(id);
+        if (job === undefined || job.cancelled) break;
+      }
+      const key = KEYS.job(id);
+      const { spec, acceptedAt, rounds } = job;
+      // With nothing dealt there is nothing to stop: the record closes at once.
+      const record =
+        rounds.length === 0
+          ? ({ final: 'cancelled' } as const)
+          : { final: null, spec, acceptedAt, cancelled: true, rounds };
+      const changes = [{ put: key, value: jobRecord.write(record) }];
+      const result = await this.state.txn(URGENCY.cancel, [{ key, version: job.version }], changes, 2000);
+      if (result.kind === 'done') {
+        this.replica.applyOwn(changes, result.revision);
+        this.shared.announce(result.revision);
+        this.log.debug({ job: id, dealt: dealtUnfinished(job) }, 'cancelled');
+        break;
+      }
+      if (result.kind === 'refused' || this.clock.now() > until) return this.#unavailable();
+      try {
+        await this.replica.barrier();
+      } catch {
+        return this.#unavailable();
+      }
+    }
+    return this.#reply(id, 200);
+  }
+}
+
+function refusal(status: number, reason: string, retryAfterS?: number): Reply {
+  return { status, body: encodeError(reason), ...(retryAfterS === undefined ? {} : { retryAfterS }) };
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,3 @@
+export * from './controller';
+export * from './settings';
+export { SILENT, type Log } from './log';
--- /dev/null
+++ b/packages/daemon/src/leader.ts
@@ -0,0 +1,241 @@
+import { Cloud, sleep, URGENCY } from '@gingerlock/clients';
+import { divide, Fleet, type Holding, type PartSummary, type Unmet } from '@gingerlock/core';
+import {
+  type Change,
+  type Condition,
+  jobRecord,
+  KEYS,
+  LEAD,
+  machineTypesMap,
+  type RentRequest,
+  RETURN_MOST,
+} from '@gingerlock/wire';
+import type { Shared } from './shared';
+
+export interface SeenSummary {
+  readonly summary: PartSummary;
+  readonly at: number;
+}
+
+interface Meant {
+  readonly revision: number;
+  readonly part: number;
+  readonly machine: string;
+  readonly need: { cpus: number; gpus: number; memoryGb: number };
+}
+
+/** The leader: divides waiting tasks among the parts, closes jobs, and deals with the cloud. It commands no worker. */
+export class Leader {
+  readonly fleet: Fleet;
+  readonly cloud: Cloud;
+  readonly #since: number;
+  #dealing = false;
+  #recent: Meant[] = [];
+  #unmet: readonly Unmet[] = [];
+  #drain: readonly string[] = [];
+  readonly #gone = new Map<string, number>();
+  #stopped = false;
+  #listed = false;
+  #typesAt = -Infinity;
+
+  constructor(
+    readonly shared: Shared,
+    readonly holding: Holding,
+    readonly summaries: () => readonly SeenSummary[],
+    http: ConstructorParameters<typeof Cloud>[0],
+  ) {
+    this.fleet = new Fleet(shared.facts, holding.term, shared.settings.operators);
+    this.cloud = new Cloud(http, shared.settings.cloud, shared.facts.reportMs * 2);
+    this.#since = shared.clock.now();
+    void this.#cloudLoop();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  /** Machines that get no more work, and those that are surely gone: told to the owners again and again. */
+  orders(): { drain: readonly string[]; gone: readonly string[] } {
+    return { drain: this.#drain, gone: [...this.#gone.keys()] };
+  }
+
+  #current(now: number): PartSummary[] {
+    const { store, facts } = this.shared;
+    return this.summaries()
+      .filter(
+        (s) =>
+          now - s.at < facts.reportMs * 2 && store.owners.get(String(s.summary.part))?.record.term === s.summary.term,
+      )
+      .map((s) => s.summary);
+  }
+
+  tick(): void {
+    if (!this.#dealing) void this.#deal();
+  }
+
+  async #deal(): Promise<void> {
+    const { shared } = this;
+    this.#dealing = true;
+    try {
+      while (!this.#stopped && this.holding.owned && shared.leaseValid() && shared.fresh()) {
+        if (!(await this.#dealOnce())) break;
+      }
+    } catch (error) {
+      shared.log.error({ error: String(error) }, 'dealing failed');
+    } finally {
+      this.#dealing = false;
+    }
+  }
+
+  async #dealOnce(): Promise<boolean> {
+    const { shared } = this;
+    const { store, facts, settings } = shared;
+    const now = shared.clock.now();
+    const current = this.#current(now);
+    const conditions: Condition[] = [{ key: KEYS.owner(LEAD), version: this.holding.version }];
+    const changes: Change[] = [];
+    const closing: string[] = [];
+    for (const job of store.jobs.live.values()) {
+      if (changes.length >= settings.txnOps) break;
+      const final = job.cancelled
+        ? job.rounds.length === 0 && 'cancelled'
+        : job.spec.kind === 'array' && job.complete && 'done';
+      if (final === false) continue;
+      conditions.push({ key: KEYS.job(job.id), version: job.version });
+      changes.push({ put: KEYS.job(job.id), value: jobRecord.write({ final }) });
+      closing.push(job.id);
+    }
+    this.#recent = this.#recent.filter((r) => current.some((s) => s.part === r.part && s.revision < r.revision));
+    const { deals, unmet } = divide({
+      jobs: store.jobs.live.values(),
+      summaries: current,
+      recent: this.#recent,
+      facts,
+      most: settings.txnOps - changes.length,
+    });
+    this.#unmet = unmet;
+    const parts = new Set<number>();
+    const meant: Omit<Meant, 'revision'>[] = [];
+    for (const deal of deals) {
+      const { job } = deal;
+      if (closing.includes(job.id)) continue;
+      const value = jobRecord.write({
+        final: null,
+        spec: job.spec,
+        acceptedAt: job.acceptedAt,
+        cancelled: false,
+        rounds: deal.rounds,
+      });
+      if (JSON.stringify(value).length > settings.valueBytes) {
+        shared.log.error({ job: job.id, rounds: deal.rounds.length }, 'record too large, not dealt');
+        continue;
+      }
+      conditions.push({ key: KEYS.job(job.id), version: job.version });
+      changes.push({ put: KEYS.job(job.id), value });
+      for (const r of deal.rounds) parts.add(r.part);
+      for (const m of deal.meant) {
+        const part = current.find((s) => s.machines.some((x) => x.name === m.machine))!.part;
+        meant.push({ part, machine: m.machine, need: m.need });
+      }
+    }
+    if (changes.length === 0) {
+      if (store.leftovers.size === 0) return false;
+      for (const key of [...store.leftovers].slice(0, settings.txnOps)) changes.push({ remove: key });
+    }
+    for (const part of parts) {
+      const owner = store.owners.get(String(part));
+      if (owner !== undefined) conditions.push({ key: KEYS.owner(String(part)), version: owner.version });
+    }
+    const revision = await shared.settle(URGENCY.deal, conditions, changes, () => this.holding.owned && !this.#stopped);
+    if (revision > 0) {
+      for (const m of meant) this.#recent.push({ ...m, revision });
+      shared.log.debug({ jobs: deals.map((d) => d.job.id), closed: closing }, 'dealt');
+    }
+    return revision > 0;
+  }
+
+  // --- cloud -------------------------------------------------------------------------------------------------------
+
+  async #cloudLoop(): Promise<void> {
+    const { shared } = this;
+    const { facts, clock, settings } = shared;
+    const pace = Math.max(facts.reportMs / 3, 3000 / settings.cloudRps);
+    let listAt = -Infinity;
+    while (!this.#stopped) {
+      try {
+        const now = clock.now();
+        if (now - this.#typesAt > facts.listLagMs * 10 || shared.store.types.size === 0) await this.#types();
+        if (now - listAt > Math.max(facts.listLagMs / 2, pace)) {
+          listAt = now;
+          const { failed } = this.fleet.listed(await this.cloud.list(), clock.now());
+          for (const name of failed) this.#gone.set(name, clock.now());
+          this.#listed = true;
+        }
+        if (this.holding.owned && shared.leaseValid() && shared.fresh()) await this.#manage();
+      } catch (error) {
+        shared.log.info({ error: String(error) }, 'cloud trouble');
+      }
+      for (const [name, at] of this.#gone) if (clock.now() - at > facts.leaseMs * 2) this.#gone.delete(name);
+      await sleep(clock, pace);
+    }
+  }
+
+  async #types(): Promise<void> {
+    const { shared } = this;
+    const types = await this.cloud.types();
+    this.#typesAt = shared.clock.now();
+    const value = machineTypesMap(types);
+    const before = machineTypesMap([...shared.store.types.values()]);
+    // Prices of spot machines move all the time; what matters to all is what the machines are.
+    const still = (v: unknown): string => JSON.stringify(v).replace(/"low_price":[0-9.]+/g, '');
+    if (still(value) === still(before)) return;
+    await shared.settle(
+      URGENCY.accept,
+      [{ key: KEYS.owner(LEAD), version: this.holding.version }],
+      [{ put: KEYS.types, value }],
+      () => this.holding.owned && !this.#stopped,
+    );
+  }
+
+  async #manage(): Promise<void> {
+    const { shared } = this;
+    const { facts, clock, store } = shared;
+    const now = clock.now();
+    const current = this.#current(now);
+    const allHeard = current.length === (store.meta?.parts ?? Infinity);
+    if (!this.#listed || !allHeard || now - this.#since < facts.reportMs * 2) return;
+    const plan = this.fleet.plan({ now, types: store.types, summaries: current, unmet: this.#unmet, allHeard });
+    this.#drain = plan.drain;
+    if (plan.giveBack.length > 0) await this.#giveBack(plan.giveBack.slice(0, RETURN_MOST));
+    for (const r of plan.rent) await this.#rent(r);
+  }
+
+  async #giveBack(names: readonly string[]): Promise<void> {
+    const { clock, log } = this.shared;
+    if (!(await this.cloud.giveBack(names))) return;
+    this.fleet.returned(names, clock.now());
+    for (const name of names) this.#gone.set(name, clock.now());
+    log.info({ machines: names }, 'machines returned');
+  }
+
+  async #rent(r: RentRequest): Promise<void> {
+    const { clock, log, facts } = this.shared;
+    // An unknown outcome is asked again under the same name: that rents nothing twice.
+    for (let tries = 0; tries < 4 && !this.#stopped; tries++) {
+      const result = await this.cloud.rent(r);
+      if (result.kind === 'rented') {
+        this.fleet.rented(result.names, r, clock.now());
+        log.info({ ...r, machines: result.names }, 'machines rented');
+        return;
+      }
+      if (result.kind === 'no capacity') {
+        this.fleet.refused(r, clock.now());
+        log.info({ ...r }, 'no capacity');
+        return;
+      }
+      log.info({ ...r, why: result.why }, 'rental not answered');
+      await sleep(clock, facts.reportMs / 2);
+    }
+    this.fleet.refused(r, clock.now());
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/owner.ts
@@ -0,0 +1,241 @@
+import {
+  type Amounts,
+  Bits,
+  type Holding,
+  type Job,
+  type MachineRoom,
+  NOTHING,
+  PartBook,
+  type PartSummary,
+  plus,
+  type Slot,
+  withoutTasks,
+} from '@gingerlock/core';
+import { URGENCY } from '@gingerlock/clients';
+import {
+  type Change,
+  type Condition,
+  finishedRecord,
+  jobRecord,
+  KEYS,
+  PRIORITIES,
+  rosterRecord,
+} from '@gingerlock/wire';
+import type { Shared } from './shared';
+
+/** A change of one key with the conditions it needs, and what to do before it is sent. */
+interface Write {
+  readonly conditions: readonly Condition[];
+  readonly change: Change;
+  readonly prepare?: () => void;
+}
+
+/** One part that this controller owns: its claim book, and the writes that follow from it. */
+export class PartOwner {
+  readonly book: PartBook;
+  #writing = false;
+  #scannedAt = 0;
+  #stuck: readonly Slot[] = [];
+  #rooms: ReadonlyMap<object, Amounts> = new Map();
+  #packedAt = -Infinity;
+  #packedChange = -1;
+  readonly #rosterRemovals = new Set<string>();
+
+  constructor(
+    readonly shared: Shared,
+    readonly part: number,
+    readonly holding: Holding,
+  ) {
+    const { store, facts, clock, log } = shared;
+    this.book = new PartBook({
+      facts,
+      part,
+      term: holding.term,
+      clearAt: holding.clearAt,
+      jobs: store.jobs,
+      types: () => store.types,
+      roster: store.roster(part),
+      log: (message, detail) => log.debug({ part, ...detail }, message),
+    });
+    const now = clock.now();
+    for (const id of store.jobs.live.keys()) this.book.syncJob(id, now);
+  }
+
+  jobChanged(id: string): void {
+    this.book.syncJob(id, this.shared.clock.now());
+  }
+
+  tick(now: number): void {
+    for (const name of this.book.tick(now)) this.#rosterRemovals.add(name);
+    if (now - this.#scannedAt > this.shared.scanMs) {
+      this.#scannedAt = now;
+      this.book.scan();
+    }
+    if (this.book.changes !== this.#packedChange || now - this.#packedAt > this.shared.facts.reportMs / 3) {
+      this.#packedChange = this.book.changes;
+      this.#packedAt = now;
+      const { rooms, stuck } = this.book.pack(now);
+      this.#rooms = rooms;
+      this.#stuck = stuck;
+      if (stuck.length > 0) this.book.preempt(stuck, now);
+    }
+    void this.#write();
+  }
+
+  gone(name: string): void {
+    this.book.gone(name, this.shared.clock.now());
+    this.#rosterRemovals.add(name);
+  }
+
+  // --- writes ------------------------------------------------------------------------------------------------------
+
+  async #write(): Promise<void> {
+    if (this.#writing) return;
+    this.#writing = true;
+    try {
+      for (let more = true; more;) more = await this.#writeOnce();
+    } catch (error) {
+      this.shared.log.error({ part: this.part, error: String(error) }, 'write failed');
+    } finally {
+      this.#writing = false;
+    }
+  }
+
+  #writes(now: number): { writes: Write[]; urgency: (typeof URGENCY)[keyof typeof URGENCY] } {
+    const { store, replica } = this.shared;
+    const writes: Write[] = [];
+    const roster = store.roster(this.part);
+    for (const m of this.book.machines.values()) {
+      if (!m.settled || m.answeredAt === null || roster.has(m.name) || this.#rosterRemovals.has(m.name)) continue;
+      // A name goes into the roster before its first grant, so that a new owner knows to ask for it.
+      const key = KEYS.roster(this.part, m.name);
+      writes.push({
+        conditions: [{ key, version: replica.version(key) }],
+        change: { put: key, value: rosterRecord.write(m.addr) },
+      });
+    }
+    if (writes.length > 0) return { writes, urgency: URGENCY.accept };
+    const touched = new Set<string>();
+    for (const [id, slots] of this.book.finishing()) {
+      touched.add(id);
+      writes.push(...this.#finish(slots[0]!.job, slots));
+    }
+    for (const [id, slots] of this.book.giveBack(this.#stuck, now)) {
+      if (touched.has(id)) continue;
+      const job = slots[0]!.job;
+      const version = job.version;
+      const rounds = withoutTasks(job.rounds, new Set(slots.map((s) => s.index)));
+      const value = jobRecord.write(
+        job.cancelled && rounds.length === 0
+          ? { final: 'cancelled' }
+          : { final: null, spec: job.spec, acceptedAt: job.acceptedAt, cancelled: job.cancelled, rounds },
+      );
+      if (JSON.stringify(value).length > this.shared.settings.valueBytes) continue;
+      const key = KEYS.job(id);
+      writes.push({
+        conditions: [{ key, version }],
+        change: { put: key, value },
+        prepare: () => this.book.leaving(slots, this.shared.clock.now()),
+      });
+    }
+    if (writes.length === 0) {
+      for (const name of this.#rosterRemovals) {
+        const machine = this.book.machines.get(name);
+        // It has come back, or has no entry any more.
+        if ((machine !== undefined && machine.answeredAt !== null) || !roster.has(name)) {
+          this.#rosterRemovals.delete(name);
+          continue;
+        }
+        const key = KEYS.roster(this.part, name);
+        writes.push({
+          conditions: [{ key, version: replica.version(key) }],
+          change: { remove: key },
+          prepare: () => this.book.setRostered(name, false),
+        });
+      }
+      return { writes, urgency: URGENCY.rest };
+    }
+    return { writes, urgency: URGENCY.finish };
+  }
+
+  /** Writes the finished tasks of one job; the last ones close it. */
+  #finish(job: Job, slots: readonly Slot[]): Write[] {
+    const pageTasks = this.shared.store.meta!.pageTasks;
+    if (job.finishedCount + slots.length >= job.spec.tasks) {
+      const key = KEYS.job(job.id);
+      // Against this version: a cancellation and the end exclude each other.
+      return [
+        {
+          conditions: [{ key, version: job.version }],
+          change: { put: key, value: jobRecord.write({ final: 'done' }) },
+        },
+      ];
+    }
+    const pages = new Map<number, Bits>();
+    for (const slot of slots) {
+      const page = Math.floor(slot.index / pageTasks);
+      const bits = pages.get(page) ?? job.page(this.part, page)?.bits ?? new Bits();
+      pages.set(page, bits.with(slot.index % pageTasks));
+    }
+    return [...pages].map(([page, bits]) => {
+      const key = KEYS.finished(job.id, this.part, page);
+      return {
+        conditions: [{ key, version: this.shared.replica.version(key) }],
+        change: { put: key, value: finishedRecord.write(bits.bytes) },
+      };
+    });
+  }
+
+  async #writeOnce(): Promise<boolean> {
+    const { shared } = this;
+    if (!this.holding.owned || !shared.fresh()) return false;
+    const { writes, urgency } = this.#writes(shared.clock.now());
+    if (writes.length === 0) return false;
+    const batch = writes.slice(0, shared.settings.txnOps);
+    for (const w of batch) w.prepare?.();
+    const conditions = [
+      { key: KEYS.owner(String(this.part)), version: this.holding.version },
+      ...batch.flatMap((w) => w.conditions),
+    ];
+    const changes = batch.map((w) => w.change);
+    const done = await shared.settle(urgency, conditions, changes, () => this.holding.owned);
+    // What is finished or given back shows in the replica, and leaves the book with it.
+    return done > 0 && this.holding.owned;
+  }
+
+  // --- what others are told ----------------------------------------------------------------------------------------
+
+  summary(now: number): PartSummary {
+    const { book } = this;
+    const machines: MachineRoom[] = [];
+    for (const m of book.machines.values()) {
+      const byRank: Amounts[] = PRIORITIES.map(() => NOTHING);
+      for (const slot of m.claims.values()) {
+        if (slot.claim!.stopGraceS === null) byRank[slot.job.rank] = plus(byRank[slot.job.rank]!, slot.job.spec);
+      }
+      machines.push({
+        name: m.name,
+        type: m.type,
+        zone: m.zone,
+        spot: m.spot,
+        free: this.#rooms.get(m) ?? NOTHING,
+        byRank,
+        images: [...m.cache.keys()],
+        takesWork: book.takesWork(m, now) && this.#rooms.has(m),
+        draining: m.draining,
+        noticed: m.noticed,
+        sick: book.isSick(m),
+        empty: m.claims.size === 0 && m.settled && m.reported.length === 0 && m.answeredAt !== null,
+        emptyMs: now - m.emptySince,
+        silentMs: m.answeredAt === null ? 1e9 : now - m.answeredAt,
+      });
+    }
+    return {
+      part: this.part,
+      term: this.holding.term,
+      revision: this.shared.replica.revision,
+      machines,
+      running: [...book.running()],
+    };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/serve.ts
@@ -0,0 +1,39 @@
+import { nodeHttp, type Clock } from '@gingerlock/clients';
+import { TcpLink } from '@gingerlock/peer';
+import { Controller } from './controller';
+import { openLog } from './log';
+import { openServer } from './server';
+import type { Settings } from './settings';
+
+const realClock: Clock = {
+  now: () => performance.now(),
+  wall: () => Date.now(),
+  after: (ms, callback) => {
+    const timer = setTimeout(callback, ms);
+    return () => clearTimeout(timer);
+  },
+  random: () => Math.random(),
+};
+
+/** Runs one controller until the process is killed. */
+export async function serve(settings: Settings): Promise<void> {
+  const log = openLog(settings.node);
+  process.on('unhandledRejection', (error) => log.error({ error: String(error) }, 'unhandled rejection'));
+  const link = new TcpLink({
+    node: settings.node,
+    listen: settings.peerListen,
+    peers: settings.peers,
+    silenceMs: settings.facts.reportMs * 2,
+    log: (message, detail) => log.debug(detail, message),
+  });
+  const controller = new Controller({ settings, clock: realClock, http: nodeHttp(), link, log });
+  const app = openServer(controller, log, settings.sockets);
+  const colon = settings.clientListen.lastIndexOf(':');
+  await link.start();
+  controller.start();
+  await app.listen({
+    host: settings.clientListen.slice(0, colon),
+    port: Number(settings.clientListen.slice(colon + 1)),
+  });
+  log.info({ clients: settings.clientListen, peers: settings.peerListen }, 'serving');
+}
--- /dev/null
+++ b/packages/daemon/src/server.ts
@@ -0,0 +1,40 @@
+import { fastify, type FastifyInstance, type FastifyReply } from 'fastify';
+import { MAX_BODY_BYTES } from '@gingerlock/wire';
+import type { Controller, Reply } from './controller';
+import type { Log } from './log';
+
+/** The users' and workers' interface. It knows HTTP and nothing else. */
+export function openServer(controller: Controller, log: Log, sockets: number): FastifyInstance {
+  const app = fastify({ logger: false, bodyLimit: MAX_BODY_BYTES, exposeHeadRoutes: false, trustProxy: false });
+  // Some sockets stay free for the state service, the cloud and the peers, whatever comes from users.
+  app.server.maxConnections = Math.floor(sockets * 0.85);
+
+  const send = (reply: FastifyReply, answer: Reply): FastifyReply => {
+    void reply.code(answer.status);
+    if (answer.retryAfterS !== undefined) void reply.header('retry-after', String(answer.retryAfterS));
+    if (answer.body === null) return reply.send();
+    return reply.header('content-type', 'application/msgpack').send(answer.body);
+  };
+
+  app.removeAllContentTypeParsers();
+  app.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body));
+  app.setErrorHandler((error: Error & { statusCode?: number }, _request, reply) => {
+    const status = error.statusCode ?? 500;
+    // A body that is too large, or cut off, is malformed to its sender.
+    if (status >= 400 && status < 500) return send(reply, { status: 400, body: null });
+    log.error({ error: error.stack }, 'request failed');
+    return send(reply, { status: 503, body: null });
+  });
+
+  const body = (value: unknown): Buffer => (Buffer.isBuffer(value) ? value : Buffer.alloc(0));
+  const id = (params: unknown): string => (params as { id: string }).id;
+
+  app.get('/up', (_request, reply) => send(reply, controller.up()));
+  app.post('/checkin', async (request, reply) => send(reply, await controller.checkin(body(request.body))));
+  app.post('/submissions', async (request, reply) => send(reply, await controller.submit(body(request.body))));
+  app.get('/submissions/:id', async (request, reply) => send(reply, await controller.poll(id(request.params))));
+  app.post('/submissions/:id/cancel', async (request, reply) =>
+    send(reply, await controller.cancel(id(request.params))),
+  );
+  return app;
+}
--- /dev/null
+++ b/packages/daemon/src/settings.ts
@@ -0,0 +1,155 @@
+import { readFileSync } from 'node:fs';
+import { type Static, type TSchema, Type } from '@sinclair/typebox';
+import { Value } from '@sinclair/typebox/value';
+import type { Facts } from '@gingerlock/core';
+import type { PeerAddress } from '@gingerlock/peer';
+import { parse as parseYaml } from 'yaml';
+
+/** Settings that can not be used; the command ends with exit code 2. */
+export class SettingsError extends Error {
+  constructor(message: string) {
+    super(message);
+    this.name = 'SettingsError';
+  }
+}
+
+const Address = Type.String({ pattern: '^[^\\s:]+:[0-9]{1,5}$' });
+const Positive = Type.Number({ exclusiveMinimum: 0 });
+const Amount = Type.Number({ minimum: 0 });
+
+const PlatformFile = Type.Object({
+  node: Type.String({ minLength: 1, maxLength: 64 }),
+  area: Type.String(),
+  client_listen: Address,
+  cluster_listen: Address,
+  peers: Type.Array(Type.Object({ node: Type.String({ minLength: 1 }), area: Type.String(), address: Address })),
+  services: Type.Object({ cloud: Address, state: Address }),
+  facts: Type.Object({
+    count: Type.Integer({ minimum: 1, maximum: 1000 }),
+    zones: Type.Array(Type.String({ minLength: 1 }), { minItems: 1 }),
+    teams: Type.Array(
+      Type.Object({ name: Type.String(), cpus: Amount, cpus_max: Amount, gpus: Amount, gpus_max: Amount }),
+    ),
+    workers: Type.Object({ report_s: Positive, lease_s: Positive, cancel_s: Positive }),
+    state: Type.Object({
+      rps: Positive,
+      write_rps: Positive,
+      value_kb: Positive,
+      txn_ops: Type.Integer({ minimum: 4 }),
+    }),
+    cloud: Type.Object({ rps: Positive, list_lag_s: Amount }),
+    machine_limits: Type.Object({ sockets: Type.Integer({ minimum: 16 }) }),
+    skew_ms: Amount,
+  }),
+});
+
+/** The operators' own settings: every key may be left out. */
+const OperatorsFile = Type.Object(
+  {
+    headroom: Type.Optional(Type.Number({ minimum: 0, maximum: 1 })),
+    max_ordinary_machines: Type.Optional(Type.Integer({ minimum: 0 })),
+    max_spot_machines: Type.Optional(Type.Integer({ minimum: 0 })),
+  },
+  { additionalProperties: false },
+);
+
+export interface OperatorSettings {
+  /** Free room kept on ordinary machines, as a share of what is in use. */
+  readonly headroom: number;
+  readonly maxOrdinaryMachines: number;
+  readonly maxSpotMachines: number;
+}
+
+export const OPERATOR_DEFAULTS: OperatorSettings = {
+  headroom: 0.06,
+  maxOrdinaryMachines: Infinity,
+  maxSpotMachines: Infinity,
+};
+
+export interface Settings {
+  readonly node: string;
+  readonly clientListen: string;
+  readonly peerListen: string;
+  readonly peers: readonly PeerAddress[];
+  readonly cloud: string;
+  readonly state: string;
+  readonly stateRps: number;
+  readonly stateWriteRps: number;
+  readonly valueBytes: number;
+  readonly txnOps: number;
+  readonly cloudRps: number;
+  readonly sockets: number;
+  readonly facts: Facts;
+  readonly operators: OperatorSettings;
+}
+
+function check<T extends TSchema>(schema: T, value: unknown, what: string): Static<T> {
+  if (Value.Check(schema, value)) return value;
+  const error = Value.Errors(schema, value).First();
+  const path = error?.path.slice(1).replaceAll('/', '.') ?? '';
+  throw new SettingsError(`${what}: ${path === '' ? 'the whole' : path}: ${error?.message ?? 'invalid'}`);
+}
+
+export function settingsOf(platform: unknown, operators: unknown): Settings {
+  const p = check(PlatformFile, platform, 'settings');
+  const o = check(OperatorsFile, operators ?? {}, "operators' settings");
+  const f = p.facts;
+  if (f.workers.cancel_s <= f.workers.lease_s) {
+    throw new SettingsError('settings: facts.workers.cancel_s: must be longer than lease_s');
+  }
+  return {
+    node: p.node,
+    clientListen: p.client_listen,
+    peerListen: p.cluster_listen,
+    peers: p.peers.map((peer) => ({ node: peer.node, address: peer.address })),
+    cloud: p.services.cloud,
+    state: p.services.state,
+    stateRps: f.state.rps,
+    stateWriteRps: f.state.write_rps,
+    valueBytes: f.state.value_kb * 1024,
+    txnOps: f.state.txn_ops,
+    cloudRps: f.cloud.rps,
+    sockets: f.machine_limits.sockets,
+    facts: {
+      controllers: f.count,
+      zones: f.zones,
+      teams: new Map(
+        f.teams.map((t) => [
+          t.name,
+          { name: t.name, cpus: t.cpus, gpus: t.gpus, cpusMax: t.cpus_max, gpusMax: t.gpus_max },
+        ]),
+      ),
+      reportMs: f.workers.report_s * 1000,
+      leaseMs: f.workers.lease_s * 1000,
+      cancelMs: f.workers.cancel_s * 1000,
+      skewMs: f.skew_ms,
+      listLagMs: f.cloud.list_lag_s * 1000,
+    },
+    operators: {
+      headroom: o.headroom ?? OPERATOR_DEFAULTS.headroom,
+      maxOrdinaryMachines: o.max_ordinary_machines ?? OPERATOR_DEFAULTS.maxOrdinaryMachines,
+      maxSpotMachines: o.max_spot_machines ?? OPERATOR_DEFAULTS.maxSpotMachines,
+    },
+  };
+}
+
+function read(path: string, what: string, parse: (text: string) => unknown): unknown {
+  let text: string;
+  try {
+    text = readFileSync(path, 'utf8');
+  } catch (error) {
+    throw new SettingsError(`${what}: can not read ${path}: ${error instanceof Error ? error.message : 'failed'}`);
+  }
+  try {
+    return parse(text);
+  } catch (error) {
+    throw new SettingsError(`${what}: ${path}: ${error instanceof Error ? error.message : 'can not be parsed'}`);
+  }
+}
+
+export function loadSettings(path: string, operatorsPath: string | null): Settings {
+  const platform = read(path, 'settings', (text) => JSON.parse(text) as unknown);
+  const operators =
+    operatorsPath === null ? {} : read(operatorsPath, "operators' settings", (text) => parseYaml(text) as unknown);
+  return settingsOf(platform, operators);
+}
--- /dev/null
+++ b/packages/daemon/src/shared.ts
@@ -0,0 +1,71 @@
+import type { Facts } from '@gingerlock/core';
+import { type Clock, type Replica, sleep, type StateService, type Urgency } from '@gingerlock/clients';
+import type { Change, Condition } from '@gingerlock/wire';
+import type { Log } from './log';
+import type { Settings } from './settings';
+import type { Store } from './store';
+
+/** DESIGN's recovery scan: every 5 seconds. */
+const SCAN_MS = 5000;
+
+/** What the parts of one controller have in common. */
+export class Shared {
+  readonly facts: Facts;
+  readonly scanMs = SCAN_MS;
+  /** Until when our state lease surely lasts, by our own clock. */
+  leaseUntil = -Infinity;
+  /** Tells the other controllers that something has changed. */
+  announce: (revision: number) => void = () => undefined;
+
+  constructor(
+    readonly settings: Settings,
+    readonly clock: Clock,
+    readonly log: Log,
+    readonly state: StateService,
+    readonly replica: Replica,
+    readonly store: Store,
+  ) {
+    this.facts = settings.facts;
+  }
+
+  leaseValid(): boolean {
+    return this.clock.now() < this.leaseUntil;
+  }
+
+  /** The replica is complete and was read lately. */
+  fresh(): boolean {
+    const { loaded, contactAt } = this.replica;
+    return loaded && contactAt !== null && this.clock.now() - contactAt < this.facts.reportMs * 2;
+  }
+
+  /**
+   * Carries out a transaction until its outcome is known, repeating the very same one: its conditions can hold only
+   * once. Returns the revision it was done at, or 0 if it was not; the replica is at or past the outcome then.
+   */
+  async settle(
+    urgency: Urgency,
+    conditions: readonly Condition[],
+    changes: readonly Change[],
+    wanted: () => boolean,
+  ): Promise<number> {
+    for (let pause = this.facts.reportMs / 20; ; pause = Math.min(pause * 2, this.facts.reportMs)) {
+      const result = await this.state.txn(urgency, conditions, changes);
+      if (result.kind === 'done') {
+        this.replica.applyOwn(changes, result.revision);
+        this.announce(result.revision);
+        return result.revision;
+      }
+      if (result.kind === 'conflict' || result.kind === 'no lease') {
+        try {
+          await this.replica.barrier();
+        } catch {
+          await sleep(this.clock, pause);
+        }
+        return 0;
+      }
+      this.log.debug({ kind: result.kind, why: result.why }, 'transaction not settled');
+      await sleep(this.clock, pause);
+      if (!wanted()) return 0;
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/store.ts
@@ -0,0 +1,88 @@
+import { JobTable, type SlotView, type Versioned } from '@gingerlock/core';
+import {
+  holdRecord,
+  type HoldRecord,
+  type MachineType,
+  machineTypesOf,
+  type Meta,
+  metaRecord,
+  ownerRecord,
+  type OwnerRecord,
+  parseKey,
+  rosterRecord,
+  termRecord,
+} from '@gingerlock/wire';
+
+/** What this controller's replica of the state service says, in our own terms. */
+export class Store {
+  meta: Meta | null = null;
+  term: Versioned<number> | null = null;
+  types: ReadonlyMap<string, MachineType> = new Map();
+  readonly jobs = new JobTable(() => this.meta?.pageTasks ?? 8);
+  readonly owners = new Map<string, Versioned<OwnerRecord>>();
+  readonly holds = new Map<string, Versioned<HoldRecord>>();
+  /** By part: the machines that may hold a claim there, with their addresses. */
+  readonly rosters = new Map<number, Map<string, string>>();
+  /** Finished sets whose job has been closed: nothing needs them any more. */
+  readonly leftovers = new Set<string>();
+  onJob: (id: string) => void = () => undefined;
+  onRoster: (part: number, machine: string, present: boolean) => void = () => undefined;
+
+  view(slot: string): SlotView {
+    return { owner: this.owners.get(slot) ?? null, hold: this.holds.get(slot) ?? null, term: this.term };
+  }
+
+  roster(part: number): Map<string, string> {
+    let roster = this.rosters.get(part);
+    if (roster === undefined) {
+      roster = new Map();
+      this.rosters.set(part, roster);
+    }
+    return roster;
+  }
+
+  /** Throws if the value is none that we write. */
+  apply(key: string, value: unknown, version: number): void {
+    const k = parseKey(key);
+    switch (k.kind) {
+      case 'meta':
+        if (value !== undefined) this.meta = metaRecord.read(value);
+        return;
+      case 'term':
+        this.term = value === undefined ? null : { record: termRecord.read(value), version };
+        return;
+      case 'types':
+        if (value !== undefined) this.types = new Map(machineTypesOf(value).map((t) => [t.name, t]));
+        return;
+      case 'owner':
+        if (value === undefined) this.owners.delete(k.slot);
+        else this.owners.set(k.slot, { record: ownerRecord.read(value), version });
+        return;
+      case 'hold':
+        if (value === undefined) this.holds.delete(k.slot);
+        else this.holds.set(k.slot, { record: holdRecord.read(value), version });
+        return;
+      case 'roster':
+        if (value === undefined) this.roster(k.part).delete(k.machine);
+        else this.roster(k.part).set(k.machine, rosterRecord.read(value));
+        this.onRoster(k.part, k.machine, value !== undefined);
+        return;
+      case 'job': {
+        const pages = [...(this.jobs.live.get(k.id)?.pages.keys() ?? [])];
+        const record = this.jobs.applyJob(k.id, value, version);
+        if (record !== null && record.final !== null)
+          for (const page of pages) this.leftovers.add(`g/f/${k.id}/${page}`);
+        this.onJob(k.id);
+        return;
+      }
+      case 'finished':
+        this.jobs.applyFinished(k, value, version);
+        if (value === undefined) this.leftovers.delete(key);
+        else if (this.jobs.finals.has(k.id)) this.leftovers.add(key);
+        this.onJob(k.id);
+        return;
+      case 'other':
+        return;
+    }
+  }
+}
--- /dev/null
+++ b/packages/peer/src/index.ts
@@ -0,0 +1,3 @@
+export * from './messages';
+export * from './frames';
+export * from './link';
--- /dev/null
+++ b/packages/peer/src/link.ts
@@ -0,0 +1,149 @@
+import { createConnection, createServer, type Server, type Socket } from 'node:net';
+import { frame, frames } from './frames';
+import { decodePeer, encodePeer, PEER_VERSION, type PeerMessage } from './messages';
+
+export interface PeerAddress {
+  readonly node: string;
+  readonly address: string;
+}
+
+/** What the controller needs of the link; the testkit has a stand-in. */
+export interface PeerLink {
+  readonly nodes: readonly string[];
+  /** Whether anything has come from that controller lately. */
+  alive(node: string): boolean;
+  /** Sends if the controller can be reached now; false: it was dropped. */
+  send(node: string, message: PeerMessage): boolean;
+  onMessage: (from: string, message: PeerMessage) => void;
+}
+
+export interface LinkOptions {
+  readonly node: string;
+  readonly listen: string;
+  readonly peers: readonly PeerAddress[];
+  /** A peer that was silent for this long is not alive. */
+  readonly silenceMs: number;
+  readonly log: (message: string, detail: Record<string, unknown>) => void;
+}
+
+/** Bytes that may wait in a socket before messages are dropped: they are all repeated or may be lost. */
+const MAX_QUEUED_BYTES = 256 * 1024;
+
+interface Connection {
+  readonly socket: Socket;
+  heardAt: number;
+}
+
+/** One TCP connection per pair of controllers; the one with the lower name dials. */
+export class TcpLink implements PeerLink {
+  readonly nodes: readonly string[];
+  onMessage: (from: string, message: PeerMessage) => void = () => undefined;
+  readonly #connections = new Map<string, Connection>();
+  #server: Server | null = null;
+
+  constructor(readonly options: LinkOptions) {
+    this.nodes = options.peers.map((p) => p.node);
+  }
+
+  start(): Promise<void> {
+    for (const peer of this.options.peers) if (this.options.node < peer.node) void this.#dial(peer);
+    const [host, port] = split(this.options.listen);
+    const server = createServer((socket) => void this.#serve(socket, null));
+    server.maxConnections = this.options.peers.length * 4 + 4;
+    this.#server = server;
+    return new Promise((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, host, () => resolve());
+    });
+  }
+
+  stop(): void {
+    this.#server?.close();
+    for (const c of this.#connections.values()) c.socket.destroy();
+  }
+
+  alive(node: string): boolean {
+    const c = this.#connections.get(node);
+    return c !== undefined && performance.now() - c.heardAt < this.options.silenceMs;
+  }
+
+  send(node: string, message: PeerMessage): boolean {
+    const c = this.#connections.get(node);
+    if (c === undefined || c.socket.destroyed || c.socket.writableLength > MAX_QUEUED_BYTES) return false;
+    c.socket.write(frame(encodePeer(message)));
+    return true;
+  }
+
+  async #dial(peer: PeerAddress): Promise<void> {
+    const [host, port] = split(peer.address);
+    for (let backoff = this.options.silenceMs / 16; ; backoff = Math.min(backoff * 2, this.options.silenceMs)) {
+      const socket = createConnection({ host, port });
+      const connected = await this.#connected(socket);
+      if (connected) {
+        const since = performance.now();
+        await this.#serve(socket, peer.node);
+        if (performance.now() - since > this.options.silenceMs) backoff = this.options.silenceMs / 16;
+      } else socket.destroy();
+      // Jitter: after a cut all links come back, but not at once.
+      await new Promise((resolve) => setTimeout(resolve, backoff * (0.5 + Math.random())));
+    }
+  }
+
+  #connected(socket: Socket): Promise<boolean> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => resolve(false), this.options.silenceMs);
+      const settle = (ok: boolean): void => {
+        clearTimeout(timer);
+        resolve(ok);
+      };
+      socket.once('connect', () => settle(true));
+      socket.once('error', () => settle(false));
+    });
+  }
+
+  async #serve(socket: Socket, expected: string | null): Promise<void> {
+    let node: string | null = null;
+    let connection: Connection | null = null;
+    socket.setNoDelay(true);
+    // A cut leaves connections that hang without an error.
+    socket.setTimeout(this.options.silenceMs * 2, () => socket.destroy());
+    socket.on('error', () => socket.destroy());
+    socket.write(frame(encodePeer({ kind: 'Hello', version: PEER_VERSION, node: this.options.node })));
+    try {
+      for await (const payload of frames(socket)) {
+        const message = decodePeer(payload);
+        if (message.kind === 'Hello') {
+          if (
+            message.version !== PEER_VERSION ||
+            !this.nodes.includes(message.node) ||
+            (expected ?? message.node) !== message.node
+          ) {
+            this.options.log('peer refused', { peer: message.node, version: message.version });
+            break;
+          }
+          node = message.node;
+          this.#connections.get(node)?.socket.destroy();
+          connection = { socket, heardAt: performance.now() };
+          this.#connections.set(node, connection);
+          continue;
+        }
+        if (node === null || connection === null) break;
+        connection.heardAt = performance.now();
+        this.onMessage(node, message);
+      }
+    } catch (error) {
+      this.options.log('peer connection ended', {
+        peer: node,
+        error: error instanceof Error ? error.message : 'failed',
+      });
+    } finally {
+      socket.destroy();
+      if (node !== null && this.#connections.get(node) === connection) this.#connections.delete(node);
+    }
+  }
+}
+
+function split(address: string): [string, number] {
+  const colon = address.lastIndexOf(':');
+  return [address.slice(0, colon), Number(address.slice(colon + 1))];
+}
--- /dev/null
+++ b/packages/peer/src/messages.ts
@@ -0,0 +1,112 @@
+// What controllers tell each other. Nothing that safety rests on lives here alone, but for the vouching of peers that
+// they too lack the state service.
+import avro from 'avsc';
+
+/** Raised with every change of the schema; controllers of different versions do not talk. */
+export const PEER_VERSION = 1;
+
+const record = (name: string, fields: Record<string, unknown>): object => ({
+  type: 'record',
+  name,
+  fields: Object.entries(fields).map(([field, type]) => ({ name: field, type })),
+});
+
+const amounts = record('Amounts', { cpus: 'double', gpus: 'double', memoryGb: 'double' });
+
+const schema = [
+  record('Hello', { version: 'int', node: 'string' }),
+  record('Summary', {
+    part: 'int',
+    term: 'long',
+    revision: 'long',
+    machines: {
+      type: 'array',
+      items: record('MachineRoom', {
+        name: 'string',
+        type: 'string',
+        zone: 'string',
+        spot: 'boolean',
+        free: amounts,
+        byRank: { type: 'array', items: 'Amounts' },
+        images: { type: 'array', items: 'string' },
+        takesWork: 'boolean',
+        draining: 'boolean',
+        noticed: 'boolean',
+        sick: 'boolean',
+        empty: 'boolean',
+        emptyMs: 'double',
+        silentMs: 'double',
+      }),
+    },
+    running: { type: 'array', items: record('Running', { job: 'string', tasks: 'int' }) },
+  }),
+  /** The state service stands at this revision at least. */
+  record('Hint', { revision: 'long' }),
+  /** From the leader: which machines get no more work, and which are surely gone. */
+  record('FleetOrders', {
+    term: 'long',
+    drain: { type: 'array', items: 'string' },
+    gone: { type: 'array', items: 'string' },
+  }),
+  record('Ask', { id: 'long', revision: 'long' }),
+  record('Vouch', { id: 'long', vouches: 'boolean', contactAgeMs: 'double' }),
+  /** A worker's report for the owner of a part, from a controller that the worker can reach. */
+  record('Relay', { id: 'long', from: 'string', to: 'string', body: 'bytes' }),
+  record('RelayAnswer', { id: 'long', to: 'string', status: 'int', body: 'bytes' }),
+  record('Alive', { contactAgeMs: 'double', revision: 'long' }),
+];
+
+export interface PeerAmounts {
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+}
+
+export interface PeerMessages {
+  Hello: { version: number; node: string };
+  Summary: {
+    part: number;
+    term: number;
+    revision: number;
+    machines: {
+      name: string;
+      type: string;
+      zone: string;
+      spot: boolean;
+      free: PeerAmounts;
+      byRank: PeerAmounts[];
+      images: string[];
+      takesWork: boolean;
+      draining: boolean;
+      noticed: boolean;
+      sick: boolean;
+      empty: boolean;
+      emptyMs: number;
+      silentMs: number;
+    }[];
+    running: { job: string; tasks: number }[];
+  };
+  Hint: { revision: number };
+  FleetOrders: { term: number; drain: string[]; gone: string[] };
+  Ask: { id: number; revision: number };
+  Vouch: { id: number; vouches: boolean; contactAgeMs: number };
+  Relay: { id: number; from: string; to: string; body: Buffer };
+  RelayAnswer: { id: number; to: string; status: number; body: Buffer };
+  Alive: { contactAgeMs: number; revision: number };
+}
+
+export type PeerMessage = { [K in keyof PeerMessages]: { kind: K } & PeerMessages[K] }[keyof PeerMessages];
+
+const type = avro.Type.forSchema(schema as never, { wrapUnions: true });
+
+export function encodePeer(message: PeerMessage): Buffer {
+  const { kind, ...fields } = message;
+  return type.toBuffer({ [kind]: fields });
+}
+
+/** Throws if the bytes are no message of this schema. */
+export function decodePeer(bytes: Buffer): PeerMessage {
+  const value = type.fromBuffer(bytes) as Record<string, object>;
+  const kind = Object.keys(value)[0]!;
+  return { kind, ...value[kind] } as PeerMessage;
+}
--- /dev/null
+++ b/packages/wire/src/cloud.ts
@@ -0,0 +1,144 @@
+import { Type } from '@sinclair/typebox';
+import { checker } from './check';
+
+export interface MachineType {
+  readonly name: string;
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memoryGb: number;
+  readonly cacheGb: number;
+  readonly fetchGbPerS: number;
+  readonly price: number;
+  readonly spotPrice: number;
+  readonly bootS: number;
+  readonly zones: readonly string[];
+}
+
+export interface CloudMachine {
+  readonly name: string;
+  readonly addr: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly state: 'booting' | 'running' | 'failed';
+  readonly ageS: number;
+}
+
+export const RENT_MOST = 50;
+export const RETURN_MOST = 100;
+export const LIST_MOST = 500;
+
+const Num = Type.Number({ minimum: 0 });
+
+const checkTypes = checker(
+  Type.Object({
+    breeds: Type.Array(
+      Type.Object({
+        sku: Type.String(),
+        cores: Num,
+        accelerators: Num,
+        memory_gb: Num,
+        cache_gb: Num,
+        fetch_gb_per_s: Num,
+        price: Num,
+        low_price: Num,
+        ready_s: Num,
+        yards: Type.Array(Type.String()),
+      }),
+    ),
+  }),
+);
+
+export function machineTypesOf(map: unknown): MachineType[] {
+  return checkTypes(map).breeds.map((b) => ({
+    name: b.sku,
+    cpus: b.cores,
+    gpus: b.accelerators,
+    memoryGb: b.memory_gb,
+    cacheGb: b.cache_gb,
+    fetchGbPerS: b.fetch_gb_per_s,
+    price: b.price,
+    spotPrice: b.low_price,
+    bootS: b.ready_s,
+    zones: b.yards,
+  }));
+}
+
+export function machineTypesMap(types: readonly MachineType[]): unknown {
+  return {
+    breeds: types.map((t) => ({
+      sku: t.name,
+      cores: t.cpus,
+      accelerators: t.gpus,
+      memory_gb: t.memoryGb,
+      cache_gb: t.cacheGb,
+      fetch_gb_per_s: t.fetchGbPerS,
+      price: t.price,
+      low_price: t.spotPrice,
+      ready_s: t.bootS,
+      yards: t.zones,
+    })),
+  };
+}
+
+export interface RentRequest {
+  readonly request: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly count: number;
+}
+
+export function rentMap(r: RentRequest): unknown {
+  return { hire: r.request, breed: r.type, yard: r.zone, borrowed: r.spot, number: r.count };
+}
+
+const checkNames = checker(Type.Object({ rigs: Type.Array(Type.String({ minLength: 1 })) }));
+
+export function rentedNamesOf(map: unknown): string[] {
+  return checkNames(map).rigs;
+}
+
+export function returnMap(names: readonly string[]): unknown {
+  return { rigs: names };
+}
+
+const checkList = checker(
+  Type.Object({
+    rigs: Type.Array(
+      Type.Object({
+        name_id: Type.String({ minLength: 1 }),
+        addr: Type.Optional(Type.Union([Type.Null(), Type.String()])),
+        breed: Type.String(),
+        yard: Type.String(),
+        borrowed: Type.Boolean(),
+        status: Type.Union([Type.Literal('booting'), Type.Literal('running'), Type.Literal('failed')]),
+        held_s: Num,
+      }),
+    ),
+    more: Type.Boolean(),
+  }),
+);
+
+export function machineListOf(map: unknown): { machines: CloudMachine[]; more: boolean } {
+  const list = checkList(map);
+  return {
+    more: list.more,
+    machines: list.rigs.map((m) => ({
+      name: m.name_id,
+      addr: m.addr ?? '',
+      type: m.breed,
+      zone: m.yard,
+      spot: m.borrowed,
+      state: m.status,
+      ageS: m.held_s,
+    })),
+  };
+}
+
+export const CLOUD_PATHS = {
+  types: '/machine_types',
+  rent: '/rentals',
+  giveBack: '/rentals/return',
+  list: (after: string) => `/rentals?from=${encodeURIComponent(after)}&most=${LIST_MOST}`,
+} as const;
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,6 @@
+export * from './codec';
+export * from './users';
+export * from './workers';
+export * from './cloud';
+export * from './state';
+export * from './records';
--- /dev/null
+++ b/packages/wire/src/records.ts
@@ -0,0 +1,188 @@
+// The values that gingerlock keeps in the state service, and their keys. Field names are short because a value has a
+// size limit and every change is sent to every controller.
+import { Type } from '@sinclair/typebox';
+import { checker } from './check';
+import { type JobSpec, jobSpecOf, submissionMap } from './users';
+
+/** Everything of ours is below one prefix, so that one request follows it all. */
+export const PREFIX = 'g/';
+
+export const KEYS = {
+  meta: 'g/meta',
+  term: 'g/term',
+  types: 'g/types',
+  owner: (slot: string) => `g/own/${slot}`,
+  hold: (slot: string) => `g/hold/${slot}`,
+  job: (id: string) => `g/j/${id}`,
+  finished: (id: string, part: number, page: number) => `g/f/${id}/${part}/${page}`,
+  roster: (part: number, machine: string) => `g/r/${part}/${machine}`,
+} as const;
+
+/** The slot of the leader; the slot of a part is its number. */
+export const LEAD = 'lead';
+
+export type ParsedKey =
+  | { readonly kind: 'meta' | 'term' | 'types' | 'other' }
+  | { readonly kind: 'owner' | 'hold'; readonly slot: string }
+  | { readonly kind: 'job'; readonly id: string }
+  | { readonly kind: 'finished'; readonly id: string; readonly part: number; readonly page: number }
+  | { readonly kind: 'roster'; readonly part: number; readonly machine: string };
+
+export function parseKey(key: string): ParsedKey {
+  const words = key.split('/');
+  switch (words[1]) {
+    case 'meta':
+    case 'term':
+    case 'types':
+      return { kind: words[1] };
+    case 'own':
+      return { kind: 'owner', slot: words[2] ?? '' };
+    case 'hold':
+      return { kind: 'hold', slot: words[2] ?? '' };
+    case 'j':
+      return { kind: 'job', id: words[2] ?? '' };
+    case 'f':
+      return { kind: 'finished', id: words[2] ?? '', part: Number(words[3]), page: Number(words[4]) };
+    case 'r':
+      return { kind: 'roster', part: Number(words[2]), machine: words.slice(3).join('/') };
+    default:
+      return { kind: 'other' };
+  }
+}
+
+/** Fixed by the first controller that ever starts. */
+export interface Meta {
+  readonly format: number;
+  readonly parts: number;
+  readonly pageTasks: number;
+}
+
+export const FORMAT = 1;
+
+const checkMeta = checker(
+  Type.Object({
+    v: Type.Integer(),
+    parts: Type.Integer({ minimum: 1, maximum: 1000 }),
+    page: Type.Integer({ minimum: 8 }),
+  }),
+);
+export const metaRecord = {
+  write: (m: Meta): unknown => ({ v: m.format, parts: m.parts, page: m.pageTasks }),
+  read: (value: unknown): Meta => {
+    const m = checkMeta(value);
+    return { format: m.v, parts: m.parts, pageTasks: m.page };
+  },
+};
+
+const checkTerm = checker(Type.Object({ t: Type.Integer({ minimum: 0 }) }));
+export const termRecord = {
+  write: (term: number): unknown => ({ t: term }),
+  read: (value: unknown): number => checkTerm(value).t,
+};
+
+export interface OwnerRecord {
+  readonly term: number;
+  readonly node: string;
+  /** Time of day (ms) of the last takeover from another controller; 0 if there never was one. */
+  readonly movedAt: number;
+}
+
+const checkOwner = checker(Type.Object({ t: Type.Integer({ minimum: 1 }), n: Type.String(), at: Type.Number() }));
+export const ownerRecord = {
+  write: (o: OwnerRecord): unknown => ({ t: o.term, n: o.node, at: o.movedAt }),
+  read: (value: unknown): OwnerRecord => {
+    const o = checkOwner(value);
+    return { term: o.t, node: o.n, movedAt: o.at };
+  },
+};
+
+export interface HoldRecord {
+  readonly node: string;
+  /** Differs between two processes of one controller. */
+  readonly process: string;
+}
+
+const checkHold = checker(Type.Object({ n: Type.String(), i: Type.String() }));
+export const holdRecord = {
+  write: (h: HoldRecord): unknown => ({ n: h.node, i: h.process }),
+  read: (value: unknown): HoldRecord => {
+    const h = checkHold(value);
+    return { node: h.n, process: h.i };
+  },
+};
+
+/** Tasks `from` up to but excluding `from + count` are dealt to `part`, there to run in `zone` (null: any). */
+export interface Round {
+  readonly from: number;
+  readonly count: number;
+  readonly part: number;
+  readonly zone: string | null;
+  /** Term of the part's owner at the deal. */
+  readonly term: number;
+}
+
+export type JobRecord =
+  | { readonly final: 'done' | 'cancelled' }
+  | {
+      readonly final: null;
+      readonly spec: JobSpec;
+      /** Time of day (ms) at the controller that accepted it: an order of arrival, nothing more. */
+      readonly acceptedAt: number;
+      readonly cancelled: boolean;
+      readonly rounds: readonly Round[];
+    };
+
+const checkJob = checker(
+  Type.Union([
+    Type.Object({ f: Type.Union([Type.Literal('d'), Type.Literal('x')]) }),
+    Type.Object({
+      s: Type.Unknown(),
+      t: Type.Number(),
+      c: Type.Integer(),
+      r: Type.Array(
+        Type.Tuple([
+          Type.Integer(),
+          Type.Integer(),
+          Type.Integer(),
+          Type.Union([Type.Null(), Type.String()]),
+          Type.Integer(),
+        ]),
+      ),
+    }),
+  ]),
+);
+export const jobRecord = {
+  write: (j: JobRecord): unknown =>
+    j.final !== null
+      ? { f: j.final === 'done' ? 'd' : 'x' }
+      : {
+          s: submissionMap(j.spec),
+          t: j.acceptedAt,
+          c: j.cancelled ? 1 : 0,
+          r: j.rounds.map((r) => [r.from, r.count, r.part, r.zone, r.term]),
+        },
+  read: (value: unknown): JobRecord => {
+    const j = checkJob(value);
+    if ('f' in j) return { final: j.f === 'd' ? 'done' : 'cancelled' };
+    return {
+      final: null,
+      spec: jobSpecOf(j.s),
+      acceptedAt: j.t,
+      cancelled: j.c === 1,
+      rounds: j.r.map(([from, count, part, zone, term]) => ({ from, count, part, zone, term })),
+    };
+  },
+};
+
+const checkPage = checker(Type.Object({ b: Type.String() }));
+/** One page of a job's finished tasks at one part: a bit per task, the lowest bit first. */
+export const finishedRecord = {
+  write: (bits: Uint8Array): unknown => ({ b: Buffer.from(bits).toString('base64') }),
+  read: (value: unknown): Uint8Array => new Uint8Array(Buffer.from(checkPage(value).b, 'base64')),
+};
+
+const checkRoster = checker(Type.Object({ a: Type.String() }));
+export const rosterRecord = {
+  write: (addr: string): unknown => ({ a: addr }),
+  read: (value: unknown): string => checkRoster(value).a,
+};
--- /dev/null
+++ b/packages/wire/src/workers.ts
@@ -0,0 +1,189 @@
+import { Type } from '@sinclair/typebox';
+import { checker } from './check';
+import { decodeMap, encode, integer, Malformed } from './codec';
+import { isJobId } from './users';
+
+export type TaskState = 'fetching' | 'running' | 'saving' | 'exited';
+export type ExitCause = 'done' | 'stopped' | 'error' | 'no_room' | 'busy' | 'unknown';
+
+export interface ReportedTask {
+  /** `JOB/INDEX`, as the worker names it. */
+  readonly task: string;
+  readonly attempt: number;
+  readonly state: TaskState;
+  readonly cause: ExitCause | null;
+  readonly saved: boolean;
+}
+
+export interface WorkerReport {
+  readonly machine: string;
+  readonly addr: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly session: number;
+  readonly seq: number;
+  readonly token: number;
+  readonly noticeS: number | null;
+  readonly tasks: readonly ReportedTask[];
+}
+
+export type WorkerCommand =
+  | { readonly op: 'start'; readonly task: string; readonly attempt: number }
+  | { readonly op: 'stop'; readonly task: string; readonly attempt: number; readonly graceS: number }
+  | { readonly op: 'forget'; readonly task: string; readonly attempt: number };
+
+const STATE_NAMES: Record<string, TaskState> = {
+  fetching: 'fetching',
+  running: 'running',
+  flushing: 'saving',
+  exited: 'exited',
+};
+const CAUSE_NAMES: Record<string, ExitCause> = {
+  done: 'done',
+  halted: 'stopped',
+  error: 'error',
+  full: 'no_room',
+  in_use: 'busy',
+  no_such: 'unknown',
+};
+const OP_WORDS = { start: 'start', stop: 'halt', forget: 'forget' } as const;
+
+function wordOf<V extends string>(names: Record<string, V>, value: V): string {
+  return Object.keys(names).find((word) => names[word] === value)!;
+}
+
+const Count = Type.Integer({ minimum: 0 });
+
+const checkReport = checker(
+  Type.Object({
+    rig: Type.String({ minLength: 1, maxLength: 128, pattern: '^[!-~]+$' }),
+    addr: Type.String({ maxLength: 64 }),
+    breed: Type.String({ maxLength: 128 }),
+    yard: Type.String({ maxLength: 128 }),
+    borrowed: Type.Boolean(),
+    shift: Count,
+    tally: Count,
+    baton: Count,
+    recall_s: Type.Optional(Type.Union([Type.Null(), Type.Number()])),
+    parcels: Type.Array(
+      Type.Object({
+        parcel: Type.String({ maxLength: 64 }),
+        try: Count,
+        status: Type.String(),
+        cause: Type.Optional(Type.Union([Type.Null(), Type.String()])),
+        stored: Type.Optional(Type.Union([Type.Null(), Type.Boolean()])),
+      }),
+    ),
+  }),
+);
+
+export function decodeReport(body: Uint8Array): WorkerReport {
+  const r = checkReport(decodeMap(body));
+  return {
+    machine: r.rig,
+    addr: r.addr,
+    type: r.breed,
+    zone: r.yard,
+    spot: r.borrowed,
+    session: r.shift,
+    seq: r.tally,
+    token: r.baton,
+    noticeS: r.recall_s ?? null,
+    tasks: r.parcels.map((p, i) => {
+      const state = STATE_NAMES[p.status];
+      // An unknown state is not evidence of anything, least of all that the task is gone.
+      if (state === undefined) throw new Malformed(`parcels.${i}.status`, 'unknown');
+      return {
+        task: p.parcel,
+        attempt: p.try,
+        state,
+        cause: state === 'exited' ? (CAUSE_NAMES[p.cause ?? ''] ?? 'error') : null,
+        saved: p.stored ?? false,
+      };
+    }),
+  };
+}
+
+export function encodeReport(report: WorkerReport): Buffer {
+  return encode({
+    rig: report.machine,
+    addr: report.addr,
+    breed: report.type,
+    yard: report.zone,
+    borrowed: report.spot,
+    shift: integer(report.session),
+    tally: integer(report.seq),
+    baton: integer(report.token),
+    recall_s: report.noticeS,
+    parcels: report.tasks.map((t) => ({
+      parcel: t.task,
+      try: integer(t.attempt),
+      status: wordOf(STATE_NAMES, t.state),
+      ...(t.cause === null ? {} : { cause: wordOf(CAUSE_NAMES, t.cause) }),
+      ...(t.cause === 'stopped' ? { stored: t.saved } : {}),
+    })),
+  });
+}
+
+function orderMaps(commands: readonly WorkerCommand[]): unknown[] {
+  return commands.map((c) => ({
+    verb: OP_WORDS[c.op],
+    parcel: c.task,
+    try: integer(c.attempt),
+    ...(c.op === 'stop' ? { leeway_s: c.graceS } : {}),
+  }));
+}
+
+/** The answer to a report. */
+export function encodeOrders(token: number, commands: readonly WorkerCommand[]): Buffer {
+  return encode({ baton: integer(token), orders: orderMaps(commands) });
+}
+
+/** The body of a direct `/commands` request. */
+export function encodeDirectOrders(token: number, session: number, commands: readonly WorkerCommand[]): Buffer {
+  return encode({ baton: integer(token), shift: integer(session), orders: orderMaps(commands) });
+}
+
+const checkOrders = checker(
+  Type.Object({
+    baton: Count,
+    orders: Type.Array(
+      Type.Object({
+        verb: Type.Union([Type.Literal('start'), Type.Literal('halt'), Type.Literal('forget')]),
+        parcel: Type.String(),
+        try: Count,
+        leeway_s: Type.Optional(Type.Number()),
+      }),
+    ),
+  }),
+);
+
+export function decodeOrders(body: Uint8Array): { token: number; commands: WorkerCommand[] } {
+  const map = checkOrders(decodeMap(body));
+  return {
+    token: map.baton,
+    commands: map.orders.map((o) =>
+      o.verb === 'halt'
+        ? { op: 'stop', task: o.parcel, attempt: o.try, graceS: o.leeway_s ?? 0 }
+        : { op: o.verb, task: o.parcel, attempt: o.try },
+    ),
+  };
+}
+
+/** The body of a 421: which controller to report to, if that is known. */
+export function encodeReportTo(controller: string | null): Buffer {
+  return encode(controller === null ? {} : { foreman: controller });
+}
+
+export function taskName(job: string, index: number): string {
+  return `${job}/${index}`;
+}
+
+/** Splits a task's name; null if it is none of ours. */
+export function parseTaskName(name: string): { job: string; index: number } | null {
+  const slash = name.indexOf('/');
+  const digits = name.slice(slash + 1);
+  if (slash < 0 || !isJobId(name.slice(0, slash)) || !/^(0|[1-9][0-9]{0,5})$/.test(digits)) return null;
+  return { job: name.slice(0, slash), index: Number(digits) };
+}
