--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -266,7 +266,7 @@
     for (const m of empties.sort((a, b) => b.emptyMs - a.emptyMs)) {
       if (giveBack.includes(m.name)) continue;
       const type = input.types.get(m.type)!;
-      const idle = m.emptyMs > type.bootS * 1000 * IDLE_BOOTS;
+      const idle = m.emptyMs > Math.max(type.bootS * 1000 * IDLE_BOOTS, this.facts.reportMs * 5);
       const spare = m.spot || ordinary - type.gpus >= headroom;
       const leave =
         drain.has(m.name) || this.#draining.has(m.name) || (idle && spare && !(renting && booting.length === 0));
@@ -279,7 +279,10 @@
   }
 }
 
-/** An empty machine is kept for this many boot times. */
+/**
+ * An empty machine is kept for this many boot times, and always for a few reports: where machines boot at once, one was
+ * returned before its first task could be dealt to it, and rented again.
+ */
 const IDLE_BOOTS = 0.5;
 
 function place(type: string, zone: string, spot: boolean): string {
