--- /dev/null
+++ b/packages/testkit/src/index.ts
@@ -0,0 +1,6 @@
+export * from './sim';
+export * from './network';
+export * from './state-service';
+export * from './worker';
+export * from './world';
+export * from './faults';
--- /dev/null
+++ b/packages/testkit/src/sim.ts
@@ -0,0 +1,94 @@
+import type { Clock } from '@gingerlock/clients';
+
+/** Small seeded generator (mulberry32): the same seed gives the same day. */
+export function seeded(seed: number): () => number {
+  let a = seed >>> 0;
+  return () => {
+    a = (a + 0x6d2b79f5) >>> 0;
+    let t = Math.imul(a ^ (a >>> 15), a | 1);
+    t = (t + Math.imul(t ^ (t >>> 7), t | 61)) ^ t;
+    return ((t ^ (t >>> 14)) >>> 0) / 2 ** 32;
+  };
+}
+
+interface Event {
+  readonly at: number;
+  readonly order: number;
+  readonly run: () => void;
+  cancelled: boolean;
+}
+
+/** Simulated time: events run in order of their times, and promises settle in between. */
+export class Sim {
+  now = 0;
+  readonly random: () => number;
+  readonly #heap: Event[] = [];
+  #order = 0;
+
+  constructor(seed: number) {
+    this.random = seeded(seed);
+  }
+
+  after(ms: number, run: () => void): () => void {
+    const event: Event = { at: this.now + Math.max(0, ms), order: this.#order++, run, cancelled: false };
+    const heap = this.#heap;
+    let i = heap.push(event) - 1;
+    while (i > 0) {
+      const up = (i - 1) >> 1;
+      if (!before(event, heap[up]!)) break;
+      heap[i] = heap[up]!;
+      i = up;
+    }
+    heap[i] = event;
+    return () => {
+      event.cancelled = true;
+    };
+  }
+
+  #pop(): Event | undefined {
+    const heap = this.#heap;
+    const top = heap[0];
+    const last = heap.pop();
+    if (top === undefined || last === undefined || heap.length === 0) return top;
+    let i = 0;
+    for (;;) {
+      let child = 2 * i + 1;
+      if (child >= heap.length) break;
+      if (child + 1 < heap.length && before(heap[child + 1]!, heap[child]!)) child++;
+      if (!before(heap[child]!, last)) break;
+      heap[i] = heap[child]!;
+      i = child;
+    }
+    heap[i] = last;
+    return top;
+  }
+
+  async run(until: number): Promise<void> {
+    while (this.#heap.length > 0 && this.#heap[0]!.at <= until) {
+      const event = this.#pop()!;
+      if (event.cancelled) continue;
+      this.now = event.at;
+      event.run();
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    this.now = until;
+  }
+
+  /** A machine's own clock: drifting, and off by some time of day. */
+  clock(drift: number, wallOffMs: number, alive: () => boolean): Clock {
+    const start = this.now;
+    return {
+      now: () => (this.now - start) * (1 + drift),
+      wall: () => 1_700_000_000_000 + this.now + wallOffMs,
+      after: (ms, callback) =>
+        this.after(ms / (1 + drift), () => {
+          if (alive()) callback();
+        }),
+      random: this.random,
+    };
+  }
+}
+
+function before(a: Event, b: Event): boolean {
+  return a.at < b.at || (a.at === b.at && a.order < b.order);
+}
--- /dev/null
+++ b/packages/testkit/src/state-service.ts
@@ -0,0 +1,132 @@
+import type { HttpAnswer } from '@gingerlock/clients';
+import {
+  decode,
+  encode,
+  eventsMap,
+  leaseGrantedMap,
+  leaseTtlOf,
+  listMap,
+  parseStateRequest,
+  revisionMap,
+  type StateEvent,
+  txnRequestOf,
+} from '@gingerlock/wire';
+import type { Sim } from './sim';
+
+interface Entry {
+  readonly value: unknown;
+  readonly version: number;
+  readonly lease: number | null;
+}
+
+const KEPT_EVENTS = 10_000;
+
+/** A stand-in of the state service. */
+export class SimStateService {
+  readonly data = new Map<string, Entry>();
+  revision = 0;
+  /** Nobody is served. */
+  outage = false;
+  /** Share of requests that are refused with 503. */
+  refuse = 0;
+  /** Limits that a request breaks are counted, not enforced. */
+  largestTxn = 0;
+  largestValue = 0;
+  #events: StateEvent[] = [];
+  #dropped = 0;
+  #leases = new Map<number, { ttlMs: number; until: number }>();
+  #nextLease = 1;
+
+  constructor(readonly sim: Sim) {
+    const sweep = (): void => {
+      for (const [id, lease] of this.#leases) if (this.sim.now > lease.until) this.#end(id);
+      this.sim.after(50, sweep);
+    };
+    this.sim.after(50, sweep);
+  }
+
+  setOutage(on: boolean): void {
+    this.outage = on;
+    // An outage gives all leases their full time again.
+    for (const lease of this.#leases.values()) lease.until = on ? Infinity : this.sim.now + lease.ttlMs;
+  }
+
+  #end(id: number): void {
+    this.#leases.delete(id);
+    const keys = [...this.data].filter(([, e]) => e.lease === id).map(([key]) => key);
+    if (keys.length === 0) return;
+    this.revision++;
+    for (const key of keys) {
+      this.data.delete(key);
+      this.#note({ key, value: undefined, version: this.revision });
+    }
+  }
+
+  #note(event: StateEvent): void {
+    this.#events.push(event);
+    if (this.#events.length > KEPT_EVENTS) this.#dropped = this.#events.shift()!.version;
+  }
+
+  /** Forgets changes, as if many had been made since. */
+  forgetEvents(): void {
+    this.#dropped = this.revision;
+    this.#events = [];
+  }
+
+  handle(method: string, path: string, body: Buffer): HttpAnswer {
+    const answer = (status: number, map: unknown): HttpAnswer => ({ status, body: encode(map) });
+    if (this.outage || this.sim.random() < this.refuse) return answer(503, { error: 'trouble' });
+    const request = parseStateRequest(method, path);
+    switch (request?.kind) {
+      case undefined:
+        return answer(400, { error: 'malformed' });
+      case 'txn': {
+        const { conditions, changes } = txnRequestOf(decode(body));
+        this.largestTxn = Math.max(this.largestTxn, changes.length);
+        for (const c of changes) {
+          if ('put' in c && c.lease !== undefined && !this.#leases.has(c.lease)) return answer(400, { error: 'no such lease' });
+        }
+        const failed = conditions.filter((c) => (this.data.get(c.key)?.version ?? 0) !== c.version).map((c) => c.key);
+        if (failed.length > 0) return answer(409, revisionMap(this.revision, failed));
+        if (changes.length > 0) this.revision++;
+        for (const c of changes) {
+          if ('put' in c) {
+            this.largestValue = Math.max(this.largestValue, JSON.stringify(c.value).length);
+            this.data.set(c.put, { value: c.value, version: this.revision, lease: c.lease ?? null });
+            this.#note({ key: c.put, value: c.value, version: this.revision });
+          } else if (this.data.delete(c.remove)) {
+            this.#note({ key: c.remove, value: undefined, version: this.revision });
+          }
+        }
+        return answer(200, revisionMap(this.revision));
+      }
+      case 'grant': {
+        const id = this.#nextLease++;
+        const ttlMs = leaseTtlOf(decode(body));
+        this.#leases.set(id, { ttlMs, until: this.sim.now + ttlMs });
+        return answer(200, leaseGrantedMap(id));
+      }
+      case 'renew': {
+        const lease = this.#leases.get(request.lease);
+        if (lease === undefined) return answer(404, {});
+        lease.until = this.sim.now + lease.ttlMs;
+        return answer(200, {});
+      }
+      case 'release':
+        this.#end(request.lease);
+        return answer(200, {});
+      case 'list': {
+        const all = [...this.data]
+          .filter(([key]) => key.startsWith(request.prefix) && key > request.after)
+          .sort(([a], [b]) => (a < b ? -1 : 1));
+        const items = all.slice(0, request.limit).map(([key, e]) => ({ key, value: e.value, version: e.version }));
+        return answer(200, listMap(items, all.length > items.length, this.revision));
+      }
+      case 'follow': {
+        if (request.after < this.#dropped) return answer(410, {});
+        const events = this.#events.filter((e) => e.version > request.after && e.key.startsWith(request.prefix));
+        return answer(200, eventsMap(events, this.revision));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/testkit/src/worker.ts
@@ -0,0 +1,215 @@
+import type { HttpAnswer } from '@gingerlock/clients';
+import {
+  decodeOrders,
+  decodeReportTo,
+  encodeReport,
+  type ExitCause,
+  type JobSpec,
+  parseTaskName,
+  type TaskState,
+  type WorkerCommand,
+} from '@gingerlock/wire';
+import type { Network } from './network';
+import type { Sim } from './sim';
+
+interface RunningTask {
+  readonly task: string;
+  readonly attempt: number;
+  state: TaskState;
+  cause: ExitCause | null;
+  saved: boolean;
+  cancelTimer: () => void;
+}
+
+export interface WorkerWorld {
+  readonly sim: Sim;
+  readonly network: Network;
+  readonly controllers: readonly string[];
+  readonly reportMs: number;
+  readonly leaseMs: number;
+  job(id: string): JobSpec | undefined;
+  /** A task now is on this machine, or no longer is. */
+  onTask(task: string, machine: string): void;
+  offTask(task: string, machine: string): void;
+}
+
+/** A stand-in of one worker, by the protocol's page. */
+export class SimWorker {
+  session = 1;
+  seq = 0;
+  token = 0;
+  noticeS: number | null = null;
+  alive = true;
+  /** Tasks end with an error shortly after their start. */
+  sick = false;
+  readonly tasks = new Map<string, RunningTask>();
+  readonly #images = new Set<string>();
+  /** When the last answered report was sent, or the session began. */
+  #leaseFrom: number;
+  #target = 0;
+  #nextTimer: () => void = () => undefined;
+  /** One report is in flight at a time. */
+  #inFlight = false;
+  #soon = false;
+
+  constructor(
+    readonly world: WorkerWorld,
+    readonly name: string,
+    readonly type: string,
+    readonly zone: string,
+    readonly spot: boolean,
+  ) {
+    this.#leaseFrom = world.sim.now;
+    this.#target = Math.floor(world.sim.random() * world.controllers.length);
+    world.sim.after(world.sim.random() * world.reportMs, () => void this.#report());
+    this.#watchLease();
+  }
+
+  #watchLease(): void {
+    const { sim, leaseMs } = this.world;
+    if (!this.alive) return;
+    if (sim.now - this.#leaseFrom > leaseMs) {
+      for (const t of [...this.tasks.values()]) this.#leave(t);
+      this.tasks.clear();
+      this.session++;
+      this.#leaseFrom = sim.now;
+    }
+    sim.after(20, () => this.#watchLease());
+  }
+
+  die(): void {
+    if (!this.alive) return;
+    this.alive = false;
+    for (const t of this.tasks.values()) this.#leave(t);
+    this.tasks.clear();
+  }
+
+  #leave(t: RunningTask): void {
+    t.cancelTimer();
+    if (t.state === 'running' || t.state === 'saving') this.world.offTask(t.task, this.name);
+  }
+
+  async #report(): Promise<void> {
+    const { sim, network, controllers, reportMs } = this.world;
+    if (!this.alive) return;
+    this.#inFlight = true;
+    this.#soon = false;
+    const sentAt = sim.now;
+    const session = this.session;
+    const body = encodeReport({
+      machine: this.name,
+      addr: `${this.name}:9000`,
+      type: this.type,
+      zone: this.zone,
+      spot: this.spot,
+      session,
+      seq: ++this.seq,
+      token: this.token,
+      noticeS: this.noticeS,
+      tasks: [...this.tasks.values()].map((t) => ({
+        task: t.task,
+        attempt: t.attempt,
+        state: t.state,
+        cause: t.cause,
+        saved: t.saved,
+      })),
+    });
+    const target = controllers[this.#target]!;
+    let wait = reportMs * (0.75 + sim.random() / 2);
+    const http = network.http(this.name, () => this.alive);
+    try {
+      const answer = await http(target, 'POST', '/checkin', body, 4000);
+      if (answer.status === 200) {
+        if (this.#take(answer, session, sentAt)) wait = 500;
+      } else if (answer.status === 421) {
+        const to = decodeReportTo(answer.body);
+        const index = to === null ? -1 : controllers.indexOf(to);
+        if (index >= 0 && index !== this.#target) {
+          this.#target = index;
+          wait = sim.random() * 500;
+        } else {
+          this.#target = (this.#target + 1) % controllers.length;
+          wait = 1000;
+        }
+      } else throw new Error('refused');
+    } catch {
+      this.#target = (this.#target + 1) % controllers.length;
+      wait = 1000;
+    }
+    this.#inFlight = false;
+    if (!this.alive) return;
+    if (this.#soon) wait = Math.min(wait, 500);
+    this.#nextTimer = sim.after(wait, () => void this.#report());
+  }
+
+  /** Takes an answer; true if something changed. */
+  #take(answer: HttpAnswer, session: number, sentAt: number): boolean {
+    const { token, commands } = decodeOrders(answer.body);
+    if (!this.alive || session !== this.session || token < this.token) return false;
+    const higher = token > this.token;
+    this.token = token;
+    this.#leaseFrom = Math.max(this.#leaseFrom, sentAt);
+    for (const c of commands) this.#execute(c);
+    return commands.length > 0 || higher;
+  }
+
+  #execute(c: WorkerCommand): void {
+    const key = `${c.task} ${c.attempt}`;
+    const known = this.tasks.get(key);
+    switch (c.op) {
+      case 'start':
+        if (known === undefined) this.#start(c.task, c.attempt);
+        return;
+      case 'stop':
+        if (known !== undefined && known.state !== 'exited') this.#exit(known, 'stopped');
+        return;
+      case 'forget':
+        if (known?.state === 'exited') this.tasks.delete(key);
+        return;
+    }
+  }
+
+  #start(task: string, attempt: number): void {
+    const { world } = this;
+    const { sim } = world;
+    const parsed = parseTaskName(task);
+    const job = parsed === null ? undefined : world.job(parsed.job);
+    const t: RunningTask = { task, attempt, state: 'fetching', cause: null, saved: false, cancelTimer: () => undefined };
+    const busy = [...this.tasks.values()].some((o) => o.task === task && o.state !== 'exited');
+    this.tasks.set(`${task} ${attempt}`, t);
+    if (job === undefined || busy) {
+      t.state = 'exited';
+      t.cause = job === undefined ? 'unknown' : 'busy';
+      return;
+    }
+    t.cancelTimer = sim.after(this.#images.has(job.image) ? 10 : 2000, () => {
+      this.#images.add(job.image);
+      t.state = 'running';
+      world.onTask(task, this.name);
+      this.#changed();
+      if (this.sick) t.cancelTimer = sim.after(300, () => this.#exit(t, 'error'));
+      else if (job.kind === 'array') {
+        t.cancelTimer = sim.after(job.estimateS * 1000 * (0.5 + sim.random()), () => this.#exit(t, 'done'));
+      }
+    });
+  }
+
+  #exit(t: RunningTask, cause: ExitCause): void {
+    this.#leave(t);
+    t.state = 'exited';
+    t.cause = cause;
+    if (cause === 'done') this.done(t.task);
+    this.#changed();
+  }
+
+  /** Told of every completed task. */
+  done: (task: string) => void = () => undefined;
+
+  /** A change is reported soon: the pending timer is brought forward. */
+  #changed(): void {
+    this.#soon = true;
+    if (this.#inFlight) return;
+    this.#nextTimer();
+    this.#nextTimer = this.world.sim.after(500, () => void this.#report());
+  }
+}
--- /dev/null
+++ b/packages/testkit/test/rules.test.ts
@@ -0,0 +1,72 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { type Fault, playDay, World } from '../src/index';
+
+const seconds = (min: number, max: number): fc.Arbitrary<number> => fc.integer({ min: min * 10, max: max * 10 }).map((n) => n * 100);
+const node = fc.integer({ min: 0, max: 2 });
+const machine = fc.integer({ min: 0, max: 20 });
+
+const fault: fc.Arbitrary<Fault> = fc.oneof(
+  fc.record({
+    kind: fc.constant('crash' as const),
+    nodes: fc.uniqueArray(node, { minLength: 1, maxLength: 3 }),
+    backMs: fc.oneof(seconds(0.1, 1), seconds(2, 8)),
+  }),
+  fc.record({ kind: fc.constant('state outage' as const), forMs: seconds(1, 25) }),
+  fc.record({ kind: fc.constant('state refuses one' as const), node, forMs: seconds(1, 40) }),
+  fc.record({
+    kind: fc.constant('node cut' as const),
+    node,
+    from: fc.constantFrom('state' as const, 'peers' as const, 'both' as const, 'workers' as const),
+    how: fc.constantFrom('hold' as const, 'lose' as const),
+    forMs: seconds(1, 45),
+  }),
+  fc.record({ kind: fc.constant('deaf machine' as const), machine, forMs: seconds(1, 30) }),
+  fc.record({
+    kind: fc.constant('mute machine' as const),
+    machine,
+    how: fc.constantFrom('hold' as const, 'lose' as const),
+    forMs: seconds(1, 30),
+  }),
+  fc.record({
+    kind: fc.constant('late copies' as const),
+    share: fc.constantFrom(0.05, 0.3, 1),
+    withinMs: seconds(1, 20),
+    forMs: seconds(5, 40),
+  }),
+  fc.record({ kind: fc.constant('lost answers' as const), share: fc.constantFrom(0.05, 0.3), forMs: seconds(1, 20) }),
+  fc.record({
+    kind: fc.constant('machine dies' as const),
+    machine,
+    listedAs: fc.constantFrom('failed' as const, 'gone' as const),
+  }),
+  fc.record({ kind: fc.constant('sick machine' as const), machine, forMs: seconds(5, 30) }),
+  fc.record({ kind: fc.constant('cloud outage' as const), forMs: seconds(5, 30) }),
+  fc.record({ kind: fc.constant('events forgotten' as const) }),
+);
+
+test('no rule is broken on a quiet day, and its work gets done', async () => {
+  const world = new World({ seed: 7 });
+  await playDay(world, { seed: 7, forMs: 120_000, faults: [] });
+  assert.deepEqual(world.breaches, []);
+  assert.ok(world.finished() > 5, `${world.finished()} jobs done`);
+  assert.deepEqual(world.open(), []);
+  assert.ok(world.state.largestTxn <= 12);
+});
+
+test('no rule is broken by generated troubles, alone and together, and afterwards all work gets done', async () => {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.integer({ min: 1, max: 1_000_000 }),
+      fc.array(fc.record({ at: seconds(3, 60), fault }), { minLength: 1, maxLength: 6 }),
+      async (seed, faults) => {
+        const world = new World({ seed });
+        await playDay(world, { seed, forMs: 200_000, faults });
+        assert.deepEqual(world.breaches, []);
+        assert.deepEqual(world.open(), []);
+      },
+    ),
+    { numRuns: Number(process.env.GINGERLOCK_RUNS ?? 25), seed: Number(process.env.GINGERLOCK_SEED ?? 391), endOnFailure: true },
+  );
+});
--- a/packages/wire/src/cloud.ts
+++ b/packages/wire/src/cloud.ts
@@ -142,3 +142,55 @@
   giveBack: '/rentals/return',
   list: (after: string) => `/rentals?from=${encodeURIComponent(after)}&most=${LIST_MOST}`,
 } as const;
+
+// --- the other side of the protocol: for stand-ins of the cloud ------------------------------------------------------
+
+const checkRent = checker(
+  Type.Object({
+    hire: Type.String({ minLength: 1 }),
+    breed: Type.String(),
+    yard: Type.String(),
+    borrowed: Type.Boolean(),
+    number: Type.Integer({ minimum: 1, maximum: RENT_MOST }),
+  }),
+);
+export function rentRequestOf(map: unknown): RentRequest {
+  const r = checkRent(map);
+  return { request: r.hire, type: r.breed, zone: r.yard, spot: r.borrowed, count: r.number };
+}
+
+export function rentedMap(names: readonly string[]): unknown {
+  return { rigs: names };
+}
+
+export function returnedNamesOf(map: unknown): string[] {
+  return checkNames(map).rigs;
+}
+
+export function machineListMap(machines: readonly CloudMachine[], more: boolean): unknown {
+  return {
+    rigs: machines.map((m) => ({
+      name_id: m.name,
+      addr: m.addr,
+      breed: m.type,
+      yard: m.zone,
+      borrowed: m.spot,
+      status: m.state,
+      held_s: m.ageS,
+    })),
+    more,
+  };
+}
+
+export type CloudRequest =
+  | { readonly kind: 'types' | 'rent' | 'return' }
+  | { readonly kind: 'list'; readonly after: string; readonly limit: number };
+
+export function parseCloudRequest(method: string, path: string): CloudRequest | null {
+  const url = new URL(path, 'http://cloud');
+  if (url.pathname === CLOUD_PATHS.types) return { kind: 'types' };
+  if (url.pathname === CLOUD_PATHS.giveBack) return { kind: 'return' };
+  if (url.pathname !== CLOUD_PATHS.rent) return null;
+  if (method === 'POST') return { kind: 'rent' };
+  return { kind: 'list', after: url.searchParams.get('from') ?? '', limit: Number(url.searchParams.get('most') ?? LIST_MOST) };
+}
--- a/packages/wire/src/state.ts
+++ b/packages/wire/src/state.ts
@@ -107,3 +107,92 @@
   follow: (prefix: string, after: number, waitMs: number) =>
     `/follow?under=${word(prefix)}&from=${after}&block_ms=${waitMs}`,
 } as const;
+
+// --- the other side of the protocol: for stand-ins of the state service ----------------------------------------------
+
+export interface TxnRequest {
+  readonly conditions: readonly Condition[];
+  readonly changes: readonly Change[];
+}
+
+const checkTxn = checker(
+  Type.Object({
+    if: Type.Array(Type.Object({ k: Type.String(), stamp: Rev })),
+    apply: Type.Array(
+      Type.Object({
+        set: Type.Optional(Type.String()),
+        remove: Type.Optional(Type.String()),
+        data: Type.Optional(Type.Unknown()),
+        permit: Type.Optional(Rev),
+      }),
+    ),
+  }),
+);
+
+export function txnRequestOf(map: unknown): TxnRequest {
+  const txn = checkTxn(map);
+  return {
+    conditions: txn.if.map((c) => ({ key: c.k, version: c.stamp })),
+    changes: txn.apply.map((c) =>
+      c.set !== undefined
+        ? { put: c.set, value: c.data, ...(c.permit === undefined ? {} : { lease: c.permit }) }
+        : { remove: c.remove ?? '' },
+    ),
+  };
+}
+
+export function revisionMap(revision: number, failed?: readonly string[]): unknown {
+  return { ledger: integer(revision), ...(failed === undefined ? {} : { failed }) };
+}
+
+export function listMap(items: readonly StateItem[], more: boolean, revision: number): unknown {
+  return { items: items.map((i) => ({ k: i.key, data: i.value, stamp: integer(i.version) })), more, ledger: integer(revision) };
+}
+
+export function eventsMap(events: readonly StateEvent[], revision: number): unknown {
+  return {
+    ledger: integer(revision),
+    events: events.map((e) =>
+      e.value === undefined
+        ? { remove: e.key, stamp: integer(e.version) }
+        : { set: e.key, data: e.value, stamp: integer(e.version) },
+    ),
+  };
+}
+
+export function leaseGrantedMap(lease: number): unknown {
+  return { permit: integer(lease) };
+}
+
+const checkTtl = checker(Type.Object({ ttl_ms: Type.Number({ minimum: 100, maximum: 600_000 }) }));
+export function leaseTtlOf(map: unknown): number {
+  return checkTtl(map).ttl_ms;
+}
+
+export type StateRequest =
+  | { readonly kind: 'txn' }
+  | { readonly kind: 'grant' }
+  | { readonly kind: 'renew' | 'release'; readonly lease: number }
+  | { readonly kind: 'list'; readonly prefix: string; readonly after: string; readonly limit: number }
+  | { readonly kind: 'follow'; readonly prefix: string; readonly after: number };
+
+export function parseStateRequest(method: string, path: string): StateRequest | null {
+  const url = new URL(path, 'http://state');
+  const prefix = url.searchParams.get('under') ?? '';
+  const words = url.pathname.split('/').slice(1);
+  if (method === 'POST' && words[0] === 'txn') return { kind: 'txn' };
+  if (method === 'POST' && words[0] === 'holds' && words.length === 1) return { kind: 'grant' };
+  if (words[0] === 'holds' && words.length >= 2) {
+    return { kind: words[2] === 'renew' ? 'renew' : 'release', lease: Number(words[1]) };
+  }
+  if (method === 'GET' && words[0] === 'kv') {
+    return {
+      kind: 'list',
+      prefix,
+      after: url.searchParams.get('from') ?? '',
+      limit: Number(url.searchParams.get('most') ?? 1000),
+    };
+  }
+  if (method === 'GET' && words[0] === 'follow') return { kind: 'follow', prefix, after: Number(url.searchParams.get('from')) };
+  return null;
+}
--- a/packages/wire/src/workers.ts
+++ b/packages/wire/src/workers.ts
@@ -187,3 +187,9 @@
   if (slash < 0 || !isJobId(name.slice(0, slash)) || !/^(0|[1-9][0-9]{0,5})$/.test(digits)) return null;
   return { job: name.slice(0, slash), index: Number(digits) };
 }
+
+/** Which controller a 421 names, or null. */
+export function decodeReportTo(body: Uint8Array): string | null {
+  const { foreman } = decodeMap(body);
+  return typeof foreman === 'string' ? foreman : null;
+}
