--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -661,6 +661,11 @@
     }
   }
 
+  /** The change that would have given these back did not happen and never will. */
+  stayed(slots: readonly Slot[], now: number): void {
+    for (const slot of slots) if (slot.state === 'leaving' && this.slotOf(slot.name) === slot) this.#move(slot, 'waiting', now);
+  }
+
   finishing(): Map<string, Slot[]> {
     const byJob = new Map<string, Slot[]>();
     for (const [id, slots] of this.slots) {
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -164,6 +164,11 @@
     this.replica.stop();
   }
 
+  /** The parts that this controller owns now. */
+  owned(): readonly PartOwner[] {
+    return [...this.#owners.values()];
+  }
+
   // --- time --------------------------------------------------------------------------------------------------------
 
   #tickLater(): void {
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -28,6 +28,8 @@
   readonly conditions: readonly Condition[];
   readonly change: Change;
   readonly prepare?: () => void;
+  /** The change was surely not carried out and can't be any more. */
+  readonly failed?: () => void;
 }
 
 /** One part that this controller owns: its claim book, and the writes that follow from it. */
@@ -136,6 +138,7 @@
         conditions: [{ key, version }],
         change: { put: key, value },
         prepare: () => this.book.leaving(slots, this.shared.clock.now()),
+        failed: () => this.book.stayed(slots, this.shared.clock.now()),
       });
     }
     if (writes.length === 0) {
@@ -199,6 +202,8 @@
     ];
     const changes = batch.map((w) => w.change);
     const done = await shared.settle(urgency, conditions, changes, () => this.holding.owned);
+    // A conflict over one job fails the whole batch: the others' tasks, too, are still here.
+    if (done === 0) for (const w of batch) w.failed?.();
     // What is finished or given back shows in the replica, and leaves the book with it.
     return done > 0 && this.holding.owned;
   }
