--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -663,7 +663,8 @@
 
   /** The change that would have given these back did not happen and never will. */
   stayed(slots: readonly Slot[], now: number): void {
-    for (const slot of slots) if (slot.state === 'leaving' && this.slotOf(slot.name) === slot) this.#move(slot, 'waiting', now);
+    for (const slot of slots)
+      if (slot.state === 'leaving' && this.slotOf(slot.name) === slot) this.#move(slot, 'waiting', now);
   }
 
   finishing(): Map<string, Slot[]> {
--- a/packages/core/src/division.ts
+++ b/packages/core/src/division.ts
@@ -127,7 +127,7 @@
     let allowed = limitAllows(team, use.get(team.name) ?? NOTHING, job.spec);
     if (allowed === 0) continue;
     const zones = zoneCounts(job);
-    const oneZone = job.spec.oneZone ? ([...zones.keys()][0] ?? bestZone(job, bins)) : null;
+    let oneZone = job.spec.oneZone ? ([...zones.keys()][0] ?? bestZone(job, bins)) : null;
     const cap = spreadCap(job);
     const rounds: Round[] = [];
     const meant: { machine: string; need: Amounts }[] = [];
@@ -151,6 +151,8 @@
         }
         take(bin, job);
         const zone = job.spec.spread || job.spec.oneZone ? bin.room.zone : job.spec.zone;
+        // With no free room anywhere no zone was the best: the first task that gets room by preemption binds the rest.
+        if (job.spec.oneZone) oneZone = zone;
         if (zone !== null) zones.set(zone, (zones.get(zone) ?? 0) + 1);
         rounds.push({ from: index, count: 1, part: bin.part, zone, term: bin.term });
         meant.push({ machine: bin.room.name, need: job.spec });
--- a/packages/testkit/src/faults.ts
+++ b/packages/testkit/src/faults.ts
@@ -5,7 +5,13 @@
   | { readonly kind: 'crash'; readonly nodes: readonly number[]; readonly backMs: number }
   | { readonly kind: 'state outage'; readonly forMs: number }
   | { readonly kind: 'state refuses one'; readonly node: number; readonly forMs: number }
-  | { readonly kind: 'node cut'; readonly node: number; readonly from: 'state' | 'peers' | 'both' | 'workers'; readonly how: 'hold' | 'lose'; readonly forMs: number }
+  | {
+      readonly kind: 'node cut';
+      readonly node: number;
+      readonly from: 'state' | 'peers' | 'both' | 'workers';
+      readonly how: 'hold' | 'lose';
+      readonly forMs: number;
+    }
   | { readonly kind: 'deaf machine'; readonly machine: number; readonly forMs: number }
   | { readonly kind: 'mute machine'; readonly machine: number; readonly how: 'hold' | 'lose'; readonly forMs: number }
   | { readonly kind: 'late copies'; readonly share: number; readonly withinMs: number; readonly forMs: number }
@@ -57,16 +63,30 @@
     }
     case 'deaf machine': {
       const name = machine(fault.machine);
-      if (name !== undefined) during(world.nodes.map((n) => [n.name, name] as const), 'lose', fault.forMs);
+      if (name !== undefined)
+        during(
+          world.nodes.map((n) => [n.name, name] as const),
+          'lose',
+          fault.forMs,
+        );
       return;
     }
     case 'mute machine': {
       const name = machine(fault.machine);
-      if (name !== undefined) during(world.nodes.map((n) => [name, n.name] as const), fault.how, fault.forMs);
+      if (name !== undefined)
+        during(
+          world.nodes.map((n) => [name, n.name] as const),
+          fault.how,
+          fault.forMs,
+        );
       return;
     }
     case 'late copies':
-      network.copies = { share: fault.share, withinMs: fault.withinMs, only: (path) => path === '/checkin' || path === '/txn' };
+      network.copies = {
+        share: fault.share,
+        withinMs: fault.withinMs,
+        only: (path) => path === '/checkin' || path === '/txn',
+      };
       sim.after(fault.forMs, () => {
         network.copies = null;
       });
@@ -115,7 +135,8 @@
   const arrive = (): void => {
     if (sim.now > day.forMs / 2) return;
     const spec = world.randomJob();
-    const cancel = spec.kind === 'service' ? 5000 + sim.random() * 30_000 : sim.random() < 0.3 ? sim.random() * 12_000 : null;
+    const cancel =
+      spec.kind === 'service' ? 5000 + sim.random() * 30_000 : sim.random() < 0.3 ? sim.random() * 12_000 : null;
     void world.user(spec, cancel);
     sim.after(1000 + sim.random() * 4000, arrive);
   };
--- a/packages/testkit/src/state-service.ts
+++ b/packages/testkit/src/state-service.ts
@@ -84,7 +84,8 @@
         const { conditions, changes } = txnRequestOf(decode(body));
         this.largestTxn = Math.max(this.largestTxn, changes.length);
         for (const c of changes) {
-          if ('put' in c && c.lease !== undefined && !this.#leases.has(c.lease)) return answer(400, { error: 'no such lease' });
+          if ('put' in c && c.lease !== undefined && !this.#leases.has(c.lease))
+            return answer(400, { error: 'no such lease' });
         }
         const failed = conditions.filter((c) => (this.data.get(c.key)?.version ?? 0) !== c.version).map((c) => c.key);
         if (failed.length > 0) return answer(409, revisionMap(this.revision, failed));
--- a/packages/testkit/src/worker.ts
+++ b/packages/testkit/src/worker.ts
@@ -174,7 +174,14 @@
     const { sim } = world;
     const parsed = parseTaskName(task);
     const job = parsed === null ? undefined : world.job(parsed.job);
-    const t: RunningTask = { task, attempt, state: 'fetching', cause: null, saved: false, cancelTimer: () => undefined };
+    const t: RunningTask = {
+      task,
+      attempt,
+      state: 'fetching',
+      cause: null,
+      saved: false,
+      cancelTimer: () => undefined,
+    };
     const busy = [...this.tasks.values()].some((o) => o.task === task && o.state !== 'exited');
     this.tasks.set(`${task} ${attempt}`, t);
     if (job === undefined || busy) {
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -26,14 +26,7 @@
 import { SimWorker, type WorkerWorld } from './worker';
 
 export type Rule =
-  | 'ran_twice'
-  | 'quota'
-  | 'wrong_place'
-  | 'ran_cancelled'
-  | 'forgotten'
-  | 'invented'
-  | 'not_done'
-  | 'went_back';
+  'ran_twice' | 'quota' | 'wrong_place' | 'ran_cancelled' | 'forgotten' | 'invented' | 'not_done' | 'went_back';
 
 export interface Breach {
   readonly rule: Rule;
@@ -166,7 +159,9 @@
   // --- controllers -------------------------------------------------------------------------------------------------
 
   #settings(node: string): unknown {
-    const peers = this.nodes.filter((n) => n.name !== node).map((n) => ({ node: n.name, area: 'north', address: `${n.name}:8081` }));
+    const peers = this.nodes
+      .filter((n) => n.name !== node)
+      .map((n) => ({ node: n.name, area: 'north', address: `${n.name}:8081` }));
     const gpusMax = this.options.gpusMax ?? 10;
     return {
       node,
@@ -224,7 +219,16 @@
 
   #boot(zone: string, spot: boolean, afterMs: number): string {
     const name = `m-${String(++this.#machineCounter).padStart(6, '0')}`;
-    const machine = { name, addr: `${name}:9000`, type: TYPE.name, zone, spot, state: 'booting' as const, ageS: 0, bornAt: this.sim.now };
+    const machine = {
+      name,
+      addr: `${name}:9000`,
+      type: TYPE.name,
+      zone,
+      spot,
+      state: 'booting' as const,
+      ageS: 0,
+      bornAt: this.sim.now,
+    };
     this.#cloud.set(name, machine);
     this.sim.after(afterMs, () => {
       if (!this.#cloud.has(name)) return;
@@ -263,10 +267,14 @@
         const r = rentRequestOf(decode(body));
         const known = this.#requests.get(r.request);
         if (known !== undefined) return answer(200, rentedMap(known));
-        const used = [...this.#cloud.values()].filter((m) => m.zone === r.zone && m.spot === r.spot && m.state !== 'failed').length;
+        const used = [...this.#cloud.values()].filter(
+          (m) => m.zone === r.zone && m.spot === r.spot && m.state !== 'failed',
+        ).length;
         const count = Math.min(r.count, CAPACITY - used);
         if (count <= 0) return answer(503, { error: 'no capacity' });
-        const names = Array.from({ length: count }, () => this.#boot(r.zone, r.spot, TYPE.bootS * 1000 * (0.6 + this.sim.random())));
+        const names = Array.from({ length: count }, () =>
+          this.#boot(r.zone, r.spot, TYPE.bootS * 1000 * (0.6 + this.sim.random())),
+        );
         this.#requests.set(r.request, names);
         return answer(200, rentedMap(names));
       }
@@ -274,7 +282,9 @@
         for (const name of returnedNamesOf(decode(body))) this.kill(name, 'gone');
         return answer(200, {});
       case 'list': {
-        const all = [...this.#cloud.values()].filter((m) => m.name > request.after).sort((a, b) => (a.name < b.name ? -1 : 1));
+        const all = [...this.#cloud.values()]
+          .filter((m) => m.name > request.after)
+          .sort((a, b) => (a.name < b.name ? -1 : 1));
         const page = all.slice(0, request.limit).map((m) => ({ ...m, ageS: (this.sim.now - m.bornAt) / 1000 }));
         return answer(200, machineListMap(page, all.length > page.length));
       }
@@ -393,7 +403,8 @@
           ? controller.submit(body)
           : controller.poll(spec.id));
       if (reply.status === 200 || reply.status === 201) this.#heard(spec.id, reply);
-      else if (reply.status !== 503 && reply.status !== 429) this.#breach('forgotten', `${spec.id} got ${reply.status}`);
+      else if (reply.status !== 503 && reply.status !== 429)
+        this.#breach('forgotten', `${spec.id} got ${reply.status}`);
     }
   }
 
@@ -401,12 +412,14 @@
     const state = decodeJobState(reply.body!);
     const told = this.#told.get(id)!;
     told.accepted = true;
-    if (told.final !== null && state.status !== told.final) this.#breach('went_back', `${id}: ${told.final}, then ${state.status}`);
+    if (told.final !== null && state.status !== told.final)
+      this.#breach('went_back', `${id}: ${told.final}, then ${state.status}`);
     if (state.status === 'cancelled') {
       if (!told.cancelAsked) this.#breach('went_back', `${id} called cancelled unasked`);
       told.cancelledAt ??= this.sim.now;
     }
-    if (state.status === 'done' && (this.#done.get(id)?.size ?? 0) < this.#specs.get(id)!.tasks) this.#breach('not_done', id);
+    if (state.status === 'done' && (this.#done.get(id)?.size ?? 0) < this.#specs.get(id)!.tasks)
+      this.#breach('not_done', id);
     if (state.status === 'done' || state.status === 'cancelled') told.final = state.status;
   }
 
--- a/packages/testkit/test/rules.test.ts
+++ b/packages/testkit/test/rules.test.ts
@@ -3,7 +3,8 @@
 import fc from 'fast-check';
 import { type Fault, playDay, World } from '../src/index';
 
-const seconds = (min: number, max: number): fc.Arbitrary<number> => fc.integer({ min: min * 10, max: max * 10 }).map((n) => n * 100);
+const seconds = (min: number, max: number): fc.Arbitrary<number> =>
+  fc.integer({ min: min * 10, max: max * 10 }).map((n) => n * 100);
 const node = fc.integer({ min: 0, max: 2 });
 const machine = fc.integer({ min: 0, max: 20 });
 
@@ -67,6 +68,10 @@
         assert.deepEqual(world.open(), []);
       },
     ),
-    { numRuns: Number(process.env.GINGERLOCK_RUNS ?? 25), seed: Number(process.env.GINGERLOCK_SEED ?? 391), endOnFailure: true },
+    {
+      numRuns: Number(process.env.GINGERLOCK_RUNS ?? 25),
+      seed: Number(process.env.GINGERLOCK_SEED ?? 391),
+      endOnFailure: true,
+    },
   );
 });
--- a/packages/wire/src/cloud.ts
+++ b/packages/wire/src/cloud.ts
@@ -192,5 +192,9 @@
   if (url.pathname === CLOUD_PATHS.giveBack) return { kind: 'return' };
   if (url.pathname !== CLOUD_PATHS.rent) return null;
   if (method === 'POST') return { kind: 'rent' };
-  return { kind: 'list', after: url.searchParams.get('from') ?? '', limit: Number(url.searchParams.get('most') ?? LIST_MOST) };
+  return {
+    kind: 'list',
+    after: url.searchParams.get('from') ?? '',
+    limit: Number(url.searchParams.get('most') ?? LIST_MOST),
+  };
 }
--- a/packages/wire/src/state.ts
+++ b/packages/wire/src/state.ts
@@ -146,7 +146,11 @@
 }
 
 export function listMap(items: readonly StateItem[], more: boolean, revision: number): unknown {
-  return { items: items.map((i) => ({ k: i.key, data: i.value, stamp: integer(i.version) })), more, ledger: integer(revision) };
+  return {
+    items: items.map((i) => ({ k: i.key, data: i.value, stamp: integer(i.version) })),
+    more,
+    ledger: integer(revision),
+  };
 }
 
 export function eventsMap(events: readonly StateEvent[], revision: number): unknown {
@@ -193,6 +197,7 @@
       limit: Number(url.searchParams.get('most') ?? 1000),
     };
   }
-  if (method === 'GET' && words[0] === 'follow') return { kind: 'follow', prefix, after: Number(url.searchParams.get('from')) };
+  if (method === 'GET' && words[0] === 'follow')
+    return { kind: 'follow', prefix, after: Number(url.searchParams.get('from')) };
   return null;
 }
