--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -380,9 +380,12 @@
       new Promise((resolve) => {
         this.sim.after(ms, resolve);
       });
+    // A controller that was killed never answers.
+    const inTime = <T>(answer: Promise<T> | undefined): Promise<T | undefined> =>
+      Promise.race([Promise.resolve(answer), pause(5000).then(() => undefined)]);
     const body = encodeSubmission(spec);
     while (!told.accepted) {
-      const reply = await this.#anyController()?.submit(body);
+      const reply = await inTime(this.#anyController()?.submit(body));
       if (reply?.status === 400 || reply?.status === 422) {
         this.#breach('forgotten', `${spec.id} got ${reply.status}`);
         return;
@@ -397,11 +400,14 @@
       if (controller === null) continue;
       const cancelling = this.sim.now >= cancelAt && told.final === null;
       if (cancelling) told.cancelAsked = true;
-      const reply = await (cancelling
-        ? controller.cancel(spec.id)
-        : this.sim.random() < 0.1
-          ? controller.submit(body)
-          : controller.poll(spec.id));
+      const reply = await inTime(
+        cancelling
+          ? controller.cancel(spec.id)
+          : this.sim.random() < 0.1
+            ? controller.submit(body)
+            : controller.poll(spec.id),
+      );
+      if (reply === undefined) continue;
       if (reply.status === 200 || reply.status === 201) this.#heard(spec.id, reply);
       else if (reply.status !== 503 && reply.status !== 429)
         this.#breach('forgotten', `${spec.id} got ${reply.status}`);
