--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -524,6 +524,7 @@
         if (m.failedJobs.has(job.id)) break;
         if (betterElsewhere(this, slot, m, now)) continue;
         const attempt = this.term * ATTEMPTS_PER_TERM + ++this.#counter;
+        const waited = now - slot.since;
         this.#move(slot, 'claimed', now, {
           machine: m,
           attempt,
@@ -532,10 +533,16 @@
           stage: 'granted',
           stopGraceS: null,
         });
+        this.#log('task bound', {
+          task: slot.name,
+          machine: m.name,
+          attempt,
+          cached: m.cache.has(job.spec.image),
+          waitedMs: Math.round(waited),
+        });
         this.#touchImage(m, job.spec.image, job.spec.imageGb);
         room = plus(room, job.spec, -1);
         commands.push({ op: 'start', task: slot.name, attempt });
-        this.#log('task bound', { task: slot.name, machine: m.name, attempt });
       }
     }
   }
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -616,7 +616,7 @@
       case 'done':
         this.replica.applyOwn(changes, result.revision);
         this.shared.announce(result.revision);
-        this.log.debug({ job: id }, 'accepted');
+        this.log.debug({ job: id, class: spec.jobClass, team: spec.team, tasks: spec.tasks }, 'accepted');
         return this.#reply(id, 201);
       case 'conflict':
         return this.poll(id);
