--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -1,7 +1,7 @@
 // What the leader rents, drains and returns. It only plans; the controller talks to the cloud and to the owners.
 import type { CloudMachine, MachineType, RentRequest } from '@gingerlock/wire';
 import type { MachineRoom, PartSummary, Unmet } from './division';
-import { type Amounts, type Facts, fits, plus, typeAllows, workerLeaseBoundMs } from './facts';
+import { type Amounts, type Facts, fits, partOf, plus, typeAllows, workerLeaseBoundMs } from './facts';
 
 /** What the operators have set. */
 export interface FleetLimits {
@@ -16,8 +16,7 @@
   readonly types: ReadonlyMap<string, MachineType>;
   readonly summaries: readonly PartSummary[];
   readonly unmet: readonly Unmet[];
-  /** Every part has an owner whose summary is current: silence of a machine means something. */
-  readonly allHeard: boolean;
+  readonly parts: number;
 }
 
 export interface FleetPlan {
@@ -55,6 +54,8 @@
 export class Fleet {
   readonly known = new Map<string, Known>();
   readonly #returned = new Map<string, number>();
+  /** By part: its owner's term, and since when that owner has told of it. */
+  readonly #partSince = new Map<number, { term: number; since: number }>();
   readonly #refused = new Map<string, Refusal>();
   #draining = new Set<string>();
   #counter = 0;
@@ -150,6 +151,12 @@
       if (m.silentMs < this.facts.leaseMs) k.heardAt = now - m.silentMs;
     }
 
+    for (const s of input.summaries) {
+      if (this.#partSince.get(s.part)?.term !== s.term) this.#partSince.set(s.part, { term: s.term, since: now });
+    }
+    const heard = new Set(input.summaries.map((s) => s.part));
+    for (const part of this.#partSince.keys()) if (!heard.has(part)) this.#partSince.delete(part);
+
     const giveBack: string[] = [];
     const drain = new Set<string>();
     const booting: Known[] = [];
@@ -160,10 +167,7 @@
       else if (k.state === 'booting' && room === undefined) {
         if (now - k.bornAt > bootMs * STUCK_BOOTS) giveBack.push(k.name);
         else if (now - k.bornAt < bootMs * LATE_BOOTS) booting.push(k);
-      } else if (
-        input.allHeard &&
-        now - Math.max(k.heardAt ?? 0, k.upSince ?? 0) > 2 * workerLeaseBoundMs(this.facts)
-      ) {
+      } else if (now - this.#quietSince(k, input) > 2 * workerLeaseBoundMs(this.facts)) {
         // Up, and silent for longer than any lease.
         giveBack.push(k.name);
       } else if (room?.sick === true) drain.add(k.name);
@@ -174,6 +178,17 @@
     return { rent, giveBack, drain: [...drain] };
   }
 
+  /**
+   * Since when a machine could have been heard and was not. A new owner of its part, or a new leader, has to be given
+   * the time to hear it first: silence from before proves nothing, and healthy machines were once returned for it.
+   */
+  #quietSince(k: Known, input: FleetInput): number {
+    const part = partOf(k.name, input.parts);
+    const owner = this.#partSince.get(part);
+    if (owner === undefined) return Infinity;
+    return Math.max(k.heardAt ?? -Infinity, k.upSince ?? -Infinity, owner.since);
+  }
+
   #rent(input: FleetInput, booting: readonly Known[]): RentRequest[] {
     const { now, types } = input;
     const bins: { type: string; zone: string; spot: boolean; free: Amounts; fresh: boolean }[] = [];
--- a/packages/daemon/src/leader.ts
+++ b/packages/daemon/src/leader.ts
@@ -204,7 +204,13 @@
     const current = this.#current(now);
     const allHeard = current.length === (store.meta?.parts ?? Infinity);
     if (!this.#listed || !allHeard || now - this.#since < facts.reportMs * 2) return;
-    const plan = this.fleet.plan({ now, types: store.types, summaries: current, unmet: this.#unmet, allHeard });
+    const plan = this.fleet.plan({
+      now,
+      types: store.types,
+      summaries: current,
+      unmet: this.#unmet,
+      parts: store.meta!.parts,
+    });
     this.#drain = plan.drain;
     if (plan.giveBack.length > 0) await this.#giveBack(plan.giveBack.slice(0, RETURN_MOST));
     for (const r of plan.rent) await this.#rent(r);
