Plan each waiting task where it would run soonest, and push stops

Cause: in ankara a fetch takes 9 to 15 s against aims of 8 to 15 s, and 29 to 47% of service starts went to machines without the image while batch work held the room on machines that had it. Preempting there costs about 1.5 reports.

--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -14,7 +14,7 @@
 } from '@gingerlock/wire';
 import { type Amounts, type Facts, fits, NOTHING, plus, typeAllows, workerLeaseBoundMs } from './facts';
 import type { Job, JobTable } from './jobs';
-import { betterElsewhere, choosePreemption } from './placement';
+import { bestPlan, betterElsewhere, type Plan } from './placement';
 
 /**
  * uncertain: dealt before this owner's takeover and seen nowhere yet, so an unheard machine may hold it.
@@ -56,8 +56,8 @@
   /** Not granted before: a task that failed waits a while. */
   notBefore: number;
   failures: number;
-  /** Until when room that is being freed for it counts as its own. */
-  preemptingUntil: number;
+  /** Where it would run soonest, by the last packing. */
+  plan: Plan | null;
   /** Version of the job's record on which the change that gives this task back is conditional. */
   leavingVersion: number;
 }
@@ -102,8 +102,8 @@
 /** Attempts of one term are numbered below this; a term times this is far below 2^53. */
 export const ATTEMPTS_PER_TERM = 2 ** 20;
 
-/** A report interval varies by up to a quarter. */
-const REPORT_VARIES = 1.25;
+/** A task that is stopped gets a little more than it says it needs for saving. */
+const SAVE_SLACK = 1.25;
 
 /** DESIGN's grant lease: a machine silent for three report intervals is suspect. */
 const SUSPECT_INTERVALS = 3;
@@ -251,7 +251,7 @@
           since: now,
           notBefore: 0,
           failures: 0,
-          preemptingUntil: 0,
+          plan: null,
           leavingVersion: 0,
         };
         slots.set(index, slot);
@@ -586,54 +586,45 @@
   }
 
   /**
-   * Packs the waiting tasks into the rooms as the coming reports would. Returns what is left of each room, and the
-   * tasks that no machine of this part can take.
+   * Packs the waiting tasks into the rooms as the coming reports would, stopping work of lower priority where that is
+   * the soonest. Returns what is left of each room, the tasks that no machine of this part can take, and what was told
+   * to stop.
    */
-  pack(now: number): { rooms: Map<Machine, Amounts>; stuck: Slot[] } {
+  pack(now: number): { rooms: Map<Machine, Amounts>; stuck: Slot[]; stopped: Slot[] } {
     const rooms = new Map<Machine, Amounts>();
     for (const m of this.machines.values()) {
-      if (m.rostered ? this.takesWork(m, now) : m.settled && !m.draining && !m.noticed) rooms.set(m, this.room(m));
+      if (!this.takesWork(m, now)) continue;
+      let room = this.room(m);
+      // What is stopping is free soon: counted now, so that nothing more is stopped for the same task.
+      for (const slot of m.claims.values()) if (slot.claim!.stopGraceS !== null) room = plus(room, slot.job.spec);
+      rooms.set(m, room);
     }
     const stuck: Slot[] = [];
+    const doomed = new Set<Slot>();
     for (const job of this.wakes()) {
       for (const slot of this.waitingSlots(job)) {
-        let best: Machine | undefined;
-        for (const [m, room] of rooms) {
-          if (slot.zone !== null && slot.zone !== m.zone) continue;
-          if (!typeAllows(job.spec, m.type, m.zone, m.spot) || !fits(job.spec, room) || m.failedJobs.has(job.id))
-            continue;
-          if (
-            best === undefined ||
-            (m.cache.has(job.spec.image) ? 1 : 0) > (best.cache.has(job.spec.image) ? 1 : 0) ||
-            (m.cache.has(job.spec.image) === best.cache.has(job.spec.image) && room.gpus < rooms.get(best)!.gpus)
-          ) {
-            best = m;
-          }
+        slot.plan = bestPlan(this, slot, rooms, doomed);
+        if (slot.plan === null) {
+          stuck.push(slot);
+          continue;
+        }
+        let room = rooms.get(slot.plan.machine)!;
+        for (const victim of slot.plan.victims) {
+          doomed.add(victim);
+          room = plus(room, victim.job.spec);
         }
-        if (best === undefined) stuck.push(slot);
-        else rooms.set(best, plus(rooms.get(best)!, job.spec, -1));
+        rooms.set(slot.plan.machine, plus(room, job.spec, -1));
+        if (slot.notBefore <= now) for (const victim of slot.plan.victims) this.#preempt(victim, slot);
       }
     }
-    return { rooms, stuck };
+    return { rooms, stuck, stopped: [...doomed].filter((s) => s.claim?.stopGraceS !== null) };
   }
 
-  /** Stops work of lower priority for tasks that have no room; returns how many were told to stop. */
-  preempt(stuck: readonly Slot[], now: number): number {
-    let stopped = 0;
-    for (const slot of stuck) {
-      if (slot.preemptingUntil > now || slot.notBefore > now) continue;
-      const victims = choosePreemption(this, slot, now);
-      if (victims === null) continue;
-      slot.preemptingUntil = now + this.facts.leaseMs;
-      for (const victim of victims) {
-        const spec = victim.job.spec;
-        victim.claim!.stopGraceS = spec.checkpointS > 0 ? spec.saveS * REPORT_VARIES : 0;
-        this.#log('task preempted', { task: victim.name, machine: victim.claim!.machine.name, for: slot.name });
-        stopped++;
-      }
-    }
-    if (stopped > 0) this.changes++;
-    return stopped;
+  #preempt(victim: Slot, slot: Slot): void {
+    const spec = victim.job.spec;
+    // A service must not wait for a save; between batch jobs the saved work is worth the time.
+    victim.claim!.stopGraceS = slot.job.spec.kind === 'array' && spec.checkpointS > 0 ? spec.saveS * SAVE_SLACK : 0;
+    this.#log('task preempted', { task: victim.name, machine: victim.claim!.machine.name, for: slot.name });
   }
 
   /**
@@ -654,7 +645,7 @@
     }
     const patience = this.facts.reportMs / 2;
     for (const slot of stuck) {
-      if (slot.state === 'waiting' && now - slot.since > patience && slot.preemptingUntil <= now) add(slot);
+      if (slot.state === 'waiting' && now - slot.since > patience) add(slot);
     }
     return back;
   }
--- a/packages/core/src/division.ts
+++ b/packages/core/src/division.ts
@@ -1,7 +1,8 @@
 // The leader's division of waiting tasks among the parts by free room, with the arithmetic of team limits and zones.
-import type { Round } from '@gingerlock/wire';
+import type { MachineType, Round } from '@gingerlock/wire';
 import { type Amounts, type Facts, fits, limitAllows, NOTHING, plus, typeAllows } from './facts';
 import { type Job, joinRounds } from './jobs';
+import { fetchMs } from './placement';
 
 /** What a part's owner says of one machine. */
 export interface MachineRoom {
@@ -55,6 +56,7 @@
   /** Deals that a summary may not show yet. */
   readonly recent: readonly { revision: number; machine: string; part: number; need: Amounts }[];
   readonly facts: Facts;
+  readonly types: ReadonlyMap<string, MachineType>;
   readonly most: number;
 }
 
@@ -142,6 +144,7 @@
             : pick(
                 job,
                 bins,
+                input,
                 (zone) => (oneZone === null || zone === oneZone) && (!job.spec.spread || (zones.get(zone) ?? 0) < cap),
               );
         allowed--;
@@ -188,28 +191,36 @@
   return best;
 }
 
-/** Lower is better: what is cached, then what is cheap to hold, then what is fuller already. */
-function cost(job: Job, bin: Bin): number {
-  const cached = bin.room.images.includes(job.spec.image) ? 0 : 4;
-  const kind = job.spec.spot && !bin.room.spot ? 2 : 0;
-  const total = bin.free.gpus + bin.byRank.reduce((sum, a) => sum + a.gpus, 0);
-  return cached + kind + (total > 0 ? bin.free.gpus / total : 1);
+/** How soon the task would run there, in milliseconds, with ties broken towards what is fuller already. */
+function cost(job: Job, bin: Bin, input: DivisionInput): number {
+  const type = input.types.get(bin.room.type);
+  const fetch = fetchMs(job.spec.imageGb, bin.room.images.includes(job.spec.image), type);
+  // Ordinary machines are dear: work that may run on spot goes there unless it would wait for longer than this.
+  const kind = job.spec.spot && !bin.room.spot ? input.facts.reportMs * 2 : 0;
+  const tight = type === undefined || type.gpus <= 0 ? 0 : bin.free.gpus / type.gpus;
+  return fetch + kind + (input.facts.reportMs / 10) * tight;
 }
 
-function pick(job: Job, bins: readonly Bin[], zoneAllowed: (zone: string) => boolean): Bin | undefined {
+function pick(
+  job: Job,
+  bins: readonly Bin[],
+  input: DivisionInput,
+  zoneAllowed: (zone: string) => boolean,
+): Bin | undefined {
   let best: Bin | undefined;
   let bestCost = Infinity;
   for (const bin of bins) {
     if (!zoneAllowed(bin.room.zone) || !suits(job, bin)) continue;
-    let c: number;
-    if (fits(job.spec, bin.free)) {
-      c = cost(job, bin);
-    } else {
+    let c = cost(job, bin, input);
+    if (c >= bestCost) continue;
+    if (!fits(job.spec, bin.free)) {
       let room = bin.free;
-      let rank = bin.byRank.length - 1;
-      for (; rank > job.rank && !fits(job.spec, room); rank--) room = plus(room, bin.byRank[rank]!);
+      for (let rank = bin.byRank.length - 1; rank > job.rank && !fits(job.spec, room); rank--) {
+        room = plus(room, bin.byRank[rank]!);
+      }
       if (!fits(job.spec, room)) continue;
-      c = 100 + cost(job, bin) + (bin.byRank.length - rank);
+      // By preemption: as an owner reckons it.
+      c += input.facts.reportMs * 1.5;
     }
     if (c < bestCost) {
       best = bin;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,7 +1,7 @@
 export * from './facts';
 export * from './jobs';
 export * from './claims';
-export { betterElsewhere, choosePreemption } from './placement';
+export { fetchMs } from './placement';
 export * from './division';
 export * from './fleet';
 export * from './ownership';
--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -1,55 +1,96 @@
-// The smallest exceptions to "the first reporter wins": see docs/design.md.
+// The smallest exceptions to "the first reporter wins", and preemption: see docs/design.md.
+//
+// For every waiting task the owner estimates how soon each machine of its part could run it: at once but for the fetch of
+// the image, or after stopping work of lower priority. A machine that reports passes on a task only if another machine of
+// the part would run it sooner than this one could.
+import type { MachineType } from '@gingerlock/wire';
 import type { Machine, PartBook, Slot } from './claims';
 import { type Amounts, fits, plus, typeAllows } from './facts';
 
 /** Whether a task could be bound to the machine if it had the room. */
 export function suits(slot: Slot, m: Machine): boolean {
-  return (slot.zone === null || slot.zone === m.zone) && typeAllows(slot.job.spec, m.type, m.zone, m.spot);
+  return (
+    (slot.zone === null || slot.zone === m.zone) &&
+    typeAllows(slot.job.spec, m.type, m.zone, m.spot) &&
+    !m.failedJobs.has(slot.job.id)
+  );
 }
 
-/**
- * Whether the reporting machine passes on a task because another machine of the part, which reports within about one
- * interval, has its image already. A fetch takes several report intervals, waiting for a report takes one at most.
- */
-export function betterElsewhere(book: PartBook, slot: Slot, m: Machine, now: number): boolean {
-  const spec = slot.job.spec;
-  if (m.cache.has(spec.image)) return false;
-  const type = book.typeOf(m);
-  const fetchMs = type === undefined ? Infinity : (spec.imageGb / type.fetchGbPerS) * 1000;
-  if (fetchMs < book.facts.reportMs) return false;
-  if (now - slot.since > book.facts.reportMs * 1.5) return false;
-  for (const other of book.machines.values()) {
-    if (other === m || !other.rostered || !suits(slot, other) || !other.cache.has(spec.image)) continue;
-    if (book.takesWork(other, now) && fits(spec, book.room(other))) return true;
-  }
-  return false;
+/** How long the fetch of an image takes on a machine of this type, if nothing else is fetched. */
+export function fetchMs(imageGb: number, cached: boolean, type: MachineType | undefined): number {
+  if (cached) return 0;
+  return type === undefined ? 60_000 : (imageGb / type.fetchGbPerS) * 1000;
+}
+
+export interface Plan {
+  readonly machine: Machine;
+  /** How soon it would run there, about. */
+  readonly ms: number;
+  /** What has to be stopped there first. */
+  readonly victims: readonly Slot[];
+}
+
+/** Breaks ties: a fuller machine leaves the larger gaps to others. */
+function tightness(room: Amounts, type: MachineType | undefined): number {
+  return type === undefined || type.gpus <= 0 ? 0 : room.gpus / type.gpus;
 }
 
-/**
- * The least that has to stop on one machine so that the task fits there: only claims of lower priority, the least
- * urgent and then the latest started first. Null: no machine can be freed for it.
- */
-export function choosePreemption(book: PartBook, slot: Slot, now: number): Slot[] | null {
+/** The machine of the part that would run the task soonest, given what is left of each room; null: none could. */
+export function bestPlan(
+  book: PartBook,
+  slot: Slot,
+  rooms: ReadonlyMap<Machine, Amounts>,
+  doomed: ReadonlySet<Slot>,
+): Plan | null {
   const spec = slot.job.spec;
-  let best: { victims: Slot[]; cost: number } | null = null;
-  for (const m of book.machines.values()) {
-    if (!suits(slot, m) || !book.takesWork(m, now)) continue;
-    let room: Amounts = book.room(m);
-    const stopping = [...m.claims.values()].filter((s) => s.claim!.stopGraceS !== null);
-    // What is stopping already was stopped for somebody else.
-    if (stopping.length > 0) continue;
-    const candidates = [...m.claims.values()]
-      .filter((s) => s.job.rank > slot.job.rank)
-      .sort((a, b) => b.job.rank - a.job.rank || b.claim!.grantedAt - a.claim!.grantedAt);
-    const victims: Slot[] = [];
-    for (const candidate of candidates) {
-      if (fits(spec, room)) break;
-      victims.push(candidate);
-      room = plus(room, candidate.job.spec);
+  const { reportMs } = book.facts;
+  let best: Plan | null = null;
+  let bestCost = Infinity;
+  for (const [machine, room] of rooms) {
+    if (!suits(slot, machine)) continue;
+    const type = book.typeOf(machine);
+    const fetch = fetchMs(spec.imageGb, machine.cache.has(spec.image), type);
+    let ms = fetch + reportMs / 2;
+    if (ms >= bestCost) continue;
+    let victims: readonly Slot[] = [];
+    if (!fits(spec, room)) {
+      const found = leastVictims(machine, slot, room, doomed);
+      if (found === null) continue;
+      victims = found;
+      // One report to say that they have stopped, and their lost work.
+      ms += reportMs * (1 + victims.length / 2);
+    }
+    const cost = ms + (reportMs / 10) * tightness(room, type);
+    if (cost < bestCost) {
+      best = { machine, ms, victims };
+      bestCost = cost;
     }
-    if (!fits(spec, room)) continue;
-    const cost = victims.length + (m.cache.has(spec.image) ? 0 : 0.5);
-    if (best === null || cost < best.cost) best = { victims, cost };
   }
-  return best?.victims ?? null;
+  return best;
+}
+
+/** The least that has to stop on a machine so that the task fits: the least urgent and latest started first. */
+function leastVictims(machine: Machine, slot: Slot, free: Amounts, doomed: ReadonlySet<Slot>): Slot[] | null {
+  const candidates = [...machine.claims.values()]
+    .filter((s) => s.job.rank > slot.job.rank && s.claim!.stopGraceS === null && !doomed.has(s))
+    .sort((a, b) => b.job.rank - a.job.rank || b.claim!.grantedAt - a.claim!.grantedAt);
+  const victims: Slot[] = [];
+  let room = free;
+  for (const candidate of candidates) {
+    if (fits(slot.job.spec, room)) break;
+    victims.push(candidate);
+    room = plus(room, candidate.job.spec);
+  }
+  return fits(slot.job.spec, room) ? victims : null;
+}
+
+/** Whether the reporting machine passes on a task that would run sooner on the machine it is planned for. */
+export function betterElsewhere(book: PartBook, slot: Slot, m: Machine, now: number): boolean {
+  const spec = slot.job.spec;
+  const { reportMs } = book.facts;
+  const here = fetchMs(spec.imageGb, m.cache.has(spec.image), book.typeOf(m));
+  if (here <= reportMs / 2 || slot.plan?.machine === m) return false;
+  // Not planned yet: that comes with the next tick.
+  if (slot.plan === null) return now - slot.since < reportMs / 2;
+  return slot.plan.ms < here && book.takesWork(slot.plan.machine, now) && now - slot.since < here + reportMs * 2;
 }
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -137,7 +137,7 @@
       onSync: () => this.#synced(),
       onError: (error) => this.log.info({ error: String(error) }, 'state service can not be read'),
     });
-    this.shared = new Shared(this.settings, ports.clock, ports.log, this.state, this.replica, this.store);
+    this.shared = new Shared(this.settings, ports.clock, ports.log, this.state, this.replica, this.store, ports.http);
     this.shared.announce = (revision) => this.#broadcast({ kind: 'Hint', revision });
     this.store.onJob = (id) => {
       for (const owner of this.#owners.values()) owner.jobChanged(id);
--- a/packages/daemon/src/leader.ts
+++ b/packages/daemon/src/leader.ts
@@ -111,6 +111,7 @@
       summaries: current,
       recent: this.#recent,
       facts,
+      types: store.types,
       most: settings.txnOps - changes.length,
     });
     this.#unmet = unmet;
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -3,6 +3,7 @@
   Bits,
   type Holding,
   type Job,
+  type Machine,
   type MachineRoom,
   NOTHING,
   PartBook,
@@ -15,6 +16,7 @@
 import {
   type Change,
   type Condition,
+  encodeDirectOrders,
   finishedRecord,
   jobRecord,
   KEYS,
@@ -76,14 +78,38 @@
     if (this.book.changes !== this.#packedChange || now - this.#packedAt > this.shared.facts.reportMs / 3) {
       this.#packedChange = this.book.changes;
       this.#packedAt = now;
-      const { rooms, stuck } = this.book.pack(now);
+      const { rooms, stuck, stopped } = this.book.pack(now);
       this.#rooms = rooms;
       this.#stuck = stuck;
-      if (stuck.length > 0) this.book.preempt(stuck, now);
+      for (const machine of new Set(stopped.map((s) => s.claim!.machine))) {
+        this.#pushStops(
+          machine,
+          stopped.filter((s) => s.claim!.machine === machine),
+        );
+      }
     }
     void this.#write();
   }
 
+  /**
+   * Sends stops straight to the worker, to win the wait for its next report. Only stops ever go this way: a start that
+   * was held back on the way could be carried out minutes later.
+   */
+  #pushStops(machine: Machine, slots: readonly Slot[]): void {
+    const commands = slots.map((s) => ({
+      op: 'stop' as const,
+      task: s.name,
+      attempt: s.claim!.attempt,
+      graceS: s.claim!.stopGraceS ?? 0,
+    }));
+    const body = encodeDirectOrders(this.holding.term, machine.session, commands);
+    const { http, facts, log } = this.shared;
+    http(machine.addr, 'POST', '/commands', body, facts.reportMs * 2).catch((error: unknown) => {
+      // The answer to its next report says the same.
+      log.debug({ machine: machine.name, error: String(error) }, 'direct stop not answered');
+    });
+  }
+
   gone(name: string): void {
     this.book.gone(name, this.shared.clock.now());
     this.#rosterRemovals.add(name);
--- a/packages/daemon/src/shared.ts
+++ b/packages/daemon/src/shared.ts
@@ -1,5 +1,5 @@
 import type { Facts } from '@gingerlock/core';
-import { type Clock, type Replica, sleep, type StateService, type Urgency } from '@gingerlock/clients';
+import { type Clock, type Http, type Replica, sleep, type StateService, type Urgency } from '@gingerlock/clients';
 import type { Change, Condition } from '@gingerlock/wire';
 import type { Log } from './log';
 import type { Settings } from './settings';
@@ -24,6 +24,7 @@
     readonly state: StateService,
     readonly replica: Replica,
     readonly store: Store,
+    readonly http: Http,
   ) {
     this.facts = settings.facts;
   }
--- a/packages/testkit/src/worker.ts
+++ b/packages/testkit/src/worker.ts
@@ -63,6 +63,7 @@
     this.#target = Math.floor(world.sim.random() * world.controllers.length);
     world.sim.after(world.sim.random() * world.reportMs, () => void this.#report());
     this.#watchLease();
+    world.network.hosts.set(`${name}:9000`, (_method, _path, body) => this.command(body));
   }
 
   #watchLease(): void {
@@ -77,32 +78,35 @@
     sim.after(20, () => this.#watchLease());
   }
 
+  /** A direct `/commands` request, however late it comes. */
+  command(body: Buffer): HttpAnswer {
+    const { token, session, commands } = decodeOrders(body);
+    const stale = token < this.token || session !== this.session;
+    if (!stale) {
+      const higher = token > this.token;
+      this.token = token;
+      for (const c of commands) this.#execute(c);
+      if (higher) this.#changed();
+    }
+    return { status: stale ? 409 : 200, body: this.#body() };
+  }
+
   die(): void {
     if (!this.alive) return;
+    this.world.network.hosts.delete(`${this.name}:9000`);
     this.alive = false;
     for (const t of this.tasks.values()) this.#leave(t);
     this.tasks.clear();
   }
 
-  #leave(t: RunningTask): void {
-    t.cancelTimer();
-    if (t.state === 'running' || t.state === 'saving') this.world.offTask(t.task, this.name);
-  }
-
-  async #report(): Promise<void> {
-    const { sim, network, controllers, reportMs } = this.world;
-    if (!this.alive) return;
-    this.#inFlight = true;
-    this.#soon = false;
-    const sentAt = sim.now;
-    const session = this.session;
-    const body = encodeReport({
+  #body(): Buffer {
+    return encodeReport({
       machine: this.name,
       addr: `${this.name}:9000`,
       type: this.type,
       zone: this.zone,
       spot: this.spot,
-      session,
+      session: this.session,
       seq: ++this.seq,
       token: this.token,
       noticeS: this.noticeS,
@@ -114,6 +118,21 @@
         saved: t.saved,
       })),
     });
+  }
+
+  #leave(t: RunningTask): void {
+    t.cancelTimer();
+    if (t.state === 'running' || t.state === 'saving') this.world.offTask(t.task, this.name);
+  }
+
+  async #report(): Promise<void> {
+    const { sim, network, controllers, reportMs } = this.world;
+    if (!this.alive) return;
+    this.#inFlight = true;
+    this.#soon = false;
+    const sentAt = sim.now;
+    const session = this.session;
+    const body = this.#body();
     const target = controllers[this.#target]!;
     let wait = reportMs * (0.75 + sim.random() / 2);
     const http = network.http(this.name, () => this.alive);
--- a/packages/wire/src/workers.ts
+++ b/packages/wire/src/workers.ts
@@ -148,6 +148,7 @@
 const checkOrders = checker(
   Type.Object({
     baton: Count,
+    shift: Type.Optional(Count),
     orders: Type.Array(
       Type.Object({
         verb: Type.Union([Type.Literal('start'), Type.Literal('halt'), Type.Literal('forget')]),
@@ -159,10 +160,12 @@
   }),
 );
 
-export function decodeOrders(body: Uint8Array): { token: number; commands: WorkerCommand[] } {
+/** Reads an answer to a report, or a direct `/commands` request, which names the session too. */
+export function decodeOrders(body: Uint8Array): { token: number; session: number | null; commands: WorkerCommand[] } {
   const map = checkOrders(decodeMap(body));
   return {
     token: map.baton,
+    session: map.shift ?? null,
     commands: map.orders.map((o) =>
       o.verb === 'halt'
         ? { op: 'stop', task: o.parcel, attempt: o.try, graceS: o.leeway_s ?? 0 }
