--- a/packages/core/src/division.ts
+++ b/packages/core/src/division.ts
@@ -1,8 +1,8 @@
 // The leader's division of waiting tasks among the parts by free room, with the arithmetic of team limits and zones.
-import type { MachineType, Round } from '@gingerlock/wire';
+import { type MachineType, PRIORITIES, type Round } from '@gingerlock/wire';
 import { type Amounts, type Facts, fits, limitAllows, NOTHING, plus, typeAllows } from './facts';
 import { type Job, joinRounds } from './jobs';
-import { fetchMs } from './placement';
+import { fetchMs, SERVICE_VICTIM_MS } from './placement';
 
 /** What a part's owner says of one machine. */
 export interface MachineRoom {
@@ -201,6 +201,9 @@
   return fetch + kind + (input.facts.reportMs / 10) * tight;
 }
 
+/** Ranks above this one are of batch work. */
+const URGENT = PRIORITIES.indexOf('high');
+
 function pick(
   job: Job,
   bins: readonly Bin[],
@@ -215,12 +218,13 @@
     if (c >= bestCost) continue;
     if (!fits(job.spec, bin.free)) {
       let room = bin.free;
-      for (let rank = bin.byRank.length - 1; rank > job.rank && !fits(job.spec, room); rank--) {
-        room = plus(room, bin.byRank[rank]!);
-      }
+      let rank = bin.byRank.length - 1;
+      for (; rank > job.rank && !fits(job.spec, room); rank--) room = plus(room, bin.byRank[rank]!);
       if (!fits(job.spec, room)) continue;
       // By preemption: as an owner reckons it.
       c += input.facts.reportMs * 1.5;
+      // Work that is urgent itself goes only when there is no other room.
+      if (rank < URGENT) c += SERVICE_VICTIM_MS;
     }
     if (c < bestCost) {
       best = bin;
--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -30,6 +30,9 @@
   readonly victims: readonly Slot[];
 }
 
+/** Stopping a replica counts like this much waiting: more than any fetch. */
+export const SERVICE_VICTIM_MS = 120_000;
+
 /** Breaks ties: a fuller machine leaves the larger gaps to others. */
 function tightness(room: Amounts, type: MachineType | undefined): number {
   return type === undefined || type.gpus <= 0 ? 0 : room.gpus / type.gpus;
@@ -57,8 +60,10 @@
       const found = leastVictims(machine, slot, room, doomed);
       if (found === null) continue;
       victims = found;
-      // One report to say that they have stopped, and their lost work.
+      // One report to say that they have stopped, and their lost work. A replica that is stopped is missed at once, so
+      // that is for when there is no other room at all.
       ms += reportMs * (1 + victims.length / 2);
+      for (const v of victims) if (v.job.spec.kind === 'service') ms += SERVICE_VICTIM_MS;
     }
     const cost = ms + (reportMs / 10) * tightness(room, type);
     if (cost < bestCost) {
