--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -1,5 +1,5 @@
 // What the leader rents, drains and returns. It only plans; the controller talks to the cloud and to the owners.
-import type { CloudMachine, MachineType, RentRequest } from '@gingerlock/wire';
+import { type CloudMachine, type MachineType, PRIORITIES, type RentRequest } from '@gingerlock/wire';
 import type { MachineRoom, PartSummary, Unmet } from './division';
 import { type Amounts, type Facts, fits, partOf, plus, typeAllows, workerLeaseBoundMs } from './facts';
 
@@ -7,6 +7,8 @@
 export interface FleetLimits {
   /** Free room kept on ordinary machines, as a share of what is in use. */
   readonly headroom: number;
+  /** Free room kept on spot machines, as a share of what was in use there lately. */
+  readonly spotHeadroom: number;
   readonly maxOrdinaryMachines: number;
   readonly maxSpotMachines: number;
 }
@@ -41,11 +43,23 @@
   missingSince: number | null;
 }
 
+interface Bin {
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  free: Amounts;
+  /** To be rented now. */
+  readonly fresh: boolean;
+}
+
 interface Refusal {
   until: number;
   backoff: number;
 }
 
+/** Work of this rank and below makes way for services. */
+const BATCH_RANK = PRIORITIES.indexOf('normal');
+
 /** A machine that takes longer than this many usual boot times counts as late; its room is rented once more. */
 const LATE_BOOTS = 2;
 /** One that takes longer than this many is returned. */
@@ -60,6 +74,8 @@
   #draining = new Set<string>();
   #counter = 0;
   #firstList = true;
+  #spotPeak = 0;
+  #spotPeakAt = 0;
 
   constructor(
     readonly facts: Facts,
@@ -172,7 +188,7 @@
         giveBack.push(k.name);
       } else if (room?.sick === true) drain.add(k.name);
     }
-    const rent = this.#rent(input, booting);
+    const rent = this.#rent(input, booting, rooms);
     this.#idle(input, rooms, booting, drain, giveBack, rent.length > 0);
     this.#draining = drain;
     return { rent, giveBack, drain: [...drain] };
@@ -189,9 +205,9 @@
     return Math.max(k.heardAt ?? -Infinity, k.upSince ?? -Infinity, owner.since);
   }
 
-  #rent(input: FleetInput, booting: readonly Known[]): RentRequest[] {
+  #rent(input: FleetInput, booting: readonly Known[], rooms: ReadonlyMap<string, MachineRoom>): RentRequest[] {
     const { now, types } = input;
-    const bins: { type: string; zone: string; spot: boolean; free: Amounts; fresh: boolean }[] = [];
+    const bins: Bin[] = [];
     for (const k of booting) {
       const t = types.get(k.type);
       if (t !== undefined) bins.push({ type: k.type, zone: k.zone, spot: k.spot, free: amounts(t), fresh: false });
@@ -208,29 +224,16 @@
       (this.#refused.get(place(t, z, spot))?.until ?? 0) <= now;
 
     const request = (spec: Unmet['job']['spec'], zones: readonly string[] | null): boolean => {
-      let best: { type: MachineType; zone: string; spot: boolean; cost: number } | undefined;
-      for (const type of types.values()) {
-        if (!fits(spec, type)) continue;
-        for (const zone of type.zones) {
-          if (zones !== null && !zones.includes(zone)) continue;
-          for (const spot of [false, true]) {
-            if (!typeAllows(spec, type.name, zone, spot) || !open(type.name, zone, spot) || !belowLimit(spot)) continue;
-            const price = spot ? type.spotPrice : type.price;
-            const cost = price * (1 + (perZone.get(zone) ?? 0) / 1000);
-            if (best === undefined || cost < best.cost) best = { type, zone, spot, cost };
-          }
-        }
-      }
-      if (best === undefined) return false;
-      count[best.spot ? 'spot' : 'ordinary']++;
-      perZone.set(best.zone, (perZone.get(best.zone) ?? 0) + 1);
-      bins.push({
-        type: best.type.name,
-        zone: best.zone,
-        spot: best.spot,
-        free: plus(amounts(best.type), spec, -1),
-        fresh: true,
-      });
+      const allowed = (type: MachineType, zone: string, spot: boolean): boolean =>
+        fits(spec, type) &&
+        (zones === null || zones.includes(zone)) &&
+        typeAllows(spec, type.name, zone, spot) &&
+        open(type.name, zone, spot) &&
+        belowLimit(spot);
+      if (this.#add(bins, perZone, allowed, types) === null) return false;
+      const bin = bins.at(-1)!;
+      count[bin.spot ? 'spot' : 'ordinary']++;
+      bin.free = plus(bin.free, spec, -1);
       return true;
     };
 
@@ -246,6 +249,24 @@
         else if (!request(job.spec, zones)) break;
       }
     }
+    // Room for what comes next, on top of what is asked for now: a boot takes longer than most aims allow.
+    for (const spot of [false, true]) {
+      const target = this.#target(input, rooms, spot);
+      let free = 0;
+      for (const m of rooms.values()) if (m.spot === spot && m.takesWork) free += roomFor(m, spot);
+      for (const b of bins) if (b.spot === spot) free += b.free.gpus;
+      for (let i = 0; free < target && i < RENT_AHEAD; i++) {
+        const type = this.#add(
+          bins,
+          perZone,
+          (t, zone, s) => s === spot && open(t.name, zone, s) && belowLimit(s),
+          types,
+        );
+        if (type === null) break;
+        count[spot ? 'spot' : 'ordinary']++;
+        free += type.gpus;
+      }
+    }
     const groups = new Map<string, RentRequest>();
     for (const b of bins.filter((bin) => bin.fresh)) {
       const key = place(b.type, b.zone, b.spot);
@@ -257,6 +278,45 @@
     return [...groups.values()].map((r) => ({ ...r, request: `r-${this.term}-${++this.#counter}` }));
   }
 
+  /** Adds the cheapest machine that is allowed, in the zone that has the fewest. */
+  #add(
+    bins: Bin[],
+    perZone: Map<string, number>,
+    allowed: (type: MachineType, zone: string, spot: boolean) => boolean,
+    types: ReadonlyMap<string, MachineType>,
+  ): MachineType | null {
+    let best: { type: MachineType; zone: string; spot: boolean; cost: number } | null = null;
+    for (const type of types.values()) {
+      for (const zone of type.zones) {
+        for (const spot of [false, true]) {
+          if (!allowed(type, zone, spot)) continue;
+          const cost = (spot ? type.spotPrice : type.price) * (1 + (perZone.get(zone) ?? 0) / 1000);
+          if (best === null || cost < best.cost) best = { type, zone, spot, cost };
+        }
+      }
+    }
+    if (best === null) return null;
+    perZone.set(best.zone, (perZone.get(best.zone) ?? 0) + 1);
+    bins.push({ type: best.type.name, zone: best.zone, spot: best.spot, free: amounts(best.type), fresh: true });
+    return best.type;
+  }
+
+  /** How much free room, in accelerators, machines of a kind should have. */
+  #target(input: FleetInput, rooms: ReadonlyMap<string, MachineRoom>, spot: boolean): number {
+    let used = 0;
+    for (const m of rooms.values()) {
+      const type = input.types.get(m.type);
+      if (type !== undefined && m.spot === spot) used += type.gpus - roomFor(m, spot);
+    }
+    if (!spot) return 0;
+    // Batch work comes in bursts: what it took lately says more than what it takes now.
+    const bootMs = Math.max(...[...input.types.values()].map((t) => t.bootS)) * 1000;
+    this.#spotPeak *= 0.5 ** ((input.now - this.#spotPeakAt) / (bootMs * 4));
+    this.#spotPeakAt = input.now;
+    this.#spotPeak = Math.max(this.#spotPeak, used);
+    return this.#spotPeak * this.limits.spotHeadroom;
+  }
+
   /** Machines that have been empty for about a boot time go, if enough room is left without them. */
   #idle(
     input: FleetInput,
@@ -267,26 +327,30 @@
     renting: boolean,
   ): void {
     let ordinary = 0;
+    let spot = 0;
     let used = 0;
     const empties: MachineRoom[] = [];
     for (const m of rooms.values()) {
       const type = input.types.get(m.type);
       if (type === undefined || m.noticed || this.#returned.has(m.name)) continue;
       if (!m.spot && m.takesWork) ordinary += m.free.gpus;
+      if (m.spot && m.takesWork) spot += m.free.gpus;
       used += type.gpus - m.free.gpus;
       if (m.empty) empties.push(m);
     }
     const largest = Math.max(0, ...[...input.types.values()].map((t) => t.gpus));
+    const spotTarget = this.#target(input, rooms, true);
     const headroom = Math.max(largest / 2, used * this.limits.headroom);
     for (const m of empties.sort((a, b) => b.emptyMs - a.emptyMs)) {
       if (giveBack.includes(m.name)) continue;
       const type = input.types.get(m.type)!;
       const idle = m.emptyMs > Math.max(type.bootS * 1000 * IDLE_BOOTS, this.facts.reportMs * 5);
-      const spare = m.spot || ordinary - type.gpus >= headroom;
+      const spare = m.spot ? spot - type.gpus >= spotTarget : ordinary - type.gpus >= headroom;
       const leave =
         drain.has(m.name) || this.#draining.has(m.name) || (idle && spare && !(renting && booting.length === 0));
       if (!leave) continue;
       if (!m.spot && m.takesWork) ordinary -= type.gpus;
+      if (m.spot && m.takesWork) spot -= type.gpus;
       drain.add(m.name);
       // The owner says that it binds nothing there any more and that nothing is there.
       if (m.draining) giveBack.push(m.name);
@@ -300,6 +364,15 @@
  */
 const IDLE_BOOTS = 0.5;
 
+/** Enough machines to ask for ahead of need in one go. */
+const RENT_AHEAD = 3;
+
+/** What a machine has for new work of the kind it is meant for: on ordinary ones batch work makes way. */
+function roomFor(m: MachineRoom, spot: boolean): number {
+  if (spot) return m.free.gpus;
+  return m.byRank.reduce((sum, a, rank) => sum + (rank >= BATCH_RANK ? a.gpus : 0), m.free.gpus);
+}
+
 function place(type: string, zone: string, spot: boolean): string {
   return `${type}/${zone}/${spot ? 'spot' : 'ordinary'}`;
 }
