--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -7,8 +7,6 @@
 export interface FleetLimits {
   /** Free room kept on ordinary machines, as a share of what is in use. */
   readonly headroom: number;
-  /** Free room kept on spot machines, as a share of what was in use there lately. */
-  readonly spotHeadroom: number;
   readonly maxOrdinaryMachines: number;
   readonly maxSpotMachines: number;
 }
@@ -74,8 +72,6 @@
   #draining = new Set<string>();
   #counter = 0;
   #firstList = true;
-  #spotPeak = 0;
-  #spotPeakAt = 0;
 
   constructor(
     readonly facts: Facts,
@@ -250,22 +246,16 @@
       }
     }
     // Room for what comes next, on top of what is asked for now: a boot takes longer than most aims allow.
-    for (const spot of [false, true]) {
-      const target = this.#target(input, rooms, spot);
-      let free = 0;
-      for (const m of rooms.values()) if (m.spot === spot && m.takesWork) free += roomFor(m, spot);
-      for (const b of bins) if (b.spot === spot) free += b.free.gpus;
-      for (let i = 0; free < target && i < RENT_AHEAD; i++) {
-        const type = this.#add(
-          bins,
-          perZone,
-          (t, zone, s) => s === spot && open(t.name, zone, s) && belowLimit(s),
-          types,
-        );
-        if (type === null) break;
-        count[spot ? 'spot' : 'ordinary']++;
-        free += type.gpus;
-      }
+    let free = 0;
+    for (const m of rooms.values()) if (!m.spot && m.takesWork) free += roomForServices(m);
+    for (const b of bins) if (!b.spot) free += b.free.gpus;
+    for (const target = this.#headroom(input, rooms); free < target;) {
+      const ordinary = (t: MachineType, zone: string, spot: boolean): boolean =>
+        !spot && open(t.name, zone, spot) && belowLimit(spot);
+      const type = this.#add(bins, perZone, ordinary, types);
+      if (type === null || type.gpus <= 0) break;
+      count.ordinary++;
+      free += type.gpus;
     }
     const groups = new Map<string, RentRequest>();
     for (const b of bins.filter((bin) => bin.fresh)) {
@@ -301,20 +291,14 @@
     return best.type;
   }
 
-  /** How much free room, in accelerators, machines of a kind should have. */
-  #target(input: FleetInput, rooms: ReadonlyMap<string, MachineRoom>, spot: boolean): number {
+  /** How much room, in accelerators, ordinary machines should have for new services. */
+  #headroom(input: FleetInput, rooms: ReadonlyMap<string, MachineRoom>): number {
     let used = 0;
     for (const m of rooms.values()) {
       const type = input.types.get(m.type);
-      if (type !== undefined && m.spot === spot) used += type.gpus - roomFor(m, spot);
+      if (type !== undefined && !m.spot) used += type.gpus - roomForServices(m);
     }
-    if (!spot) return 0;
-    // Batch work comes in bursts: what it took lately says more than what it takes now.
-    const bootMs = Math.max(...[...input.types.values()].map((t) => t.bootS)) * 1000;
-    this.#spotPeak *= 0.5 ** ((input.now - this.#spotPeakAt) / (bootMs * 4));
-    this.#spotPeakAt = input.now;
-    this.#spotPeak = Math.max(this.#spotPeak, used);
-    return this.#spotPeak * this.limits.spotHeadroom;
+    return used * this.limits.headroom;
   }
 
   /** Machines that have been empty for about a boot time go, if enough room is left without them. */
@@ -327,30 +311,23 @@
     renting: boolean,
   ): void {
     let ordinary = 0;
-    let spot = 0;
-    let used = 0;
     const empties: MachineRoom[] = [];
     for (const m of rooms.values()) {
       const type = input.types.get(m.type);
       if (type === undefined || m.noticed || this.#returned.has(m.name)) continue;
-      if (!m.spot && m.takesWork) ordinary += m.free.gpus;
-      if (m.spot && m.takesWork) spot += m.free.gpus;
-      used += type.gpus - m.free.gpus;
+      if (!m.spot && m.takesWork) ordinary += roomForServices(m);
       if (m.empty) empties.push(m);
     }
-    const largest = Math.max(0, ...[...input.types.values()].map((t) => t.gpus));
-    const spotTarget = this.#target(input, rooms, true);
-    const headroom = Math.max(largest / 2, used * this.limits.headroom);
+    const headroom = this.#headroom(input, rooms);
     for (const m of empties.sort((a, b) => b.emptyMs - a.emptyMs)) {
       if (giveBack.includes(m.name)) continue;
       const type = input.types.get(m.type)!;
       const idle = m.emptyMs > Math.max(type.bootS * 1000 * IDLE_BOOTS, this.facts.reportMs * 5);
-      const spare = m.spot ? spot - type.gpus >= spotTarget : ordinary - type.gpus >= headroom;
+      const spare = m.spot || ordinary - type.gpus >= headroom;
       const leave =
         drain.has(m.name) || this.#draining.has(m.name) || (idle && spare && !(renting && booting.length === 0));
       if (!leave) continue;
       if (!m.spot && m.takesWork) ordinary -= type.gpus;
-      if (m.spot && m.takesWork) spot -= type.gpus;
       drain.add(m.name);
       // The owner says that it binds nothing there any more and that nothing is there.
       if (m.draining) giveBack.push(m.name);
@@ -364,12 +341,8 @@
  */
 const IDLE_BOOTS = 0.5;
 
-/** Enough machines to ask for ahead of need in one go. */
-const RENT_AHEAD = 3;
-
-/** What a machine has for new work of the kind it is meant for: on ordinary ones batch work makes way. */
-function roomFor(m: MachineRoom, spot: boolean): number {
-  if (spot) return m.free.gpus;
+/** What a machine has for new services: batch work makes way for them. */
+function roomForServices(m: MachineRoom): number {
   return m.byRank.reduce((sum, a, rank) => sum + (rank >= BATCH_RANK ? a.gpus : 0), m.free.gpus);
 }
 
--- a/packages/core/test/fleet.test.ts
+++ b/packages/core/test/fleet.test.ts
@@ -26,7 +26,7 @@
   zones: ['a', 'b'],
 };
 const types = new Map([[type.name, type]]);
-const limits = { headroom: 0, spotHeadroom: 0, maxOrdinaryMachines: Infinity, maxSpotMachines: Infinity };
+const limits = { headroom: 0, maxOrdinaryMachines: Infinity, maxSpotMachines: Infinity };
 
 function listed(name: string, ageS: number): CloudMachine {
   return { name, addr: '', type: 'box', zone: 'a', spot: false, state: 'running', ageS };
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -47,7 +47,6 @@
 const OperatorsFile = Type.Object(
   {
     headroom: Type.Optional(Type.Number({ minimum: 0, maximum: 1 })),
-    spot_headroom: Type.Optional(Type.Number({ minimum: 0, maximum: 4 })),
     max_ordinary_machines: Type.Optional(Type.Integer({ minimum: 0 })),
     max_spot_machines: Type.Optional(Type.Integer({ minimum: 0 })),
   },
@@ -57,15 +56,12 @@
 export interface OperatorSettings {
   /** Free room kept on ordinary machines, as a share of what is in use. */
   readonly headroom: number;
-  /** Free room kept on spot machines, as a share of what was in use there lately. */
-  readonly spotHeadroom: number;
   readonly maxOrdinaryMachines: number;
   readonly maxSpotMachines: number;
 }
 
 export const OPERATOR_DEFAULTS: OperatorSettings = {
-  headroom: 0.06,
-  spotHeadroom: 0.25,
+  headroom: 0.1,
   maxOrdinaryMachines: Infinity,
   maxSpotMachines: Infinity,
 };
@@ -131,7 +127,6 @@
     },
     operators: {
       headroom: o.headroom ?? OPERATOR_DEFAULTS.headroom,
-      spotHeadroom: o.spot_headroom ?? OPERATOR_DEFAULTS.spotHeadroom,
       maxOrdinaryMachines: o.max_ordinary_machines ?? OPERATOR_DEFAULTS.maxOrdinaryMachines,
       maxSpotMachines: o.max_spot_machines ?? OPERATOR_DEFAULTS.maxSpotMachines,
     },
