--- /dev/null
+++ b/packages/peer/test/link.test.ts
@@ -0,0 +1,92 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { BadFrame, decodePeer, encodePeer, frame, frames, MAX_FRAME_BYTES, type PeerMessage } from '../src/index';
+
+const amounts = { cpus: 1.5, gpus: 2, memoryGb: 0 };
+const messages: PeerMessage[] = [
+  { kind: 'Hello', version: 1, node: 'a' },
+  { kind: 'Hint', revision: 2 ** 40 },
+  { kind: 'FleetOrders', term: 3, drain: ['m-1'], gone: [] },
+  { kind: 'Ask', id: 1, revision: 9 },
+  { kind: 'Vouch', id: 1, vouches: true, contactAgeMs: 12.5 },
+  { kind: 'Relay', id: 4, from: 'a', to: 'b', body: Buffer.from([1, 2, 3]) },
+  { kind: 'RelayAnswer', id: 4, to: 'a', status: 200, body: Buffer.alloc(0) },
+  { kind: 'Alive', contactAgeMs: 1e9, revision: 0 },
+  {
+    kind: 'Summary',
+    part: 1,
+    term: 5,
+    revision: 6,
+    machines: [
+      {
+        name: 'm',
+        type: 't',
+        zone: 'z',
+        spot: true,
+        free: amounts,
+        byRank: [amounts, amounts],
+        images: ['i'],
+        takesWork: true,
+        draining: false,
+        noticed: false,
+        sick: false,
+        empty: true,
+        emptyMs: 1,
+        silentMs: 0,
+      },
+    ],
+    running: [{ job: 'j-1', tasks: 3 }],
+  },
+];
+
+async function* pieces(bytes: Buffer, cuts: readonly number[]): AsyncGenerator<Buffer> {
+  let from = 0;
+  for (const cut of [...cuts].map((c) => c % (bytes.length + 1)).sort((a, b) => a - b)) {
+    yield bytes.subarray(from, cut);
+    from = cut;
+  }
+  yield bytes.subarray(from);
+}
+
+test('messages come out of a stream as they went in, however it is cut into pieces', async () => {
+  const stream = Buffer.concat(messages.map((m) => frame(encodePeer(m))));
+  await fc.assert(
+    fc.asyncProperty(fc.array(fc.nat(), { maxLength: 30 }), async (cuts) => {
+      const got: PeerMessage[] = [];
+      for await (const payload of frames(pieces(stream, cuts))) got.push(decodePeer(payload));
+      // The schema's records have classes of their own: what counts is what is in them.
+      assert.equal(JSON.stringify(got), JSON.stringify(messages));
+    }),
+    { seed: 391, numRuns: 100 },
+  );
+});
+
+test('a frame that is cut off is dropped, and one that claims to be huge ends the connection at once', async () => {
+  const stream = frame(encodePeer(messages[1]!));
+  const got = [];
+  for await (const payload of frames(pieces(stream.subarray(0, stream.length - 1), []))) got.push(payload);
+  assert.equal(got.length, 0);
+  const huge = Buffer.alloc(8);
+  huge.writeUInt32BE(MAX_FRAME_BYTES + 1, 0);
+  await assert.rejects(async () => {
+    for await (const payload of frames(pieces(huge, []))) got.push(payload);
+  }, BadFrame);
+});
+
+test('bytes that are no message are refused by an error, never taken for one that costs memory', () => {
+  fc.assert(
+    fc.property(fc.uint8Array({ maxLength: 64 }), (bytes) => {
+      let message: PeerMessage;
+      try {
+        message = decodePeer(Buffer.from(bytes));
+      } catch (error) {
+        assert.ok(error instanceof Error);
+        return;
+      }
+      // Some bytes happen to be a message: then they are one of ours, of a size in proportion.
+      assert.ok(messages.some((m) => m.kind === message.kind));
+    }),
+    { seed: 391, numRuns: 2000 },
+  );
+});
--- /dev/null
+++ b/packages/wire/test/formats.test.ts
@@ -0,0 +1,246 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import * as wire from '../src/index';
+
+const plain = { noNullPrototype: true } as const;
+
+const count = fc.oneof(fc.integer({ min: 0, max: 5000 }), fc.integer({ min: 2 ** 31, max: Number.MAX_SAFE_INTEGER }));
+const amount = fc.double({ min: 0, max: 1e6, noNaN: true });
+const word = fc.stringMatching(/^[a-z][a-z0-9-]{0,20}$/);
+const jobId = fc.integer({ min: 0, max: 999_999 }).map((n) => `j-${String(n).padStart(6, '0')}`);
+const params = { seed: 391, numRuns: 300 };
+
+const spec: fc.Arbitrary<wire.JobSpec> = fc.record(
+  {
+    id: jobId,
+    jobClass: word,
+    team: word,
+    kind: fc.constantFrom('array', 'service'),
+    priority: fc.constantFrom(...wire.PRIORITIES),
+    tasks: fc.integer({ min: 1, max: wire.MAX_TASKS }),
+    cpus: amount,
+    gpus: amount,
+    memoryGb: amount,
+    image: word,
+    imageGb: amount,
+    types: fc.option(fc.array(word, { maxLength: 4 })),
+    zone: fc.option(word),
+    oneZone: fc.boolean(),
+    spread: fc.boolean(),
+    spot: fc.boolean(),
+    estimateS: amount,
+    checkpointS: amount,
+    saveS: amount,
+    deadlineS: fc.option(amount),
+  },
+  plain,
+);
+
+const report: fc.Arbitrary<wire.WorkerReport> = fc.record(
+  {
+    machine: word,
+    addr: word,
+    type: word,
+    zone: word,
+    spot: fc.boolean(),
+    session: count,
+    seq: count,
+    token: count,
+    noticeS: fc.option(amount),
+    tasks: fc.array(
+      fc
+        .record(
+          {
+            task: fc.tuple(jobId, fc.integer({ min: 0, max: 99_999 })).map(([id, i]) => wire.taskName(id, i)),
+            attempt: count,
+            state: fc.constantFrom('fetching', 'running', 'saving', 'exited'),
+            cause: fc.constantFrom('done', 'stopped', 'error', 'no_room', 'busy', 'unknown'),
+            saved: fc.boolean(),
+          },
+          plain,
+        )
+        .map((t): wire.ReportedTask => {
+          const exited = t.state === 'exited';
+          return {
+            ...t,
+            cause: exited ? t.cause : null,
+            saved: exited && t.cause === 'stopped' && t.saved,
+          } as wire.ReportedTask;
+        }),
+      { maxLength: 5 },
+    ),
+  },
+  plain,
+);
+
+test('a submission survives its round trip, on the wire and in the state service', () => {
+  fc.assert(
+    fc.property(spec, (s) => {
+      assert.deepEqual(wire.decodeSubmission(wire.encodeSubmission(s)), s);
+      const record: wire.JobRecord = {
+        final: null,
+        spec: s,
+        acceptedAt: 1.5e12,
+        cancelled: s.spot,
+        rounds: [{ from: 0, count: 2, part: 1, zone: s.zone, term: 77 }],
+      };
+      assert.deepEqual(wire.jobRecord.read(wire.decode(wire.encode(wire.jobRecord.write(record)))), record);
+    }),
+    params,
+  );
+});
+
+test('reports and orders survive their round trips, also with counts beyond 32 bits', () => {
+  fc.assert(
+    fc.property(report, (r) => assert.deepEqual(wire.decodeReport(wire.encodeReport(r)), r)),
+    params,
+  );
+  fc.assert(
+    fc.property(count, count, (token, attempt) => {
+      const commands: wire.WorkerCommand[] = [
+        { op: 'start', task: 'j-1/0', attempt },
+        { op: 'stop', task: 'j-1/1', attempt, graceS: 2.5 },
+        { op: 'forget', task: 'j-1/2', attempt },
+      ];
+      assert.deepEqual(wire.decodeOrders(wire.encodeOrders(token, commands)), { token, session: null, commands });
+      const direct = wire.decodeOrders(wire.encodeDirectOrders(token, attempt, commands));
+      assert.deepEqual(direct, { token, session: attempt, commands });
+    }),
+    params,
+  );
+});
+
+test('a count beyond 32 bits is an integer on the wire, not a float', () => {
+  // MessagePack marks: 0xcf and 0xd3 are 64-bit integers, 0xcb is a double.
+  const bytes = wire.encode(wire.integer(2 ** 40));
+  assert.ok(bytes[0] === 0xcf || bytes[0] === 0xd3, `mark ${bytes[0]}`);
+  assert.equal(wire.decode(bytes), 2 ** 40);
+});
+
+test('bytes that are no submission and no report are refused with a reason, and never anything else', () => {
+  const decoders = [wire.decodeSubmission, wire.decodeReport, wire.decodeOrders];
+  fc.assert(
+    fc.property(fc.uint8Array({ maxLength: 200 }), (bytes) => {
+      for (const decode of decoders) assert.throws(() => decode(bytes), wire.Malformed);
+    }),
+    params,
+  );
+  for (const value of [null, 1, 'x', [], [1], true]) {
+    for (const decode of decoders) assert.throws(() => decode(wire.encode(value)), wire.Malformed);
+  }
+});
+
+test('a submission with any one field missing or of a wrong type names that field', () => {
+  const good = wire.submissionMap({
+    id: 'j-000001',
+    jobClass: 'c',
+    team: 't',
+    kind: 'array',
+    priority: 'normal',
+    tasks: 3,
+    cpus: 1,
+    gpus: 0,
+    memoryGb: 1,
+    image: 'i',
+    imageGb: 1,
+    types: null,
+    zone: null,
+    oneZone: false,
+    spread: false,
+    spot: true,
+    estimateS: 1,
+    checkpointS: 0,
+    saveS: 0,
+    deadlineS: null,
+  });
+  const nullable = ['breeds', 'yard', 'due_s'];
+  for (const field of Object.keys(good)) {
+    const { [field]: _gone, ...rest } = good;
+    if (nullable.includes(field)) {
+      assert.doesNotThrow(() => wire.jobSpecOf(rest), field);
+    } else {
+      assert.throws(
+        () => wire.jobSpecOf(rest),
+        (e: wire.Malformed) => e.path === field,
+        field,
+      );
+      assert.throws(
+        () => wire.jobSpecOf({ ...good, [field]: null }),
+        (e: wire.Malformed) => e.path === field,
+        field,
+      );
+    }
+    assert.throws(
+      () => wire.jobSpecOf({ ...good, [field]: { no: 1 } }),
+      (e: wire.Malformed) => e.path.startsWith(field),
+      field,
+    );
+  }
+  const outOfRange: [string, unknown][] = [
+    ['parcels', 0],
+    ['parcels', 100_001],
+    ['parcels', 1.5],
+    ['cores', -1],
+    ['cores', Infinity],
+    ['name_id', 'j-'],
+    ['name_id', 'x-000001'],
+    ['shape', 'group'],
+    ['urgency', 'urgent'],
+  ];
+  for (const [field, value] of outOfRange) {
+    assert.throws(
+      () => wire.jobSpecOf({ ...good, [field]: value }),
+      (e: wire.Malformed) => e.path === field,
+      field,
+    );
+  }
+  assert.doesNotThrow(() => wire.jobSpecOf({ ...good, unheard_of: 1 }));
+});
+
+test('a report with an unknown task state is refused: it proves nothing about the task', () => {
+  const body = wire.encode({
+    rig: 'm',
+    addr: '',
+    breed: '',
+    yard: '',
+    borrowed: false,
+    shift: 1,
+    tally: 1,
+    baton: 0,
+    parcels: [{ parcel: 'j-1/0', try: 1, status: 'dreaming' }],
+  });
+  assert.throws(() => wire.decodeReport(body), /parcels\.0\.status/);
+});
+
+test('lists, events, machine types and transactions survive their round trips through both sides', () => {
+  fc.assert(
+    fc.property(
+      fc.array(fc.record({ key: word, value: fc.record({ a: count }, plain), version: count }, plain), {
+        maxLength: 5,
+      }),
+      count,
+      (items, revision) => {
+        const trip = (map: unknown): unknown => wire.decode(wire.encode(map));
+        assert.deepEqual(wire.listOf(trip(wire.listMap(items, true, revision))), { items, more: true, revision });
+        const events = items.map((i, n) => (n % 2 === 0 ? i : { ...i, value: undefined }));
+        assert.deepEqual(wire.eventsOf(trip(wire.eventsMap(events, revision))), { events, revision });
+        const conditions = items.map((i) => ({ key: i.key, version: i.version }));
+        const changes = items.map((i, n) =>
+          n % 2 === 0 ? { put: i.key, value: i.value, lease: i.version } : { remove: i.key },
+        );
+        assert.deepEqual(wire.txnRequestOf(trip(wire.txnMap(conditions, changes))), { conditions, changes });
+      },
+    ),
+    params,
+  );
+});
+
+test('finished sets survive their round trip', () => {
+  fc.assert(
+    fc.property(fc.uint8Array({ maxLength: 4000 }), (bits) => {
+      assert.deepEqual(wire.finishedRecord.read(wire.decode(wire.encode(wire.finishedRecord.write(bits)))), bits);
+    }),
+    params,
+  );
+});
