A new owner inherits what was known of image caches

Cause: after a crash every cache counts as empty until relearned, so starts were planned for the wrong machines. Peers repeat the last summary of each part to a controller that connects.

--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -116,6 +116,8 @@
   readonly jobs: JobTable;
   readonly types: () => ReadonlyMap<string, MachineType>;
   readonly roster: Iterable<readonly [string, string]>;
+  /** By machine: the images that an earlier owner believed to be cached there. */
+  readonly images?: ReadonlyMap<string, readonly string[]>;
   readonly log?: (message: string, detail: Record<string, unknown>) => void;
 }
 
@@ -129,6 +131,7 @@
   /** Machines of the roster that may run tasks of an earlier owner. */
   readonly unheard: Map<string, string>;
   readonly #goneNames = new Set<string>();
+  readonly #images: ReadonlyMap<string, readonly string[]>;
   readonly #jobs: JobTable;
   readonly #types: () => ReadonlyMap<string, MachineType>;
   readonly #log: (message: string, detail: Record<string, unknown>) => void;
@@ -149,6 +152,7 @@
     this.#jobs = options.jobs;
     this.#types = options.types;
     this.unheard = new Map(options.roster);
+    this.#images = options.images ?? new Map();
     this.#log = options.log ?? (() => undefined);
   }
 
@@ -372,7 +376,7 @@
         draining: false,
         reported: [],
         claims: new Map(),
-        cache: new Map(),
+        cache: this.#inherited(r.machine),
         emptySince: now,
         lostGrants: 0,
         deafUntil: 0,
@@ -498,6 +502,18 @@
     }
   }
 
+  /** What an earlier owner knew of a machine's cache. It is a guess like our own: a wrong one costs a fetch. */
+  #inherited(machine: string): Map<string, number> {
+    const sizes = new Map<string, number>();
+    for (const job of this.#jobs.live.values()) sizes.set(job.spec.image, job.spec.imageGb);
+    const cache = new Map<string, number>();
+    for (const image of this.#images.get(machine) ?? []) {
+      const gb = sizes.get(image);
+      if (gb !== undefined) cache.set(image, gb);
+    }
+    return cache;
+  }
+
   #touchImage(m: Machine, image: string, gb: number): void {
     m.cache.delete(image);
     m.cache.set(image, gb);
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -21,6 +21,7 @@
   marginMs,
   neverRuns,
   partOf,
+  type PartSummary,
   stateLeaseMs,
 } from '@gingerlock/core';
 import type { PeerLink, PeerMessage } from '@gingerlock/peer';
@@ -288,7 +289,9 @@
     if (slot === LEAD) {
       this.#leader = new Leader(this.shared, holding, () => [...this.#seen.values()], this.#http);
     } else {
-      this.#owners.set(Number(slot), new PartOwner(this.shared, Number(slot), holding));
+      const before = this.#seen.get(Number(slot))?.summary.machines ?? [];
+      const images = new Map(before.map((m) => [m.name, m.images] as const));
+      this.#owners.set(Number(slot), new PartOwner(this.shared, Number(slot), holding, images));
     }
   }
 
@@ -299,7 +302,6 @@
       this.#leader = null;
     } else {
       this.#owners.delete(Number(holding.slot));
-      this.#seen.delete(Number(holding.slot));
     }
   }
 
@@ -400,6 +402,8 @@
     const now = this.clock.now();
     switch (message.kind) {
       case 'Hello':
+        // It may have just started: what we saw last of the parts tells it which images its machines have.
+        for (const { summary } of this.#seen.values()) this.#sendSummary(from, summary);
         return;
       case 'Alive':
         this.#peerContact.set(from, { ageMs: message.contactAgeMs, at: now });
@@ -410,7 +414,7 @@
         return;
       case 'Summary': {
         const { part, term, revision, machines } = message;
-        if (this.#owners.has(part)) return;
+        if (this.#owners.has(part) || term < (this.#seen.get(part)?.summary.term ?? 0)) return;
         const running = message.running.map((r) => [r.job, r.tasks] as const);
         this.#seen.set(part, { summary: { part, term, revision, machines, running }, at: now });
         return;
@@ -487,14 +491,7 @@
     for (const owner of this.#owners.values()) {
       const summary = owner.summary(now);
       this.#seen.set(owner.part, { summary, at: now });
-      this.#broadcast({
-        kind: 'Summary',
-        part: summary.part,
-        term: summary.term,
-        revision: summary.revision,
-        machines: summary.machines.map((m) => ({ ...m, byRank: [...m.byRank], images: [...m.images] })),
-        running: summary.running.map(([job, tasks]) => ({ job, tasks })),
-      });
+      for (const node of this.link.nodes) this.#sendSummary(node, summary);
     }
     this.#broadcast({ kind: 'Alive', contactAgeMs: this.#contactAgeMs(now), revision: this.replica.revision });
     const leader = this.#leader;
@@ -505,6 +502,17 @@
     }
   }
 
+  #sendSummary(node: string, summary: PartSummary): void {
+    this.link.send(node, {
+      kind: 'Summary',
+      part: summary.part,
+      term: summary.term,
+      revision: summary.revision,
+      machines: summary.machines.map((m) => ({ ...m, byRank: [...m.byRank], images: [...m.images] })),
+      running: summary.running.map(([job, tasks]) => ({ job, tasks })),
+    });
+  }
+
   #contactAgeMs(now: number): number {
     return this.replica.contactAt === null ? 1e9 : now - this.replica.contactAt;
   }
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -49,6 +49,7 @@
     readonly shared: Shared,
     readonly part: number,
     readonly holding: Holding,
+    images: ReadonlyMap<string, readonly string[]>,
   ) {
     const { store, facts, clock, log } = shared;
     this.book = new PartBook({
@@ -59,6 +60,7 @@
       jobs: store.jobs,
       types: () => store.types,
       roster: store.roster(part),
+      images,
       log: (message, detail) => log.debug({ part, ...detail }, message),
     });
     const now = clock.now();
--- a/packages/peer/src/link.ts
+++ b/packages/peer/src/link.ts
@@ -125,6 +125,7 @@
           this.#connections.get(node)?.socket.destroy();
           connection = { socket, heardAt: performance.now() };
           this.#connections.set(node, connection);
+          this.onMessage(node, message);
           continue;
         }
         if (node === null || connection === null) break;
