--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -80,8 +80,6 @@
   /** Its name is in the state service's roster, so that a new owner knows to ask for it. */
   rostered: boolean;
   draining: boolean;
-  /** Gets no new services. */
-  shedding: boolean;
   reported: readonly ReportedTask[];
   readonly claims: Map<string, Slot>;
   /** Our guess at its image cache, the most recently used last. */
@@ -376,7 +374,6 @@
         noticed: false,
         rostered: this.unheard.has(r.machine),
         draining: false,
-        shedding: false,
         reported: [],
         claims: new Map(),
         cache: this.#inherited(r.machine),
@@ -536,7 +533,7 @@
     if (!m.rostered || !this.takesWork(m, now)) return;
     let room = this.room(m);
     for (const job of this.wakes()) {
-      if (!typeAllows(job.spec, m.type, m.zone, m.spot) || (m.shedding && job.spec.kind === 'service')) continue;
+      if (!typeAllows(job.spec, m.type, m.zone, m.spot)) continue;
       for (const slot of this.waitingSlots(job)) {
         if (!fits(job.spec, room)) break;
         if (slot.notBefore > now || (slot.zone !== null && slot.zone !== m.zone)) continue;
--- a/packages/core/src/division.ts
+++ b/packages/core/src/division.ts
@@ -17,7 +17,6 @@
   readonly images: readonly string[];
   readonly takesWork: boolean;
   readonly draining: boolean;
-  readonly shedding: boolean;
   readonly noticed: boolean;
   readonly sick: boolean;
   readonly empty: boolean;
@@ -177,7 +176,6 @@
 }
 
 function suits(job: Job, bin: Bin): boolean {
-  if (bin.room.shedding && job.spec.kind === 'service') return false;
   return typeAllows(job.spec, bin.room.type, bin.room.zone, bin.room.spot);
 }
 
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -24,8 +24,6 @@
   readonly giveBack: string[];
   /** Machines that are to get no more work. */
   readonly drain: string[];
-  /** Machines that are to get no more services, so that they become empty in time. */
-  readonly shed: string[];
 }
 
 interface Known {
@@ -72,7 +70,6 @@
   readonly #partSince = new Map<number, { term: number; since: number }>();
   readonly #refused = new Map<string, Refusal>();
   #draining = new Set<string>();
-  #shedding = new Set<string>();
   #counter = 0;
   #firstList = true;
 
@@ -190,7 +187,7 @@
     const rent = this.#rent(input, booting, rooms);
     this.#idle(input, rooms, booting, drain, giveBack, rent.length > 0);
     this.#draining = drain;
-    return { rent, giveBack, drain: [...drain], shed: [...this.#shed(input, rooms, drain)] };
+    return { rent, giveBack, drain: [...drain] };
   }
 
   /**
@@ -304,27 +301,6 @@
     return used * this.limits.headroom;
   }
 
-  /**
-   * The first reporter wins, so what is running scatters, and no machine ever becomes empty by itself. While there is
-   * more than a machine's room to spare, the one with the least services on it gets no new ones.
-   */
-  #shed(input: FleetInput, rooms: ReadonlyMap<string, MachineRoom>, drain: ReadonlySet<string>): Set<string> {
-    const machines = [...rooms.values()].filter((m) => !m.spot && m.takesWork && !drain.has(m.name));
-    let spare = machines.reduce((sum, m) => sum + roomForServices(m), 0) - this.#headroom(input, rooms);
-    const shed = new Set<string>();
-    const emptiest = (m: MachineRoom): number => roomForServices(m) + (this.#shedding.has(m.name) ? SHED_STICKS : 0);
-    for (const m of machines.sort((a, b) => emptiest(b) - emptiest(a))) {
-      const room = roomForServices(m);
-      const type = input.types.get(m.type);
-      // A machine that is mostly in use is left alone.
-      if (type === undefined || room < type.gpus / 2 || spare < room) break;
-      spare -= room;
-      shed.add(m.name);
-    }
-    this.#shedding = shed;
-    return shed;
-  }
-
   /** Machines that have been empty for about a boot time go, if enough room is left without them. */
   #idle(
     input: FleetInput,
@@ -364,8 +340,6 @@
  * returned before its first task could be dealt to it, and rented again.
  */
 const IDLE_BOOTS = 0.5;
-/** A machine that sheds goes on shedding unless another one is emptier by more than this many accelerators. */
-const SHED_STICKS = 1;
 
 /** What a machine has for new services: batch work makes way for them. */
 function roomForServices(m: MachineRoom): number {
--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -12,8 +12,7 @@
   return (
     (slot.zone === null || slot.zone === m.zone) &&
     typeAllows(slot.job.spec, m.type, m.zone, m.spot) &&
-    !m.failedJobs.has(slot.job.id) &&
-    !(m.shedding && slot.job.spec.kind === 'service')
+    !m.failedJobs.has(slot.job.id)
   );
 }
 
--- a/packages/core/test/fleet.test.ts
+++ b/packages/core/test/fleet.test.ts
@@ -43,7 +43,6 @@
     images: [],
     takesWork: true,
     draining: false,
-    shedding: false,
     noticed: false,
     sick: false,
     empty: false,
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -420,8 +420,7 @@
         return;
       }
       case 'FleetOrders':
-        if (this.store.owners.get(LEAD)?.record.term === message.term)
-          this.#obey(message.drain, message.shed, message.gone);
+        if (this.store.owners.get(LEAD)?.record.term === message.term) this.#obey(message.drain, message.gone);
         return;
       case 'Ask':
         this.link.send(from, {
@@ -470,14 +469,10 @@
     });
   }
 
-  #obey(drain: readonly string[], shed: readonly string[], gone: readonly string[]): void {
+  #obey(drain: readonly string[], gone: readonly string[]): void {
     const draining = new Set(drain);
-    const shedding = new Set(shed);
     for (const owner of this.#owners.values()) {
-      for (const m of owner.book.machines.values()) {
-        m.draining = draining.has(m.name);
-        m.shedding = shedding.has(m.name);
-      }
+      for (const m of owner.book.machines.values()) m.draining = draining.has(m.name);
       for (const name of gone) {
         if (partOf(name, this.store.meta!.parts) === owner.part && !owner.book.isGone(name)) owner.gone(name);
       }
@@ -501,15 +496,9 @@
     this.#broadcast({ kind: 'Alive', contactAgeMs: this.#contactAgeMs(now), revision: this.replica.revision });
     const leader = this.#leader;
     if (leader !== null && leader.holding.owned) {
-      const { drain, shed, gone } = leader.orders();
-      this.#obey(drain, shed, gone);
-      this.#broadcast({
-        kind: 'FleetOrders',
-        term: leader.holding.term,
-        drain: [...drain],
-        shed: [...shed],
-        gone: [...gone],
-      });
+      const { drain, gone } = leader.orders();
+      this.#obey(drain, gone);
+      this.#broadcast({ kind: 'FleetOrders', term: leader.holding.term, drain: [...drain], gone: [...gone] });
     }
   }
 
--- a/packages/daemon/src/leader.ts
+++ b/packages/daemon/src/leader.ts
@@ -33,7 +33,6 @@
   #recent: Meant[] = [];
   #unmet: readonly Unmet[] = [];
   #drain: readonly string[] = [];
-  #shed: readonly string[] = [];
   readonly #gone = new Map<string, number>();
   #stopped = false;
   #listed = false;
@@ -56,8 +55,8 @@
   }
 
   /** Machines that get no more work, and those that are surely gone: told to the owners again and again. */
-  orders(): { drain: readonly string[]; shed: readonly string[]; gone: readonly string[] } {
-    return { drain: this.#drain, shed: this.#shed, gone: [...this.#gone.keys()] };
+  orders(): { drain: readonly string[]; gone: readonly string[] } {
+    return { drain: this.#drain, gone: [...this.#gone.keys()] };
   }
 
   #current(now: number): PartSummary[] {
@@ -214,7 +213,6 @@
       parts: store.meta!.parts,
     });
     this.#drain = plan.drain;
-    this.#shed = plan.shed;
     if (plan.giveBack.length > 0) await this.#giveBack(plan.giveBack.slice(0, RETURN_MOST));
     for (const r of plan.rent) await this.#rent(r);
   }
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -256,7 +256,6 @@
         images: [...m.cache.keys()],
         takesWork: book.takesWork(m, now) && this.#rooms.has(m),
         draining: m.draining,
-        shedding: m.shedding,
         noticed: m.noticed,
         sick: book.isSick(m),
         empty: m.claims.size === 0 && m.settled && m.reported.length === 0 && m.answeredAt !== null,
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -31,7 +31,6 @@
         images: { type: 'array', items: 'string' },
         takesWork: 'boolean',
         draining: 'boolean',
-        shedding: 'boolean',
         noticed: 'boolean',
         sick: 'boolean',
         empty: 'boolean',
@@ -43,11 +42,10 @@
   }),
   /** The state service stands at this revision at least. */
   record('Hint', { revision: 'long' }),
-  /** From the leader: which machines get no more work, or no more services, and which are surely gone. */
+  /** From the leader: which machines get no more work, and which are surely gone. */
   record('FleetOrders', {
     term: 'long',
     drain: { type: 'array', items: 'string' },
-    shed: { type: 'array', items: 'string' },
     gone: { type: 'array', items: 'string' },
   }),
   record('Ask', { id: 'long', revision: 'long' }),
@@ -80,7 +78,6 @@
       images: string[];
       takesWork: boolean;
       draining: boolean;
-      shedding: boolean;
       noticed: boolean;
       sick: boolean;
       empty: boolean;
@@ -90,7 +87,7 @@
     running: { job: string; tasks: number }[];
   };
   Hint: { revision: number };
-  FleetOrders: { term: number; drain: string[]; shed: string[]; gone: string[] };
+  FleetOrders: { term: number; drain: string[]; gone: string[] };
   Ask: { id: number; revision: number };
   Vouch: { id: number; vouches: boolean; contactAgeMs: number };
   Relay: { id: number; from: string; to: string; body: Buffer };
--- a/packages/peer/test/link.test.ts
+++ b/packages/peer/test/link.test.ts
@@ -7,7 +7,7 @@
 const messages: PeerMessage[] = [
   { kind: 'Hello', version: 1, node: 'a' },
   { kind: 'Hint', revision: 2 ** 40 },
-  { kind: 'FleetOrders', term: 3, drain: ['m-1'], shed: [], gone: [] },
+  { kind: 'FleetOrders', term: 3, drain: ['m-1'], gone: [] },
   { kind: 'Ask', id: 1, revision: 9 },
   { kind: 'Vouch', id: 1, vouches: true, contactAgeMs: 12.5 },
   { kind: 'Relay', id: 4, from: 'a', to: 'b', body: Buffer.from([1, 2, 3]) },
@@ -29,7 +29,6 @@
         images: ['i'],
         takesWork: true,
         draining: false,
-        shedding: false,
         noticed: false,
         sick: false,
         empty: true,
