--- /dev/null
+++ b/packages/clients/test/state.test.ts
@@ -0,0 +1,142 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Sim, SimStateService } from '@gingerlock/testkit';
+import fc from 'fast-check';
+import { Budget, Overloaded, Replica, StateService, URGENCY, type Urgency } from '../src/index';
+
+test('the budget is never passed in any window, and the more urgent goes first', async () => {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(
+        fc.record(
+          {
+            at: fc.integer({ min: 0, max: 4000 }),
+            urgency: fc.integer({ min: 0, max: 5 }),
+            writes: fc.integer({ min: 0, max: 12 }),
+          },
+          { noNullPrototype: true },
+        ),
+        { minLength: 1, maxLength: 80 },
+      ),
+      async (asks) => {
+        const sim = new Sim(1);
+        const budget = new Budget(
+          sim.clock(0, 0, () => true),
+          10,
+          5,
+        );
+        const sent: { at: number; writes: number }[] = [];
+        for (const a of asks) {
+          sim.after(a.at, () => {
+            void budget
+              .acquire(a.urgency as Urgency, a.writes, 1e9)
+              .then(() => sent.push({ at: sim.now, writes: a.writes }));
+          });
+        }
+        await sim.run(600_000);
+        assert.equal(sent.length, asks.length);
+        for (const [i, first] of sent.entries()) {
+          let writes = 0;
+          for (let j = i; j < sent.length; j++) {
+            writes += sent[j]!.writes;
+            const s = (sent[j]!.at - first.at) / 1000;
+            assert.ok(j - i + 1 <= 10 + 10 * s + 1.01, 'requests');
+            // A transaction larger than the bucket goes when the bucket is full, and is paid for afterwards.
+            assert.ok(writes <= 5 + 5 * s + 12.01, 'changes');
+          }
+        }
+      },
+    ),
+    { seed: 391, numRuns: 60 },
+  );
+  const sim = new Sim(2);
+  const budget = new Budget(
+    sim.clock(0, 0, () => true),
+    2,
+    2,
+  );
+  const order: string[] = [];
+  await budget.acquire(URGENCY.rest, 0, 1e9);
+  for (const name of ['rest', 'finish', 'accept', 'renew'] as const) {
+    void budget.acquire(URGENCY[name], 0, 1e9).then(() => order.push(name));
+  }
+  const impatient = assert.rejects(budget.acquire(URGENCY.rest, 0, 10), Overloaded);
+  await sim.run(10_000);
+  await impatient;
+  assert.deepEqual(order, ['renew', 'accept', 'finish', 'rest']);
+});
+
+function replicaOf(
+  sim: Sim,
+  service: SimStateService,
+): { replica: Replica; seen: Map<string, unknown>; state: StateService } {
+  const clock = sim.clock(0, 0, () => true);
+  const http = (
+    _addr: string,
+    method: string,
+    path: string,
+    body: Buffer | null,
+  ): Promise<{ status: number; body: Buffer }> =>
+    new Promise((resolve) => {
+      sim.after(5, () => {
+        const answer = service.handle(method, path, body ?? Buffer.alloc(0));
+        sim.after(5, () => resolve(answer));
+      });
+    });
+  const state = new StateService({ http, addr: 's', budget: new Budget(clock, 1000, 1000), clock, timeoutMs: 1000 });
+  const seen = new Map<string, unknown>();
+  const replica = new Replica({
+    state,
+    clock,
+    prefix: 'g/',
+    minIntervalMs: 50,
+    idleIntervalMs: 500,
+    onChange: (key, value) => {
+      if (value === undefined) seen.delete(key);
+      else seen.set(key, value);
+    },
+    onSync: () => undefined,
+    onError: () => undefined,
+  });
+  return { replica, seen, state };
+}
+
+test('a barrier waits for a read that began after it: what was written before shows', async () => {
+  const sim = new Sim(3);
+  const service = new SimStateService(sim);
+  const { replica, seen, state } = replicaOf(sim, service);
+  replica.start();
+  await sim.run(1000);
+  let shown: unknown = 'not yet';
+  // Another controller writes while a read of ours is under way; the poll comes right after.
+  sim.after(0, () => {
+    void state.txn(URGENCY.accept, [], [{ put: 'g/x', value: { a: 1 } }]).then(async () => {
+      await replica.barrier();
+      shown = seen.get('g/x');
+    });
+  });
+  await sim.run(1200);
+  assert.deepEqual(shown, { a: 1 });
+  // Too old to follow: all is read again, and what was removed meanwhile goes.
+  void state.txn(URGENCY.accept, [], [{ remove: 'g/x' }, { put: 'g/y', value: 2 }]);
+  sim.after(20, () => service.forgetEvents());
+  await sim.run(4000);
+  assert.deepEqual([...seen], [['g/y', 2]]);
+  replica.stop();
+});
+
+test('our own removal is not undone by a read that was under way', async () => {
+  const sim = new Sim(4);
+  const service = new SimStateService(sim);
+  const { replica, seen, state } = replicaOf(sim, service);
+  void state.txn(URGENCY.accept, [], [{ put: 'g/r', value: 1 }]).then((r) => {
+    assert.equal(r.kind, 'done');
+    // The read that will bring the key begins now; ours removes it and hears so first.
+    replica.applyOwn([{ remove: 'g/r' }], 5);
+  });
+  await sim.run(100);
+  replica.start();
+  await sim.run(2000);
+  assert.equal(seen.has('g/r'), false);
+  replica.stop();
+});
