--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -16,6 +16,7 @@
 import {
   type Change,
   type Condition,
+  decodeReport,
   encodeDirectOrders,
   finishedRecord,
   jobRecord,
@@ -44,6 +45,7 @@
   #packedAt = -Infinity;
   #packedChange = -1;
   readonly #rosterRemovals = new Set<string>();
+  #calledAt: number;
 
   constructor(
     readonly shared: Shared,
@@ -64,6 +66,7 @@
       log: (message, detail) => log.debug({ part, ...detail }, message),
     });
     const now = clock.now();
+    this.#calledAt = now;
     for (const id of store.jobs.live.keys()) this.book.syncJob(id, now);
   }
 
@@ -73,6 +76,10 @@
 
   tick(now: number): void {
     for (const name of this.book.tick(now)) this.#rosterRemovals.add(name);
+    if (this.book.unheard.size > 0 && now - this.#calledAt > this.shared.facts.reportMs) {
+      this.#calledAt = now;
+      for (const [name, addr] of this.book.unheard) void this.#call(name, addr);
+    }
     if (now - this.#scannedAt > this.shared.scanMs) {
       this.#scannedAt = now;
       this.book.scan();
@@ -112,6 +119,22 @@
     });
   }
 
+  /**
+   * Shows our term to a machine of the roster that has not reported to us: it then reports the higher token, upon which
+   * an old owner that still answers it steps down. Neither answer is taken as proof of anything: it can overtake a start
+   * that is under way.
+   */
+  async #call(name: string, addr: string): Promise<void> {
+    const { http, facts, log } = this.shared;
+    try {
+      const inspected = await http(addr, 'GET', '/inspect', null, facts.reportMs);
+      const { session } = decodeReport(inspected.body);
+      await http(addr, 'POST', '/commands', encodeDirectOrders(this.holding.term, session, []), facts.reportMs);
+    } catch (error) {
+      log.debug({ machine: name, error: String(error) }, 'machine of the roster not reached');
+    }
+  }
+
   gone(name: string): void {
     this.book.gone(name, this.shared.clock.now());
     this.#rosterRemovals.add(name);
--- a/packages/testkit/src/worker.ts
+++ b/packages/testkit/src/worker.ts
@@ -63,7 +63,9 @@
     this.#target = Math.floor(world.sim.random() * world.controllers.length);
     world.sim.after(world.sim.random() * world.reportMs, () => void this.#report());
     this.#watchLease();
-    world.network.hosts.set(`${name}:9000`, (_method, _path, body) => this.command(body));
+    world.network.hosts.set(`${name}:9000`, (_method, path, body) =>
+      path === '/inspect' ? this.inspect() : this.command(body),
+    );
   }
 
   #watchLease(): void {
@@ -78,6 +80,11 @@
     sim.after(20, () => this.#watchLease());
   }
 
+  /** A `/inspect` request. */
+  inspect(): HttpAnswer {
+    return { status: 200, body: this.#body() };
+  }
+
   /** A direct `/commands` request, however late it comes. */
   command(body: Buffer): HttpAnswer {
     const { token, session, commands } = decodeOrders(body);
