--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -76,6 +76,9 @@
   unsettledAnswers: number;
   /** When the last report that was answered was received; null: none was, or its lease has run out since. */
   answeredAt: number | null;
+  /** How often it was called under this term, and when last: see `call`. */
+  calls: number;
+  calledAt: number;
   noticed: boolean;
   /** Its name is in the state service's roster, so that a new owner knows to ask for it. */
   rostered: boolean;
@@ -93,7 +96,7 @@
 }
 
 export type ReportOutcome =
-  | { readonly kind: 'answer'; readonly commands: WorkerCommand[] }
+  | { readonly kind: 'answer'; readonly token: number; readonly commands: WorkerCommand[] }
   /** An older copy, or one that must not be answered: it changes nothing and renews nothing. */
   | { readonly kind: 'refuse'; readonly why: string }
   /** The worker has seen a higher token: somebody else owns this part. */
@@ -102,12 +105,22 @@
 /** Attempts of one term are numbered below this; a term times this is far below 2^53. */
 export const ATTEMPTS_PER_TERM = 2 ** 20;
 
+/** A token is its owner's term times this, plus how often the owner has called the machine. */
+export const CALLS_PER_TERM = 2 ** 20;
+
+export function termOfToken(token: number): number {
+  return Math.floor(token / CALLS_PER_TERM);
+}
+
 /** A task that is stopped gets a little more than it says it needs for saving. */
 const SAVE_SLACK = 1.25;
 
 /** DESIGN's grant lease: a machine silent for three report intervals is suspect. */
 const SUSPECT_INTERVALS = 3;
 
+/** A worker takes a higher token as a cause to report once in half of its lease; a little more, for drift. */
+const CALL_EVERY_LEASES = 0.52;
+
 export interface BookOptions {
   readonly facts: Facts;
   readonly part: number;
@@ -346,6 +359,50 @@
     );
   }
 
+  /** The token of every message to this machine now. */
+  token(machine: Machine | undefined): number {
+    return this.term * CALLS_PER_TERM + (machine?.calls ?? 0);
+  }
+
+  /**
+   * How long until the machine reports, about, or 0 if it can be called: a worker that sees a higher token reports at
+   * once, though only once in half of its lease, and drops any answer under way that carries a lower one.
+   */
+  reportsInMs(machine: Machine, now: number): number {
+    if (machine.answeredAt === null) return this.facts.reportMs;
+    const since = now - machine.answeredAt;
+    const callable = now - machine.calledAt > this.facts.leaseMs * CALL_EVERY_LEASES;
+    return callable && machine.calls < CALLS_PER_TERM - 1 ? 0 : Math.max(0, this.facts.reportMs - since);
+  }
+
+  /** Whether to call the machine now. Not while the answer to its last report, and starts in it, may be under way. */
+  mayCall(machine: Machine, now: number): boolean {
+    const { reportMs } = this.facts;
+    if (machine.answeredAt === null || this.reportsInMs(machine, now) > 0) return false;
+    const since = now - machine.answeredAt;
+    return since > reportMs / 10 && since < reportMs * 0.9;
+  }
+
+  /** The machines that waiting tasks are planned for and that would report later than need be. */
+  toCall(now: number): Set<Machine> {
+    const machines = new Set<Machine>();
+    for (const job of this.wakes()) {
+      for (const slot of this.waitingSlots(job)) {
+        if (slot.plan === null || slot.plan.victims.length > 0 || slot.notBefore > now) continue;
+        const { machine } = slot.plan;
+        if (machine.rostered && this.takesWork(machine, now) && this.mayCall(machine, now)) machines.add(machine);
+      }
+    }
+    return machines;
+  }
+
+  /** Raises the machine's token; the caller sends it there. */
+  call(machine: Machine, now: number): number {
+    machine.calls++;
+    machine.calledAt = now;
+    return this.token(machine);
+  }
+
   // --- reports -----------------------------------------------------------------------------------------------------
 
   /**
@@ -353,7 +410,8 @@
    * caller has made sure that it may answer at all.
    */
   report(r: WorkerReport, now: number, mayGrant: boolean): ReportOutcome {
-    if (r.token > this.term) return { kind: 'superseded' };
+    const term = termOfToken(r.token);
+    if (term > this.term) return { kind: 'superseded' };
     if (this.#goneNames.has(r.machine)) return { kind: 'refuse', why: 'machine was returned' };
     let m = this.machines.get(r.machine);
     if (m !== undefined && (r.session < m.session || (r.session === m.session && r.seq <= m.seq))) {
@@ -371,6 +429,8 @@
         settled: false,
         unsettledAnswers: 0,
         answeredAt: null,
+        calls: 0,
+        calledAt: -Infinity,
         noticed: false,
         rostered: this.unheard.has(r.machine),
         draining: false,
@@ -395,13 +455,14 @@
     m.reported = r.tasks;
     this.changes++;
 
-    if (r.token < this.term) {
+    // An earlier process of ours under this very term can't be: every process takes a part under a term of its own.
+    if (term < this.term) {
       m.settled = false;
       // A worker that goes on without our term does not get our answers. Answering it for ever would keep its lease
       // in doubt for ever, and with it every uncertain task of this part.
       if (++m.unsettledAnswers > 4) return { kind: 'refuse', why: 'does not take our token' };
       m.answeredAt = now;
-      return { kind: 'answer', commands: [] };
+      return { kind: 'answer', token: this.token(m), commands: [] };
     }
     m.settled = true;
     m.unsettledAnswers = 0;
@@ -411,7 +472,7 @@
     this.#clear(now);
     if (mayGrant) this.#grant(m, now, commands);
     if (m.claims.size > 0 || r.tasks.some((t) => t.state !== 'exited')) m.emptySince = now;
-    return { kind: 'answer', commands };
+    return { kind: 'answer', token: this.token(m), commands };
   }
 
   /** Takes what a settled worker says of its tasks; returns what it has to stop and forget. */
@@ -619,7 +680,7 @@
     const doomed = new Set<Slot>();
     for (const job of this.wakes()) {
       for (const slot of this.waitingSlots(job)) {
-        slot.plan = bestPlan(this, slot, rooms, doomed);
+        slot.plan = bestPlan(this, slot, rooms, doomed, now);
         if (slot.plan === null) {
           stuck.push(slot);
           continue;
--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -44,6 +44,7 @@
   slot: Slot,
   rooms: ReadonlyMap<Machine, Amounts>,
   doomed: ReadonlySet<Slot>,
+  now: number,
 ): Plan | null {
   const spec = slot.job.spec;
   const { reportMs } = book.facts;
@@ -53,7 +54,7 @@
     if (!suits(slot, machine)) continue;
     const type = book.typeOf(machine);
     const fetch = fetchMs(spec.imageGb, machine.cache.has(spec.image), type);
-    let ms = fetch + reportMs / 2;
+    let ms = fetch + book.reportsInMs(machine, now);
     if (ms >= bestCost) continue;
     let victims: readonly Slot[] = [];
     if (!fits(spec, room)) {
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -15,7 +15,6 @@
   dealtUnfinished,
   type Decision,
   DRIFT,
-  grantViewMs,
   Holding,
   type Job,
   marginMs,
@@ -332,15 +331,10 @@
     const { facts } = this.settings;
     // The bound within which a part's next owner, and users who cancel, may count on our silence.
     if (now > this.#contactAt() + answerBoundMs(facts)) return refusal(503, 'no contact with the state service');
-    const mayGrant =
-      owner.holding.state === 'held' &&
-      this.shared.leaseValid() &&
-      this.replica.contactAt !== null &&
-      now < this.replica.contactAt + grantViewMs(facts);
-    const outcome = owner.book.report(report, now, mayGrant);
+    const outcome = owner.book.report(report, now, owner.mayGrant(now));
     switch (outcome.kind) {
       case 'answer':
-        return { status: 200, body: encodeOrders(owner.holding.term, outcome.commands) };
+        return { status: 200, body: encodeOrders(outcome.token, outcome.commands) };
       case 'refuse':
         this.log.debug({ machine: report.machine, why: outcome.why }, 'report refused');
         return refusal(503, outcome.why);
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -1,6 +1,7 @@
 import {
   type Amounts,
   Bits,
+  grantViewMs,
   type Holding,
   type Job,
   type Machine,
@@ -96,6 +97,7 @@
           stopped.filter((s) => s.claim!.machine === machine),
         );
       }
+      if (this.mayGrant(now)) for (const machine of this.book.toCall(now)) this.#callForReport(machine, now);
     }
     void this.#write();
   }
@@ -111,7 +113,7 @@
       attempt: s.claim!.attempt,
       graceS: s.claim!.stopGraceS ?? 0,
     }));
-    const body = encodeDirectOrders(this.holding.term, machine.session, commands);
+    const body = encodeDirectOrders(this.book.token(machine), machine.session, commands);
     const { http, facts, log } = this.shared;
     http(machine.addr, 'POST', '/commands', body, facts.reportMs * 2).catch((error: unknown) => {
       // The answer to its next report says the same.
@@ -119,6 +121,30 @@
     });
   }
 
+  /**
+   * Has a machine report now rather than in its own time, by showing it a higher token of the same term: a waiting task
+   * is planned for it. It still is the report that claims the task, and the start rides in the answer.
+   */
+  #callForReport(machine: Machine, now: number): void {
+    const body = encodeDirectOrders(this.book.call(machine, now), machine.session, []);
+    const { http, facts, log } = this.shared;
+    http(machine.addr, 'POST', '/commands', body, facts.reportMs).catch((error: unknown) => {
+      // Then it reports in its own time.
+      log.debug({ machine: machine.name, error: String(error) }, 'call not answered');
+    });
+  }
+
+  /** Whether starts may be given now: we surely own the part, and have seen every cancellation but the newest. */
+  mayGrant(now: number): boolean {
+    const { replica, facts } = this.shared;
+    return (
+      this.holding.state === 'held' &&
+      this.shared.leaseValid() &&
+      replica.contactAt !== null &&
+      now < replica.contactAt + grantViewMs(facts)
+    );
+  }
+
   /**
    * Shows our term to a machine of the roster that has not reported to us: it then reports the higher token, upon which
    * an old owner that still answers it steps down. Neither answer is taken as proof of anything: it can overtake a start
@@ -129,7 +155,13 @@
     try {
       const inspected = await http(addr, 'GET', '/inspect', null, facts.reportMs);
       const { session } = decodeReport(inspected.body);
-      await http(addr, 'POST', '/commands', encodeDirectOrders(this.holding.term, session, []), facts.reportMs);
+      await http(
+        addr,
+        'POST',
+        '/commands',
+        encodeDirectOrders(this.book.token(this.book.machines.get(name)), session, []),
+        facts.reportMs,
+      );
     } catch (error) {
       log.debug({ machine: name, error: String(error) }, 'machine of the roster not reached');
     }
