--- a/packages/clients/src/budget.ts
+++ b/packages/clients/src/budget.ts
@@ -11,6 +11,9 @@
   }
 }
 
+/** Of its own share a lender keeps this much at hand, so that a user's next job or cancellation need not wait. */
+const KEPT = 0.4;
+
 interface Waiting {
   readonly urgency: Urgency;
   readonly writes: number;
@@ -70,7 +73,36 @@
     const s = (now - this.#filledAt) / 1000;
     this.#filledAt = now;
     this.#requests = Math.min(this.requestsPerS, this.#requests + s * this.requestsPerS);
-    this.#writes = Math.min(this.writesPerS, this.#writes + s * this.writesPerS);
+    // What others have lent may stand above our own share.
+    if (this.#writes < this.writesPerS) {
+      this.#writes = Math.min(this.writesPerS, this.#writes + s * this.writesPerS);
+    }
+  }
+
+  /** How many changes wait for their turn beyond what may go now. */
+  shortOfWrites(): number {
+    if (this.#queue.length === 0) return 0;
+    this.#fill();
+    return Math.ceil(Math.max(0, this.#queue.reduce((sum, w) => sum + w.writes, 0) - this.#writes));
+  }
+
+  /**
+   * Gives up part of our room for changes to a controller that is short of it; returns how much. It is taken out here
+   * before it is told, so all together never have more than the service allows: if the message is lost, it lapses.
+   */
+  lend(wanted: number): number {
+    this.#fill();
+    if (this.#queue.some((w) => w.writes > 0)) return 0;
+    const spare = Math.min(wanted, Math.floor(this.#writes - this.writesPerS * KEPT));
+    if (spare <= 0) return 0;
+    this.#writes -= spare;
+    return spare;
+  }
+
+  borrow(writes: number): void {
+    this.#fill();
+    this.#writes += writes;
+    this.#pump();
   }
 
   #pump(): void {
--- a/packages/clients/src/state.ts
+++ b/packages/clients/src/state.ts
@@ -59,10 +59,12 @@
     method: 'GET' | 'POST' | 'DELETE',
     path: string,
     body: unknown,
-    patienceMs = this.options.timeoutMs,
+    patienceMs?: number,
   ): Promise<HttpAnswer> {
     const { http, addr, budget, timeoutMs } = this.options;
-    await budget.acquire(urgency, writes, patienceMs);
+    // A large transaction may take longer than that to fill its place in the budget, and others wait before it.
+    const patience = patienceMs ?? Math.max(timeoutMs, ((writes * 2) / budget.writesPerS) * 1000);
+    await budget.acquire(urgency, writes, patience);
     return http(addr, method, path, body === null ? null : encode(body), timeoutMs);
   }
 
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -147,6 +147,13 @@
     return { failed: [...this.known.values()].filter((k) => k.state === 'failed').map((k) => k.name) };
   }
 
+  /** Whether the owners have heard every machine that is listed as up. */
+  allHeard(summaries: readonly PartSummary[]): boolean {
+    const heard = new Set(summaries.flatMap((s) => s.machines.map((m) => m.name)));
+    const up = [...this.known.values()].filter((k) => k.state === 'running');
+    return up.length > 0 && up.every((k) => heard.has(k.name));
+  }
+
   plan(input: FleetInput): FleetPlan {
     const { now, types } = input;
     const rooms = new Map<string, MachineRoom>();
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -86,6 +86,7 @@
   readonly shared: Shared;
   readonly process: string;
   readonly #http: Http;
+  readonly #budget: Budget;
   readonly #owners = new Map<number, PartOwner>();
   readonly #holdings = new Map<string, Holding>();
   readonly #seen = new Map<number, SeenSummary>();
@@ -113,11 +114,11 @@
     const { facts } = ports.settings;
     this.process = Math.floor(ports.clock.random() * 2 ** 48).toString(36);
     const share = 0.95 / facts.controllers;
-    const budget = new Budget(ports.clock, this.settings.stateRps * share, this.settings.stateWriteRps * share);
+    this.#budget = new Budget(ports.clock, this.settings.stateRps * share, this.settings.stateWriteRps * share);
     this.state = new StateService({
       http: ports.http,
       addr: this.settings.state,
-      budget,
+      budget: this.#budget,
       clock: ports.clock,
       timeoutMs: Math.max(facts.reportMs / 2, 1000),
     });
@@ -138,7 +139,10 @@
       onError: (error) => this.log.info({ error: String(error) }, 'state service can not be read'),
     });
     this.shared = new Shared(this.settings, ports.clock, ports.log, this.state, this.replica, this.store, ports.http);
-    this.shared.announce = (revision) => this.#broadcast({ kind: 'Hint', revision });
+    this.shared.announce = (revision) => {
+      this.#broadcast({ kind: 'Hint', revision });
+      this.replica.hint(revision);
+    };
     this.store.onJob = (id) => {
       for (const owner of this.#owners.values()) owner.jobChanged(id);
     };
@@ -189,6 +193,8 @@
     this.#summarise(now);
     this.#leader?.tick();
     this.#askPeers(now);
+    const writes = this.#budget.shortOfWrites();
+    if (writes > 0) this.#broadcast({ kind: 'Need', writes });
     for (const [machine, r] of this.#redirected) {
       if (now - r.at > this.settings.facts.leaseMs * 4) this.#redirected.delete(machine);
     }
@@ -241,7 +247,9 @@
     const meta = { format: FORMAT, parts: this.settings.facts.controllers, pageTasks: pageTasks - (pageTasks % 8) };
     const changes = [{ put: KEYS.meta, value: metaRecord.write(meta) }];
     const result = await this.state.txn(URGENCY.accept, [{ key: KEYS.meta, version: 0 }], changes);
-    if (result.kind === 'done') this.replica.applyOwn(changes, result.revision);
+    if (result.kind !== 'done') return;
+    this.replica.applyOwn(changes, result.revision);
+    this.shared.announce(result.revision);
   }
 
   #openHoldings(parts: number): void {
@@ -403,6 +411,14 @@
         this.#peerContact.set(from, { ageMs: message.contactAgeMs, at: now });
         this.replica.hint(message.revision);
         return;
+      case 'Need': {
+        const writes = this.#budget.lend(message.writes);
+        if (writes > 0) this.link.send(from, { kind: 'Lend', writes });
+        return;
+      }
+      case 'Lend':
+        this.#budget.borrow(message.writes);
+        return;
       case 'Hint':
         this.replica.hint(message.revision);
         return;
--- a/packages/daemon/src/leader.ts
+++ b/packages/daemon/src/leader.ts
@@ -204,7 +204,9 @@
     const now = clock.now();
     const current = this.#current(now);
     const allHeard = current.length === (store.meta?.parts ?? Infinity);
-    if (!this.#listed || !allHeard || now - this.#since < facts.reportMs * 2) return;
+    // Until all that is up has been heard, or has had the time to be, what is free is not known.
+    const settled = now - this.#since >= facts.reportMs * 2 || this.fleet.allHeard(current);
+    if (!this.#listed || !allHeard || !settled) return;
     const plan = this.fleet.plan({
       now,
       types: store.types,
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -3,7 +3,7 @@
 import avro from 'avsc';
 
 /** Raised with every change of the schema; controllers of different versions do not talk. */
-export const PEER_VERSION = 1;
+export const PEER_VERSION = 2;
 
 const record = (name: string, fields: Record<string, unknown>): object => ({
   type: 'record',
@@ -54,6 +54,9 @@
   record('Relay', { id: 'long', from: 'string', to: 'string', body: 'bytes' }),
   record('RelayAnswer', { id: 'long', to: 'string', status: 'int', body: 'bytes' }),
   record('Alive', { contactAgeMs: 'double', revision: 'long' }),
+  /** So many changes wait at the sender for room in the state service's limit; a peer with room to spare lends some. */
+  record('Need', { writes: 'int' }),
+  record('Lend', { writes: 'int' }),
 ];
 
 export interface PeerAmounts {
@@ -93,6 +96,8 @@
   Relay: { id: number; from: string; to: string; body: Buffer };
   RelayAnswer: { id: number; to: string; status: number; body: Buffer };
   Alive: { contactAgeMs: number; revision: number };
+  Need: { writes: number };
+  Lend: { writes: number };
 }
 
 export type PeerMessage = { [K in keyof PeerMessages]: { kind: K } & PeerMessages[K] }[keyof PeerMessages];
