--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -1,7 +1,7 @@
 // What the leader rents, drains and returns. It only plans; the controller talks to the cloud and to the owners.
 import { type CloudMachine, type MachineType, PRIORITIES, type RentRequest } from '@gingerlock/wire';
 import type { MachineRoom, PartSummary, Unmet } from './division';
-import { type Amounts, type Facts, fits, partOf, plus, typeAllows, workerLeaseBoundMs } from './facts';
+import { type Amounts, type Facts, fits, NOTHING, partOf, plus, typeAllows, workerLeaseBoundMs } from './facts';
 
 /** What the operators have set. */
 export interface FleetLimits {
@@ -69,6 +69,8 @@
   /** By part: its owner's term, and since when that owner has told of it. */
   readonly #partSince = new Map<number, { term: number; since: number }>();
   readonly #refused = new Map<string, Refusal>();
+  /** Zones in which most machines have fallen silent, and until when nothing is rented there for that. */
+  readonly #silentZones = new Map<string, number>();
   #draining = new Set<string>();
   #counter = 0;
   #firstList = true;
@@ -154,6 +156,23 @@
     return up.length > 0 && up.every((k) => heard.has(k.name));
   }
 
+  /** How the fleet stands, for the log. */
+  figures(summaries: readonly PartSummary[], types: ReadonlyMap<string, MachineType>): Record<string, number> {
+    const f = { ordinary: 0, spot: 0, notHeard: 0, empty: 0, used: 0, batch: 0, free: 0 };
+    for (const k of this.known.values()) f[k.spot ? 'spot' : 'ordinary']++;
+    const rooms = summaries.flatMap((s) => s.machines);
+    f.notHeard = f.ordinary + f.spot - rooms.length;
+    for (const m of rooms) {
+      if (m.empty) f.empty++;
+      if (m.spot) continue;
+      const batch = m.byRank.reduce((sum, a, rank) => sum + (rank >= BATCH_RANK ? a.gpus : 0), 0);
+      f.batch += batch;
+      f.free += m.free.gpus;
+      f.used += (types.get(m.type)?.gpus ?? 0) - m.free.gpus - batch;
+    }
+    return f;
+  }
+
   plan(input: FleetInput): FleetPlan {
     const { now, types } = input;
     const rooms = new Map<string, MachineRoom>();
@@ -208,6 +227,26 @@
     return Math.max(k.heardAt ?? -Infinity, k.upSince ?? -Infinity, owner.since);
   }
 
+  /**
+   * Notes zones in which most machines have fallen silent: what is rented there could not be reached either. Their silent
+   * machines are returned in time, so the note stands until one of the zone is heard, or a new one should have been.
+   */
+  #watchZones(input: FleetInput, rooms: Iterable<MachineRoom>): void {
+    const zones = new Map<string, { all: number; silent: number }>();
+    for (const m of rooms) {
+      const zone = zones.get(m.zone) ?? { all: 0, silent: 0 };
+      zone.all++;
+      if (suspect(m, this.facts)) zone.silent++;
+      zones.set(m.zone, zone);
+    }
+    const silent = [...zones].filter(([, z]) => z.silent * 2 > z.all).map(([name]) => name);
+    // Silence from everywhere is trouble of our own.
+    if (silent.length === zones.size) return;
+    const bootMs = Math.max(0, ...[...input.types.values()].map((t) => t.bootS * 1000));
+    for (const zone of zones.keys()) this.#silentZones.delete(zone);
+    for (const zone of silent) this.#silentZones.set(zone, input.now + bootMs * LATE_BOOTS + this.facts.listLagMs);
+  }
+
   #rent(input: FleetInput, booting: readonly Known[], rooms: ReadonlyMap<string, MachineRoom>): RentRequest[] {
     const { now, types } = input;
     const bins: Bin[] = [];
@@ -223,8 +262,10 @@
     }
     const belowLimit = (spot: boolean): boolean =>
       spot ? count.spot < this.limits.maxSpotMachines : count.ordinary < this.limits.maxOrdinaryMachines;
+    this.#watchZones(input, rooms.values());
+    const silent = (z: string): boolean => (this.#silentZones.get(z) ?? 0) > now;
     const open = (t: string, z: string, spot: boolean): boolean =>
-      (this.#refused.get(place(t, z, spot))?.until ?? 0) <= now;
+      !silent(z) && (this.#refused.get(place(t, z, spot))?.until ?? 0) <= now;
 
     const request = (spec: Unmet['job']['spec'], zones: readonly string[] | null): boolean => {
       const allowed = (type: MachineType, zone: string, spot: boolean): boolean =>
@@ -240,6 +281,25 @@
       return true;
     };
 
+    // What runs on a machine that has fallen silent will most likely be wanted elsewhere once its lease is over: a boot
+    // begins now. More than half of them silent is no trouble of theirs.
+    const suspects = [...rooms.values()].filter((m) => suspect(m, this.facts) && m.silentMs < this.facts.leaseMs * 2);
+    if (suspects.length * 2 < rooms.size) {
+      for (const m of suspects) {
+        const need = m.byRank.reduce((sum, a) => plus(sum, a), NOTHING);
+        if (need.cpus <= 0 && need.gpus <= 0) continue;
+        const bin = bins.find((b) => b.spot === m.spot && !silent(b.zone) && fits(need, b.free));
+        if (bin !== undefined) {
+          bin.free = plus(bin.free, need, -1);
+          continue;
+        }
+        const like = (t: MachineType, zone: string, spot: boolean): boolean =>
+          t.name === m.type && spot === m.spot && open(t.name, zone, spot) && belowLimit(spot);
+        if (this.#add(bins, perZone, like, types) === null) continue;
+        count[m.spot ? 'spot' : 'ordinary']++;
+        bins.at(-1)!.free = plus(bins.at(-1)!.free, need, -1);
+      }
+    }
     for (const { job, count, zones } of input.unmet) {
       for (let i = 0; i < count; i++) {
         const bin = bins.find(
@@ -348,6 +408,13 @@
  */
 const IDLE_BOOTS = 0.5;
 
+/** DESIGN's grant lease: a machine silent for longer than this many report intervals is suspect. */
+const SUSPECT_INTERVALS = 3;
+
+function suspect(m: MachineRoom, facts: Facts): boolean {
+  return m.silentMs > facts.reportMs * SUSPECT_INTERVALS;
+}
+
 /** What a machine has for new services: batch work makes way for them. */
 function roomForServices(m: MachineRoom): number {
   return m.byRank.reduce((sum, a, rank) => sum + (rank >= BATCH_RANK ? a.gpus : 0), m.free.gpus);
--- a/packages/daemon/src/leader.ts
+++ b/packages/daemon/src/leader.ts
@@ -37,6 +37,7 @@
   #stopped = false;
   #listed = false;
   #typesAt = -Infinity;
+  #toldAt = -Infinity;
 
   constructor(
     readonly shared: Shared,
@@ -200,7 +201,7 @@
 
   async #manage(): Promise<void> {
     const { shared } = this;
-    const { facts, clock, store } = shared;
+    const { facts, clock, store, log } = shared;
     const now = clock.now();
     const current = this.#current(now);
     const allHeard = current.length === (store.meta?.parts ?? Infinity);
@@ -215,6 +216,10 @@
       parts: store.meta!.parts,
     });
     this.#drain = plan.drain;
+    if (now - this.#toldAt > facts.listLagMs) {
+      this.#toldAt = now;
+      log.debug(this.fleet.figures(current, store.types), 'fleet');
+    }
     if (plan.giveBack.length > 0) await this.#giveBack(plan.giveBack.slice(0, RETURN_MOST));
     for (const r of plan.rent) await this.#rent(r);
   }
