--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -751,6 +751,19 @@
     return byJob;
   }
 
+  /** What the services' tasks add up to that no machine has reported though it should have. */
+  missing(now: number): Amounts {
+    let sum = NOTHING;
+    if (this.#cleared) return sum;
+    for (const slots of this.slots.values()) {
+      for (const slot of slots.values()) {
+        if (slot.state !== 'uncertain' || slot.job.spec.kind !== 'service' || slot.job.cancelled) continue;
+        if (now - slot.since > this.facts.reportMs * SUSPECT_INTERVALS) sum = plus(sum, slot.job.spec);
+      }
+    }
+    return sum;
+  }
+
   /** How many tasks of each job run here, for display. */
   running(): Map<string, number> {
     const counts = new Map<string, number>();
--- a/packages/core/src/division.ts
+++ b/packages/core/src/division.ts
@@ -32,6 +32,8 @@
   /** The owner's replica stood at this revision: later deals are not in it yet. */
   readonly revision: number;
   readonly machines: readonly MachineRoom[];
+  /** What the tasks add up to that a new owner has been waiting to hear of for longer than machines take to report. */
+  readonly missing: Amounts;
   readonly running: readonly (readonly [string, number])[];
 }
 
--- a/packages/core/test/fleet.test.ts
+++ b/packages/core/test/fleet.test.ts
@@ -58,6 +58,7 @@
     term,
     revision: 1,
     machines: machines.filter((m) => partOf(m.name, 2) === part),
+    missing: NOTHING,
     running: [],
   }));
 }
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -64,6 +64,12 @@
   readonly log: Log;
 }
 
+/** What users are shown of a job that is not over may lag by this much, says the protocol. */
+const SHOWN_MS = 3000;
+
+/** A worker waits this long for an answer, says the protocol. */
+const WORKER_PATIENCE_MS = 4000;
+
 interface Relaying {
   readonly resolve: (reply: Reply) => void;
 }
@@ -98,6 +104,7 @@
   #relayCounter = 0;
   #stopped = false;
   #summarySentAt = -Infinity;
+  #summaryToAllAt = -Infinity;
   #summaryChanges = -1;
   /** Asked of the peers while the state service is out of reach. */
   #asked: { id: number; at: number; vouched: Set<string> } | null = null;
@@ -362,8 +369,13 @@
     if (owner === null || owner === node || !held) return refusal(503, 'part has no owner now');
     const now = this.clock.now();
     const last = this.#redirected.get(report.machine);
-    // Back within its lease after it was sent there: it can not reach the owner, but we may.
-    const cut = last !== undefined && last.owner === owner && now - last.at < facts.leaseMs;
+    // Back within its lease after it was sent there, or the owner says that it has not heard it for a while: it can not
+    // reach the owner, but we may.
+    // The same when we ourselves hear nothing of the owner though others are there: sent to a dead owner, a worker would
+    // lose several seconds of its lease.
+    const dead = !this.link.alive(owner) && this.link.nodes.some((n) => this.link.alive(n));
+    const cut =
+      (last?.owner === owner && now - last.at < facts.leaseMs) || dead || this.#missedByOwner(part, report.machine);
     const relayed = last?.relayedSince ?? null;
     if (cut && (relayed === null || now - relayed < facts.leaseMs * 2)) {
       this.#redirected.set(report.machine, { owner, at: now, relayedSince: relayed ?? now });
@@ -373,6 +385,14 @@
     return { status: 421, body: encodeReportTo(owner) };
   }
 
+  #missedByOwner(part: number, machine: string): boolean {
+    const seen = this.#seen.get(part);
+    const room = seen?.summary.machines.find((m) => m.name === machine);
+    if (room === undefined) return false;
+    const { reportMs, leaseMs } = this.settings.facts;
+    return room.silentMs > reportMs * 2 && room.silentMs < leaseMs && this.clock.now() - seen!.at < reportMs;
+  }
+
   #relay(owner: string, body: Buffer): Promise<Reply> {
     const id = ++this.#relayCounter;
     const message: PeerMessage = { kind: 'Relay', id, from: this.settings.node, to: owner, body };
@@ -380,7 +400,7 @@
     if (via === undefined || !this.link.send(via, message))
       return Promise.resolve(refusal(503, 'owner is out of reach'));
     return new Promise((resolve) => {
-      const cancel = this.clock.after(this.settings.facts.reportMs, () => {
+      const cancel = this.clock.after(Math.min(this.settings.facts.reportMs, WORKER_PATIENCE_MS / 2), () => {
         this.#relays.delete(id);
         resolve(refusal(503, 'owner did not answer'));
       });
@@ -405,7 +425,7 @@
     switch (message.kind) {
       case 'Hello':
         // It may have just started: what we saw last of the parts tells it which images its machines have.
-        for (const { summary } of this.#seen.values()) this.#sendSummary(from, summary);
+        for (const { summary } of this.#seen.values()) this.link.send(from, summaryMessage(summary));
         return;
       case 'Alive':
         this.#peerContact.set(from, { ageMs: message.contactAgeMs, at: now });
@@ -423,10 +443,10 @@
         this.replica.hint(message.revision);
         return;
       case 'Summary': {
-        const { part, term, revision, machines } = message;
+        const { part, term, revision, machines, missing } = message;
         if (this.#owners.has(part) || term < (this.#seen.get(part)?.summary.term ?? 0)) return;
         const running = message.running.map((r) => [r.job, r.tasks] as const);
-        this.#seen.set(part, { summary: { part, term, revision, machines, running }, at: now });
+        this.#seen.set(part, { summary: { part, term, revision, machines, missing, running }, at: now });
         return;
       }
       case 'FleetOrders':
@@ -451,7 +471,9 @@
         if (message.to === this.settings.node) {
           void this.#relayed(from, message);
         } else if (from === message.from && this.link.nodes.includes(message.to)) {
-          this.link.send(message.to, message);
+          if (this.link.alive(message.to) && this.link.send(message.to, message)) return;
+          const reply = refusal(503, 'owner is out of reach');
+          this.#relayAnswer(from, message, reply);
         }
         return;
       case 'RelayAnswer':
@@ -470,6 +492,10 @@
     } catch {
       reply = refusal(400, 'malformed');
     }
+    this.#relayAnswer(via, message, reply);
+  }
+
+  #relayAnswer(via: string, message: Extract<PeerMessage, { kind: 'Relay' }>, reply: Reply): void {
     this.link.send(via, {
       kind: 'RelayAnswer',
       id: message.id,
@@ -498,10 +524,16 @@
     if (since < facts.reportMs / 6 || (changes === this.#summaryChanges && since < facts.reportMs / 2)) return;
     this.#summarySentAt = now;
     this.#summaryChanges = changes;
+    // The leader divides by them and needs every one; the others show users what runs, and know images should they take
+    // the part over.
+    const lead = this.store.owners.get(LEAD)?.record.node;
+    const forAll = now - this.#summaryToAllAt > Math.min(facts.reportMs, SHOWN_MS / 2);
+    if (forAll) this.#summaryToAllAt = now;
     for (const owner of this.#owners.values()) {
       const summary = owner.summary(now);
       this.#seen.set(owner.part, { summary, at: now });
-      for (const node of this.link.nodes) this.#sendSummary(node, summary);
+      const message = summaryMessage(summary);
+      for (const node of this.link.nodes) if (forAll || node === lead) this.link.send(node, message);
     }
     this.#broadcast({ kind: 'Alive', contactAgeMs: this.#contactAgeMs(now), revision: this.replica.revision });
     const leader = this.#leader;
@@ -512,17 +544,6 @@
     }
   }
 
-  #sendSummary(node: string, summary: PartSummary): void {
-    this.link.send(node, {
-      kind: 'Summary',
-      part: summary.part,
-      term: summary.term,
-      revision: summary.revision,
-      machines: summary.machines.map((m) => ({ ...m, byRank: [...m.byRank], images: [...m.images] })),
-      running: summary.running.map(([job, tasks]) => ({ job, tasks })),
-    });
-  }
-
   #contactAgeMs(now: number): number {
     return this.replica.contactAt === null ? 1e9 : now - this.replica.contactAt;
   }
@@ -688,6 +709,18 @@
   }
 }
 
+function summaryMessage(summary: PartSummary): PeerMessage {
+  return {
+    kind: 'Summary',
+    part: summary.part,
+    term: summary.term,
+    revision: summary.revision,
+    machines: summary.machines.map((m) => ({ ...m, byRank: [...m.byRank], images: [...m.images] })),
+    missing: summary.missing,
+    running: summary.running.map(([job, tasks]) => ({ job, tasks })),
+  };
+}
+
 function refusal(status: number, reason: string, retryAfterS?: number): Reply {
   return { status, body: encodeError(reason), ...(retryAfterS === undefined ? {} : { retryAfterS }) };
 }
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -323,6 +323,7 @@
       term: this.holding.term,
       revision: this.shared.replica.revision,
       machines,
+      missing: book.missing(now),
       running: [...book.running()],
     };
   }
--- a/packages/peer/src/link.ts
+++ b/packages/peer/src/link.ts
@@ -40,6 +40,7 @@
   onMessage: (from: string, message: PeerMessage) => void = () => undefined;
   readonly #connections = new Map<string, Connection>();
   #server: Server | null = null;
+  #last: { readonly message: PeerMessage; readonly bytes: Buffer } | null = null;
 
   constructor(readonly options: LinkOptions) {
     this.nodes = options.peers.map((p) => p.node);
@@ -70,7 +71,9 @@
   send(node: string, message: PeerMessage): boolean {
     const c = this.#connections.get(node);
     if (c === undefined || c.socket.destroyed || c.socket.writableLength > MAX_QUEUED_BYTES) return false;
-    c.socket.write(frame(encodePeer(message)));
+    // The same message mostly goes to several peers, one after the other.
+    if (this.#last?.message !== message) this.#last = { message, bytes: frame(encodePeer(message)) };
+    c.socket.write(this.#last.bytes);
     return true;
   }
 
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -38,6 +38,7 @@
         silentMs: 'double',
       }),
     },
+    missing: 'Amounts',
     running: { type: 'array', items: record('Running', { job: 'string', tasks: 'int' }) },
   }),
   /** The state service stands at this revision at least. */
@@ -87,6 +88,7 @@
       emptyMs: number;
       silentMs: number;
     }[];
+    missing: PeerAmounts;
     running: { job: string; tasks: number }[];
   };
   Hint: { revision: number };
--- a/packages/peer/test/link.test.ts
+++ b/packages/peer/test/link.test.ts
@@ -13,11 +13,14 @@
   { kind: 'Relay', id: 4, from: 'a', to: 'b', body: Buffer.from([1, 2, 3]) },
   { kind: 'RelayAnswer', id: 4, to: 'a', status: 200, body: Buffer.alloc(0) },
   { kind: 'Alive', contactAgeMs: 1e9, revision: 0 },
+  { kind: 'Need', writes: 12 },
+  { kind: 'Lend', writes: 3 },
   {
     kind: 'Summary',
     part: 1,
     term: 5,
     revision: 6,
+    missing: { cpus: 1, gpus: 0.5, memoryGb: 2 },
     machines: [
       {
         name: 'm',
--- a/packages/testkit/src/faults.ts
+++ b/packages/testkit/src/faults.ts
@@ -138,7 +138,7 @@
     const cancel =
       spec.kind === 'service' ? 5000 + sim.random() * 30_000 : sim.random() < 0.3 ? sim.random() * 12_000 : null;
     void world.user(spec, cancel);
-    sim.after(1000 + sim.random() * 4000, arrive);
+    sim.after((1000 + sim.random() * 4000) / (world.options.load ?? 1), arrive);
   };
   sim.after(2000, arrive);
   const strange = (): void => {
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -37,7 +37,14 @@
 export interface WorldOptions {
   readonly seed: number;
   readonly log?: Log;
+  /** How many controllers there are. */
+  readonly controllers?: number;
+  /** Machines that are up at the start. */
   readonly machines?: number;
+  /** Machines of either kind that each zone has. */
+  readonly capacity?: number;
+  /** How many times the usual number of jobs arrive. */
+  readonly load?: number;
   /** The platform's settings are made from these. */
   readonly reportS?: number;
   readonly leaseS?: number;
@@ -59,8 +66,6 @@
   bootS: 5,
   zones: ZONES,
 };
-const CAPACITY = 4;
-
 interface Told {
   accepted: boolean;
   final: JobStatus | null;
@@ -135,7 +140,7 @@
     this.reportMs = (options.reportS ?? 1) * 1000;
     this.leaseMs = (options.leaseS ?? 6) * 1000;
     this.cancelMs = (options.cancelS ?? 20) * 1000;
-    this.nodes = [0, 1, 2].map((i) => ({
+    this.nodes = Array.from({ length: options.controllers ?? 3 }, (_, i) => ({
       name: `node-${i}`,
       host: `node-${i}:8080`,
       controller: null,
@@ -171,7 +176,7 @@
       peers,
       services: { cloud: 'cloud:1', state: 'state:1' },
       facts: {
-        count: 3,
+        count: this.nodes.length,
         zones: ZONES,
         teams: TEAMS.map((name) => ({ name, cpus: 0, cpus_max: 0, gpus: 4, gpus_max: gpusMax })),
         workers: { report_s: this.reportMs / 1000, lease_s: this.leaseMs / 1000, cancel_s: this.cancelMs / 1000 },
@@ -270,7 +275,7 @@
         const used = [...this.#cloud.values()].filter(
           (m) => m.zone === r.zone && m.spot === r.spot && m.state !== 'failed',
         ).length;
-        const count = Math.min(r.count, CAPACITY - used);
+        const count = Math.min(r.count, (this.options.capacity ?? 4) - used);
         if (count <= 0) return answer(503, { error: 'no capacity' });
         const names = Array.from({ length: count }, () =>
           this.#boot(r.zone, r.spot, TYPE.bootS * 1000 * (0.6 + this.sim.random())),
