--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -195,6 +195,7 @@
     const heard = new Set(input.summaries.map((s) => s.part));
     for (const part of this.#partSince.keys()) if (!heard.has(part)) this.#partSince.delete(part);
 
+    this.#watchZones(input, rooms);
     const giveBack: string[] = [];
     const drain = new Set<string>();
     const booting: Known[] = [];
@@ -228,23 +229,29 @@
   }
 
   /**
-   * Notes zones in which most machines have fallen silent: what is rented there could not be reached either. Their silent
-   * machines are returned in time, so the note stands until one of the zone is heard, or a new one should have been.
+   * Notes zones in which most machines that are up have fallen silent: what is rented there could not be reached either.
+   * Their silent machines are returned in time, so the note stands until one of the zone is heard, or a new one should
+   * have been.
    */
-  #watchZones(input: FleetInput, rooms: Iterable<MachineRoom>): void {
-    const zones = new Map<string, { all: number; silent: number }>();
-    for (const m of rooms) {
-      const zone = zones.get(m.zone) ?? { all: 0, silent: 0 };
-      zone.all++;
-      if (suspect(m, this.facts)) zone.silent++;
-      zones.set(m.zone, zone);
+  #watchZones(input: FleetInput, rooms: ReadonlyMap<string, MachineRoom>): void {
+    const { now } = input;
+    const zones = new Map<string, { heard: number; silent: number }>();
+    for (const k of this.known.values()) {
+      if (k.state !== 'running') continue;
+      const room = rooms.get(k.name);
+      const heard = room !== undefined && !suspect(room, this.facts);
+      const silent = !heard && now - this.#quietSince(k, input) > this.facts.reportMs * SUSPECT_INTERVALS;
+      const zone = zones.get(k.zone) ?? { heard: 0, silent: 0 };
+      if (heard) zone.heard++;
+      if (silent) zone.silent++;
+      zones.set(k.zone, zone);
     }
-    const silent = [...zones].filter(([, z]) => z.silent * 2 > z.all).map(([name]) => name);
+    const silent = [...zones].filter(([, z]) => z.silent > z.heard).map(([name]) => name);
     // Silence from everywhere is trouble of our own.
     if (silent.length === zones.size) return;
     const bootMs = Math.max(0, ...[...input.types.values()].map((t) => t.bootS * 1000));
-    for (const zone of zones.keys()) this.#silentZones.delete(zone);
-    for (const zone of silent) this.#silentZones.set(zone, input.now + bootMs * LATE_BOOTS + this.facts.listLagMs);
+    for (const [name, z] of zones) if (z.heard > 0) this.#silentZones.delete(name);
+    for (const name of silent) this.#silentZones.set(name, now + bootMs * LATE_BOOTS + this.facts.listLagMs);
   }
 
   #rent(input: FleetInput, booting: readonly Known[], rooms: ReadonlyMap<string, MachineRoom>): RentRequest[] {
@@ -262,7 +269,6 @@
     }
     const belowLimit = (spot: boolean): boolean =>
       spot ? count.spot < this.limits.maxSpotMachines : count.ordinary < this.limits.maxOrdinaryMachines;
-    this.#watchZones(input, rooms.values());
     const silent = (z: string): boolean => (this.#silentZones.get(z) ?? 0) > now;
     const open = (t: string, z: string, spot: boolean): boolean =>
       !silent(z) && (this.#refused.get(place(t, z, spot))?.until ?? 0) <= now;
@@ -300,6 +306,23 @@
         bins.at(-1)!.free = plus(bins.at(-1)!.free, need, -1);
       }
     }
+    // Likewise for what a new owner is still waiting to hear of.
+    for (const { missing } of input.summaries) {
+      for (let need = missing; need.cpus > 0.01 || need.gpus > 0.01;) {
+        const helps = (a: Amounts): boolean => (need.gpus > 0.01 ? a.gpus > 0.01 : a.cpus > 0.01);
+        const block = bins.find((b) => !b.spot && !silent(b.zone) && helps(b.free));
+        if (block === undefined) {
+          const ordinary = (t: MachineType, zone: string, spot: boolean): boolean =>
+            !spot && helps(t) && open(t.name, zone, spot) && belowLimit(spot);
+          if (this.#add(bins, perZone, ordinary, types) === null) break;
+          count.ordinary++;
+          continue;
+        }
+        const part = least(need, block.free);
+        need = plus(need, part, -1);
+        block.free = plus(block.free, part, -1);
+      }
+    }
     for (const { job, count, zones } of input.unmet) {
       for (let i = 0; i < count; i++) {
         const bin = bins.find(
@@ -420,6 +443,14 @@
   return m.byRank.reduce((sum, a, rank) => sum + (rank >= BATCH_RANK ? a.gpus : 0), m.free.gpus);
 }
 
+function least(a: Amounts, b: Amounts): Amounts {
+  return {
+    cpus: Math.min(a.cpus, b.cpus),
+    gpus: Math.min(a.gpus, b.gpus),
+    memoryGb: Math.min(a.memoryGb, b.memoryGb),
+  };
+}
+
 function place(type: string, zone: string, spot: boolean): string {
   return `${type}/${zone}/${spot ? 'spot' : 'ordinary'}`;
 }
