--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -14,7 +14,7 @@
 } from '@gingerlock/wire';
 import { type Amounts, type Facts, fits, NOTHING, plus, typeAllows, workerLeaseBoundMs } from './facts';
 import type { Job, JobTable } from './jobs';
-import { bestPlan, betterElsewhere, type Plan } from './placement';
+import { bestPlan, betterElsewhere, type Plan, suits } from './placement';
 
 /**
  * uncertain: dealt before this owner's takeover and seen nowhere yet, so an unheard machine may hold it.
@@ -121,6 +121,9 @@
 /** A worker takes a higher token as a cause to report once in half of its lease; a little more, for drift. */
 const CALL_EVERY_LEASES = 0.52;
 
+/** A start counts for the users if nothing stops the task within 30 s, says the protocol: no replica is moved before. */
+const MOVED_AFTER_MS = 30_000;
+
 export interface BookOptions {
   readonly facts: Facts;
   readonly part: number;
@@ -209,7 +212,7 @@
     return this.#wakes;
   }
 
-  *waitingSlots(job: Job): Iterable<Slot> {
+  *waitingSlots(job: Job): Generator<Slot> {
     if (job.cancelled) return;
     for (const slot of this.slots.get(job.id)?.values() ?? []) if (slot.state === 'waiting') yield slot;
   }
@@ -697,6 +700,41 @@
     return { rooms, stuck, stopped: [...doomed].filter((s) => s.claim?.stopGraceS !== null) };
   }
 
+  /**
+   * Stops the replicas of draining machines that would be up again elsewhere in this part within a moment: where there
+   * is room, their image is there and the machine can be called. A machine is left as it is unless all can move, and one
+   * is emptied at a time. Returns what is to be stopped.
+   */
+  vacate(rooms: ReadonlyMap<Machine, Amounts>, now: number): Slot[] {
+    for (const job of this.wakes()) {
+      if (job.spec.kind === 'service' && this.waitingSlots(job).next().done !== true) return [];
+    }
+    const left = new Map(rooms);
+    for (const m of this.machines.values()) {
+      if (!m.draining || m.noticed || this.isSuspect(m, now)) continue;
+      const replicas = [...m.claims.values()].filter((s) => s.job.spec.kind === 'service');
+      if (replicas.length === 0) continue;
+      if (replicas.some((s) => s.claim!.stopGraceS !== null || s.claim!.stage !== 'running')) continue;
+      if (replicas.some((s) => now - s.claim!.grantedAt < MOVED_AFTER_MS)) continue;
+      const moves = replicas.every((slot) => {
+        for (const [target, room] of left) {
+          if (target.spot || !fits(slot.job.spec, room) || !suits(slot, target)) continue;
+          if (!target.cache.has(slot.job.spec.image) || this.reportsInMs(target, now) > 0) continue;
+          left.set(target, plus(room, slot.job.spec, -1));
+          return true;
+        }
+        return false;
+      });
+      if (!moves) continue;
+      for (const slot of replicas) {
+        slot.claim!.stopGraceS = 0;
+        this.#log('replica moved', { task: slot.name, machine: m.name });
+      }
+      return replicas;
+    }
+    return [];
+  }
+
   #preempt(victim: Slot, slot: Slot): void {
     const spec = victim.job.spec;
     // A service must not wait for a save; between batch jobs the saved work is worth the time.
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -422,6 +422,41 @@
       // The owner says that it binds nothing there any more and that nothing is there.
       if (m.draining) giveBack.push(m.name);
     }
+    if (!renting && input.unmet.length === 0) this.#vacate(input, rooms, drain, ordinary - headroom);
+  }
+
+  /**
+   * Ordinary machines whose few replicas would fit on others, in the same part and zone: they get no more work, and the
+   * owner moves what is there. Services last for minutes, so machines would empty only long after load has fallen.
+   */
+  #vacate(input: FleetInput, rooms: ReadonlyMap<string, MachineRoom>, drain: Set<string>, spare: number): void {
+    const free = new Map<string, number>();
+    const candidates: { m: MachineRoom; group: string; part: number; used: number; size: number }[] = [];
+    for (const m of rooms.values()) {
+      const size = input.types.get(m.type)?.gpus ?? 0;
+      const part = partOf(m.name, input.parts);
+      const group = `${part}/${m.zone}`;
+      if (m.spot || m.empty || m.noticed || m.sick || suspect(m, this.facts)) continue;
+      if (m.takesWork) free.set(group, (free.get(group) ?? 0) + m.free.gpus);
+      const used = m.byRank.reduce((sum, a, rank) => sum + (rank < BATCH_RANK ? a.gpus : 0), 0);
+      if (used > 0 && used <= size / 2 && (m.takesWork || this.#draining.has(m.name))) {
+        candidates.push({ m, group, part, used, size });
+      }
+    }
+    // What is being emptied goes on being emptied; then the emptiest.
+    const order = (c: (typeof candidates)[number]): number => (this.#draining.has(c.m.name) ? 0 : 1);
+    candidates.sort((a, b) => order(a) - order(b) || a.used - b.used || (a.m.name < b.m.name ? -1 : 1));
+    const busy = new Set<number>();
+    for (const { m, group, part, used, size } of candidates) {
+      // The room of one that takes no more work is not among what is to spare.
+      const cost = m.takesWork ? size : used;
+      const others = (free.get(group) ?? 0) - (m.takesWork ? m.free.gpus : 0);
+      if (busy.has(part) || cost > spare || used > others) continue;
+      busy.add(part);
+      spare -= cost;
+      free.set(group, others - used);
+      drain.add(m.name);
+    }
   }
 }
 
