--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -14,7 +14,7 @@
 } from '@gingerlock/wire';
 import { type Amounts, type Facts, fits, NOTHING, plus, typeAllows, workerLeaseBoundMs } from './facts';
 import type { Job, JobTable } from './jobs';
-import { bestPlan, betterElsewhere, type Plan, suits } from './placement';
+import { bestPlan, betterElsewhere, type Plan } from './placement';
 
 /**
  * uncertain: dealt before this owner's takeover and seen nowhere yet, so an unheard machine may hold it.
@@ -44,6 +44,15 @@
   stopGraceS: number | null;
 }
 
+/** Room on a machine to which a replica might move. */
+export interface Refuge {
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly free: Amounts;
+  readonly images: readonly string[];
+}
+
 export interface Slot {
   readonly job: Job;
   readonly index: number;
@@ -58,6 +67,8 @@
   failures: number;
   /** Where it would run soonest, by the last packing. */
   plan: Plan | null;
+  /** Stopped so that its machine can go: it waits only for a machine that has its image, or goes back to the leader. */
+  moving: boolean;
   /** Version of the job's record on which the change that gives this task back is conditional. */
   leavingVersion: number;
 }
@@ -272,6 +283,7 @@
           notBefore: 0,
           failures: 0,
           plan: null,
+          moving: false,
           leavingVersion: 0,
         };
         slots.set(index, slot);
@@ -603,6 +615,7 @@
         if (slot.notBefore > now || (slot.zone !== null && slot.zone !== m.zone)) continue;
         if (m.failedJobs.has(job.id)) break;
         if (betterElsewhere(this, slot, m, now)) continue;
+        if (this.#movesOn(slot, now) && !m.cache.has(job.spec.image)) continue;
         const attempt = this.term * ATTEMPTS_PER_TERM + ++this.#counter;
         const waited = now - slot.since;
         this.#move(slot, 'claimed', now, {
@@ -613,6 +626,7 @@
           stage: 'granted',
           stopGraceS: null,
         });
+        slot.moving = false;
         this.#log('task bound', {
           task: slot.name,
           machine: m.name,
@@ -701,26 +715,29 @@
   }
 
   /**
-   * Stops the replicas of draining machines that would be up again elsewhere in this part within a moment: where there
-   * is room, their image is there and the machine can be called. A machine is left as it is unless all can move, and one
-   * is emptied at a time. Returns what is to be stopped.
+   * Stops the replicas of draining machines that would be up again elsewhere within a moment: where there is room and
+   * their image is, in this part if the machine can be called, or in another. A machine is left as it is unless all can
+   * move, and one is emptied at a time. Returns what is to be stopped.
    */
-  vacate(rooms: ReadonlyMap<Machine, Amounts>, now: number): Slot[] {
+  vacate(rooms: ReadonlyMap<Machine, Amounts>, others: () => readonly Refuge[], now: number): Slot[] {
     for (const job of this.wakes()) {
       if (job.spec.kind === 'service' && this.waitingSlots(job).next().done !== true) return [];
     }
-    const left = new Map(rooms);
+    let refuges: Refuge[] | null = null;
     for (const m of this.machines.values()) {
-      if (!m.draining || m.noticed || this.isSuspect(m, now)) continue;
+      if (!m.draining || m.noticed || m.spot || this.isSuspect(m, now)) continue;
       const replicas = [...m.claims.values()].filter((s) => s.job.spec.kind === 'service');
       if (replicas.length === 0) continue;
       if (replicas.some((s) => s.claim!.stopGraceS !== null || s.claim!.stage !== 'running')) continue;
       if (replicas.some((s) => now - s.claim!.grantedAt < MOVED_AFTER_MS)) continue;
-      const moves = replicas.every((slot) => {
-        for (const [target, room] of left) {
-          if (target.spot || !fits(slot.job.spec, room) || !suits(slot, target)) continue;
-          if (!target.cache.has(slot.job.spec.image) || this.reportsInMs(target, now) > 0) continue;
-          left.set(target, plus(room, slot.job.spec, -1));
+      refuges ??= [...this.#refuges(rooms, now), ...others()];
+      const left = new Map<Refuge, Amounts>();
+      const moves = replicas.every(({ job: { spec }, zone }) => {
+        for (const r of refuges!) {
+          const free = left.get(r) ?? r.free;
+          if (!fits(spec, free) || !r.images.includes(spec.image)) continue;
+          if ((zone !== null && zone !== r.zone) || !typeAllows(spec, r.type, r.zone, r.spot)) continue;
+          left.set(r, plus(free, spec, -1));
           return true;
         }
         return false;
@@ -728,6 +745,7 @@
       if (!moves) continue;
       for (const slot of replicas) {
         slot.claim!.stopGraceS = 0;
+        slot.moving = true;
         this.#log('replica moved', { task: slot.name, machine: m.name });
       }
       return replicas;
@@ -735,6 +753,13 @@
     return [];
   }
 
+  *#refuges(rooms: ReadonlyMap<Machine, Amounts>, now: number): Generator<Refuge> {
+    for (const [m, free] of rooms) {
+      if (m.spot || this.reportsInMs(m, now) > 0) continue;
+      yield { type: m.type, zone: m.zone, spot: m.spot, free, images: [...m.cache.keys()] };
+    }
+  }
+
   #preempt(victim: Slot, slot: Slot): void {
     const spec = victim.job.spec;
     // A service must not wait for a save; between batch jobs the saved work is worth the time.
@@ -760,11 +785,21 @@
     }
     const patience = this.facts.reportMs / 2;
     for (const slot of stuck) {
-      if (slot.state === 'waiting' && now - slot.since > patience) add(slot);
+      if (slot.state === 'waiting' && (now - slot.since > patience || slot.moving)) add(slot);
+    }
+    for (const job of this.wakes()) {
+      for (const slot of this.waitingSlots(job)) {
+        const cached = slot.plan?.machine.cache.has(job.spec.image) ?? true;
+        if (!cached && this.#movesOn(slot, now)) add(slot);
+      }
     }
     return back;
   }
 
+  #movesOn(slot: Slot, now: number): boolean {
+    return slot.moving && now - slot.since < this.facts.reportMs * 2;
+  }
+
   /** The record's change is on its way: until its outcome is known nobody may be granted these. */
   leaving(slots: readonly Slot[], now: number): void {
     for (const slot of slots) {
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -72,6 +72,8 @@
   /** Zones in which most machines have fallen silent, and until when nothing is rented there for that. */
   readonly #silentZones = new Map<string, number>();
   #draining = new Set<string>();
+  /** Machines that are being emptied, or could not be, and since when. */
+  #vacating: ReadonlyMap<string, number> = new Map();
   #counter = 0;
   #firstList = true;
 
@@ -246,7 +248,8 @@
       if (silent) zone.silent++;
       zones.set(k.zone, zone);
     }
-    const silent = [...zones].filter(([, z]) => z.silent > z.heard).map(([name]) => name);
+    // A new leader has heard nothing of a zone that was cut off before its time.
+    const silent = [...zones].filter(([, z]) => z.silent > z.heard || z.heard === 0).map(([name]) => name);
     // Silence from everywhere is trouble of our own.
     if (silent.length === zones.size) return;
     const bootMs = Math.max(0, ...[...input.types.values()].map((t) => t.bootS * 1000));
@@ -426,40 +429,65 @@
   }
 
   /**
-   * Ordinary machines whose few replicas would fit on others, in the same part and zone: they get no more work, and the
-   * owner moves what is there. Services last for minutes, so machines would empty only long after load has fallen.
+   * Machines that are nearly empty and whose room can be spared get no more work. Batch work on spot machines ends soon;
+   * replicas last for minutes, so the owner moves them to where they are up again at once, if it can.
    */
-  #vacate(input: FleetInput, rooms: ReadonlyMap<string, MachineRoom>, drain: Set<string>, spare: number): void {
-    const free = new Map<string, number>();
-    const candidates: { m: MachineRoom; group: string; part: number; used: number; size: number }[] = [];
+  #vacate(input: FleetInput, rooms: ReadonlyMap<string, MachineRoom>, drain: Set<string>, spareOrdinary: number): void {
+    const { now, types } = input;
+    const candidates: { m: MachineRoom; used: number; size: number }[] = [];
+    const freeIn = new Map<string, number>();
+    const spot = { free: 0, used: 0 };
     for (const m of rooms.values()) {
-      const size = input.types.get(m.type)?.gpus ?? 0;
-      const part = partOf(m.name, input.parts);
-      const group = `${part}/${m.zone}`;
-      if (m.spot || m.empty || m.noticed || m.sick || suspect(m, this.facts)) continue;
-      if (m.takesWork) free.set(group, (free.get(group) ?? 0) + m.free.gpus);
-      const used = m.byRank.reduce((sum, a, rank) => sum + (rank < BATCH_RANK ? a.gpus : 0), 0);
-      if (used > 0 && used <= size / 2 && (m.takesWork || this.#draining.has(m.name))) {
-        candidates.push({ m, group, part, used, size });
+      const size = types.get(m.type)?.gpus ?? 0;
+      if (m.noticed || m.sick || suspect(m, this.facts)) continue;
+      const sum = (from: number, to: number): number => m.byRank.slice(from, to).reduce((n, a) => n + a.gpus, 0);
+      const used = m.spot ? sum(0, m.byRank.length) : sum(0, BATCH_RANK);
+      if (m.spot) spot.used += used;
+      if (m.takesWork && m.spot) spot.free += m.free.gpus;
+      else if (m.takesWork) freeIn.set(m.zone, (freeIn.get(m.zone) ?? 0) + m.free.gpus);
+      if (!m.empty && used <= size / 2 && (m.takesWork || this.#draining.has(m.name))) {
+        candidates.push({ m, used, size });
       }
     }
+    const spare = { ordinary: spareOrdinary, spot: spot.free - spot.used * SPOT_SPARE };
     // What is being emptied goes on being emptied; then the emptiest.
     const order = (c: (typeof candidates)[number]): number => (this.#draining.has(c.m.name) ? 0 : 1);
     candidates.sort((a, b) => order(a) - order(b) || a.used - b.used || (a.m.name < b.m.name ? -1 : 1));
+    const vacating = new Map<string, number>();
     const busy = new Set<number>();
-    for (const { m, group, part, used, size } of candidates) {
+    for (const { m, used, size } of candidates) {
+      const bootMs = (types.get(m.type)?.bootS ?? 60) * 1000;
+      const since = this.#vacating.get(m.name) ?? now;
+      // If it could not be emptied in this time it is let be for a while.
+      if (now - since > bootMs * VACATE_BOOTS) {
+        if (now - since < bootMs * VACATE_BOOTS * 4) vacating.set(m.name, since);
+        continue;
+      }
+      const kind = m.spot ? 'spot' : 'ordinary';
       // The room of one that takes no more work is not among what is to spare.
-      const cost = m.takesWork ? size : used;
-      const others = (free.get(group) ?? 0) - (m.takesWork ? m.free.gpus : 0);
-      if (busy.has(part) || cost > spare || used > others) continue;
-      busy.add(part);
-      spare -= cost;
-      free.set(group, others - used);
+      const cost = m.takesWork ? size : m.spot ? 0 : used;
+      if (cost > spare[kind]) continue;
+      if (!m.spot) {
+        const others = (freeIn.get(m.zone) ?? 0) - (m.takesWork ? m.free.gpus : 0);
+        const part = partOf(m.name, input.parts);
+        if (busy.has(part) || used > others) continue;
+        busy.add(part);
+        freeIn.set(m.zone, others - used);
+      }
+      spare[kind] -= cost;
+      vacating.set(m.name, since);
       drain.add(m.name);
     }
+    this.#vacating = vacating;
   }
 }
 
+/** A machine that could not be emptied in so many boot times is let be for three times as long. */
+const VACATE_BOOTS = 2;
+
+/** Room for coming batch work that is kept on spot machines, as a share of what is in use there. */
+const SPOT_SPARE = 0.25;
+
 /**
  * An empty machine is kept for this many boot times, and always for a few reports: where machines boot at once, one was
  * returned before its first task could be dealt to it, and rented again.
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -150,6 +150,14 @@
       this.#broadcast({ kind: 'Hint', revision });
       this.replica.hint(revision);
     };
+    this.shared.refuges = (exceptPart) => {
+      const since = this.clock.now() - facts.reportMs * 2;
+      return [...this.#seen.values()]
+        .filter((seen) => seen.summary.part !== exceptPart && seen.at > since)
+        .flatMap((seen) =>
+          seen.summary.machines.filter((m) => m.takesWork && !m.spot && m.free.gpus + m.free.cpus > 0),
+        );
+    };
     this.store.onJob = (id) => {
       for (const owner of this.#owners.values()) owner.jobChanged(id);
     };
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -91,7 +91,7 @@
       const { rooms, stuck, stopped } = this.book.pack(now);
       this.#rooms = rooms;
       this.#stuck = stuck;
-      if (this.mayGrant(now)) stopped.push(...this.book.vacate(rooms, now));
+      if (this.mayGrant(now)) stopped.push(...this.book.vacate(rooms, () => this.shared.refuges(this.part), now));
       for (const machine of new Set(stopped.map((s) => s.claim!.machine))) {
         this.#pushStops(
           machine,
--- a/packages/daemon/src/shared.ts
+++ b/packages/daemon/src/shared.ts
@@ -1,4 +1,4 @@
-import type { Facts } from '@gingerlock/core';
+import type { Facts, Refuge } from '@gingerlock/core';
 import { type Clock, type Http, type Replica, sleep, type StateService, type Urgency } from '@gingerlock/clients';
 import type { Change, Condition } from '@gingerlock/wire';
 import type { Log } from './log';
@@ -16,6 +16,8 @@
   leaseUntil = -Infinity;
   /** Tells the other controllers that something has changed. */
   announce: (revision: number) => void = () => undefined;
+  /** Free room on ordinary machines of all other parts, as their owners told of it last. */
+  refuges: (exceptPart: number) => Refuge[] = () => [];
 
   constructor(
     readonly settings: Settings,
