--- a/packages/core/test/fleet.test.ts
+++ b/packages/core/test/fleet.test.ts
@@ -52,6 +52,16 @@
   };
 }
 
+/** A machine on which replicas hold so many accelerators. */
+function used(name: string, gpus: number, over: Partial<MachineRoom> = {}): MachineRoom {
+  const taken = { cpus: gpus * 2, gpus, memoryGb: gpus * 8 };
+  return room(name, {
+    free: { cpus: 8 - taken.cpus, gpus: 4 - gpus, memoryGb: 32 - taken.memoryGb },
+    byRank: [taken, NOTHING, NOTHING, NOTHING],
+    ...over,
+  });
+}
+
 function summaries(term: number, machines: readonly MachineRoom[]): PartSummary[] {
   return [0, 1].map((part) => ({
     part,
@@ -79,7 +89,7 @@
 test('machines that boot at once are kept until work can be dealt to them', () => {
   const fleet = new Fleet(facts, 1, limits);
   const quick = new Map([['box', { ...type, bootS: 0.1 }]]);
-  const empty = [room('m-1', { empty: true, emptyMs: 1500 }), room('m-2'), room('m-3')];
+  const empty = [room('m-1', { empty: true, emptyMs: 1500 }), used('m-2', 3), used('m-3', 3)];
   fleet.listed([listed('m-1', 5), listed('m-2', 5), listed('m-3', 5)], 0);
   const plan = fleet.plan({ now: 100, types: quick, summaries: summaries(1, empty), unmet: [], parts: 2 });
   assert.deepEqual(plan.drain, []);
@@ -87,7 +97,7 @@
 
 test('a machine is returned only once its owner says that it is drained and empty', () => {
   const fleet = new Fleet(facts, 1, limits);
-  const others = [room('m-2'), room('m-3')];
+  const others = [used('m-2', 3), used('m-3', 3)];
   fleet.listed(
     ['m-1', 'm-2', 'm-3'].map((n) => listed(n, 100)),
     0,
@@ -110,3 +120,65 @@
   assert.deepEqual(plan(25_000), []);
   assert.deepEqual(plan(41_000), ['m-9']);
 });
+
+test('nothing is rented in a zone that fell silent, also by a leader that never heard it', () => {
+  const silent = { zone: 'b', silentMs: 4000 };
+  const heard = [used('m-1', 4), used('m-2', 4)];
+  const cut = ['m-3', 'm-4'].map((n) => used(n, 4, silent));
+  const list = [
+    listed('m-1', 500),
+    listed('m-2', 500),
+    ...['m-3', 'm-4'].map((n) => ({ ...listed(n, 500), zone: 'b' })),
+  ];
+  const wanted = { headroom: 1, maxOrdinaryMachines: Infinity, maxSpotMachines: Infinity };
+  const zones = (fleet: Fleet, now: number, rooms: readonly MachineRoom[]): string[] =>
+    fleet.plan({ now, types, summaries: summaries(1, rooms), unmet: [], parts: 2 }).rent.map((r) => r.zone);
+
+  const old = new Fleet(facts, 1, wanted);
+  old.listed(list, 0);
+  assert.deepEqual(zones(old, 100, [...heard, ...cut]), ['a']);
+
+  const fresh = new Fleet(facts, 2, wanted);
+  fresh.listed(list, 0);
+  assert.deepEqual(zones(fresh, 100, heard), ['a']);
+  // Its silent machines are returned in time: the note outlasts them.
+  fresh.returned(['m-3', 'm-4'], 200);
+  assert.deepEqual(zones(fresh, 300, heard), ['a']);
+  // Heard again.
+  const back = [...heard, used('m-5', 4, { zone: 'b' })];
+  assert.ok(zones(fresh, 400, back).includes('b'));
+});
+
+test('a machine that fell silent, or is not heard by a new owner, has its room rented before its lease is over', () => {
+  const plan = (rooms: readonly MachineRoom[], missing = NOTHING): number => {
+    const fleet = new Fleet(facts, 1, limits);
+    fleet.listed(
+      rooms.map((m) => listed(m.name, 500)),
+      0,
+    );
+    const heard = summaries(1, rooms).map((s, i) => (i === 0 ? { ...s, missing } : s));
+    return fleet.plan({ now: 100, types, summaries: heard, unmet: [], parts: 2 }).rent.reduce((n, r) => n + r.count, 0);
+  };
+  const well = [used('m-1', 4), used('m-2', 4), used('m-3', 4)];
+  assert.equal(plan(well), 0);
+  assert.equal(plan([...well, used('m-4', 4, { silentMs: 4000 })]), 1);
+  // An empty one is not missed, and silence from most machines is trouble of ours.
+  assert.equal(plan([...well, room('m-4', { silentMs: 4000, empty: true })]), 0);
+  assert.equal(plan([well[0]!, ...['m-2', 'm-3', 'm-4'].map((n) => used(n, 4, { silentMs: 4000 }))]), 0);
+  assert.equal(plan(well, { cpus: 12, gpus: 6, memoryGb: 48 }), 2);
+});
+
+test('a nearly empty machine is emptied only while what is there fits elsewhere and room enough is left', () => {
+  const plan = (rooms: readonly MachineRoom[]): readonly string[] => {
+    const fleet = new Fleet(facts, 1, { ...limits, headroom: 0.1 });
+    return fleet.plan({ now: 100, types, summaries: summaries(1, rooms), unmet: [], parts: 2 }).drain;
+  };
+  assert.deepEqual(plan([used('m-1', 1), used('m-2', 2), used('m-3', 2), used('m-4', 3)]), ['m-1']);
+  assert.deepEqual(plan([used('m-1', 1), used('m-2', 4), used('m-3', 3)]), [], 'no room to spare');
+  const elsewhere = ['m-2', 'm-3', 'm-4'].map((n) => used(n, 2, { zone: 'b' }));
+  assert.deepEqual(
+    plan([used('m-1', 1), ...elsewhere]).filter((n) => n === 'm-1'),
+    [],
+    'no room in its zone',
+  );
+});
--- a/packages/peer/test/link.test.ts
+++ b/packages/peer/test/link.test.ts
@@ -20,7 +20,6 @@
     part: 1,
     term: 5,
     revision: 6,
-    missing: { cpus: 1, gpus: 0.5, memoryGb: 2 },
     machines: [
       {
         name: 'm',
@@ -39,6 +38,7 @@
         silentMs: 0,
       },
     ],
+    missing: { cpus: 1, gpus: 0.5, memoryGb: 2 },
     running: [{ job: 'j-1', tasks: 3 }],
   },
 ];
--- a/packages/testkit/src/faults.ts
+++ b/packages/testkit/src/faults.ts
@@ -1,5 +1,5 @@
 // Troubles as data, so that a generator can draw them and a shrinker can take them away one by one.
-import type { World } from './world';
+import { type World, ZONES } from './world';
 
 export type Fault =
   | { readonly kind: 'crash'; readonly nodes: readonly number[]; readonly backMs: number }
@@ -19,7 +19,15 @@
   | { readonly kind: 'machine dies'; readonly machine: number; readonly listedAs: 'failed' | 'gone' }
   | { readonly kind: 'sick machine'; readonly machine: number; readonly forMs: number }
   | { readonly kind: 'cloud outage'; readonly forMs: number }
-  | { readonly kind: 'events forgotten' };
+  | { readonly kind: 'events forgotten' }
+  | { readonly kind: 'rolling restarts'; readonly everyMs: number; readonly backMs: number }
+  | { readonly kind: 'slow controller'; readonly node: number; readonly ms: number; readonly forMs: number }
+  | { readonly kind: 'peers refused'; readonly forMs: number }
+  | { readonly kind: 'slow state service'; readonly ms: number; readonly forMs: number }
+  | { readonly kind: 'zone cut'; readonly zone: number; readonly how: 'hold' | 'lose'; readonly forMs: number }
+  | { readonly kind: 'zones apart'; readonly zone: number; readonly how: 'hold' | 'lose'; readonly forMs: number }
+  | { readonly kind: 'spot wave'; readonly share: number; readonly noticeMs: number }
+  | { readonly kind: 'slow machine'; readonly machine: number; readonly factor: number; readonly forMs: number };
 
 export function inflict(world: World, fault: Fault): void {
   const { sim, network, state } = world;
@@ -120,6 +128,67 @@
     case 'events forgotten':
       state.forgetEvents();
       return;
+    case 'rolling restarts':
+      world.nodes.forEach((n, i) => {
+        sim.after(i * fault.everyMs, () => world.crash(n.name));
+        sim.after(i * fault.everyMs + fault.backMs, () => world.startNode(n.name));
+      });
+      return;
+    case 'slow controller': {
+      const name = node(fault.node);
+      const isIt = (host: string): boolean => host === name || host === `peer:${name}`;
+      sim.after(
+        fault.forMs,
+        network.slow((from, to) => isIt(from) || isIt(to), fault.ms),
+      );
+      return;
+    }
+    case 'peers refused':
+      sim.after(
+        fault.forMs,
+        network.wall((from) => from.startsWith('peer:'), 'lose'),
+      );
+      return;
+    case 'slow state service':
+      sim.after(
+        fault.forMs,
+        network.slow((from, to) => from === 'state:1' || to === 'state:1', fault.ms),
+      );
+      return;
+    case 'zone cut': {
+      const zone = ZONES[fault.zone % ZONES.length]!;
+      const inside = (host: string): boolean => world.zoneOf(host) === zone;
+      sim.after(
+        fault.forMs,
+        network.wall((from, to) => inside(from) !== inside(to), fault.how),
+      );
+      return;
+    }
+    case 'zones apart': {
+      const pair = [ZONES[fault.zone % ZONES.length]!, ZONES[(fault.zone + 1) % ZONES.length]!];
+      const apart = (from: string, to: string): boolean => {
+        const [a, b] = [world.zoneOf(from), world.zoneOf(to)];
+        return a !== null && b !== null && a !== b && pair.includes(a) && pair.includes(b);
+      };
+      sim.after(fault.forMs, network.wall(apart, fault.how));
+      return;
+    }
+    case 'spot wave':
+      for (const [name, worker] of world.workers) {
+        if (!worker.spot || sim.random() > fault.share) continue;
+        if (fault.noticeMs > 0) worker.notice(fault.noticeMs / 1000);
+        sim.after(fault.noticeMs * (0.5 + sim.random()), () => world.kill(name, 'gone'));
+      }
+      return;
+    case 'slow machine': {
+      const worker = world.workers.get(machine(fault.machine) ?? '');
+      if (worker === undefined) return;
+      worker.slowness = fault.factor;
+      sim.after(fault.forMs, () => {
+        worker.slowness = 1;
+      });
+      return;
+    }
   }
 }
 
--- a/packages/testkit/src/network.ts
+++ b/packages/testkit/src/network.ts
@@ -6,6 +6,8 @@
 /** How a way from one host to another is disturbed. */
 export type Cut = 'lose' | 'hold';
 
+export type Between = (from: string, to: string) => boolean;
+
 /**
  * HTTP between named hosts in simulated time. A cut way loses messages or holds them back until it heals; a request
  * that was given up may still arrive then. Copies of requests can come late.
@@ -13,7 +15,11 @@
 export class Network {
   readonly hosts = new Map<string, Handler>();
   readonly #cuts = new Map<string, Cut>();
-  #held: { way: string; deliver: () => void }[] = [];
+  /** Cuts between groups of hosts, also those that come up later. */
+  readonly #walls = new Set<{ readonly between: Between; readonly how: Cut }>();
+  /** Ways on which everything takes longer, by so many milliseconds. */
+  readonly #slow = new Set<{ readonly between: Between; readonly ms: number }>();
+  #held: { readonly from: string; readonly to: string; readonly deliver: () => void }[] = [];
   /** Share of requests of which a copy arrives once more, and within which time. */
   copies: { share: number; withinMs: number; only: (path: string) => boolean } | null = null;
   /** Share of answers that are lost. */
@@ -26,23 +32,51 @@
   }
 
   heal(from: string, to: string): void {
-    const way = `${from}>${to}`;
-    this.#cuts.delete(way);
-    const due = this.#held.filter((h) => h.way === way);
-    this.#held = this.#held.filter((h) => h.way !== way);
-    for (const h of due) this.sim.after(this.#latency(), h.deliver);
+    this.#cuts.delete(`${from}>${to}`);
+    this.#release();
+  }
+
+  /** Cuts all ways for which `between` holds; the function that is returned heals them. */
+  wall(between: Between, how: Cut): () => void {
+    const wall = { between, how };
+    this.#walls.add(wall);
+    return () => {
+      this.#walls.delete(wall);
+      this.#release();
+    };
+  }
+
+  slow(between: Between, ms: number): () => void {
+    const slow = { between, ms };
+    this.#slow.add(slow);
+    return () => this.#slow.delete(slow);
+  }
+
+  #cutOn(from: string, to: string): Cut | undefined {
+    const cut = this.#cuts.get(`${from}>${to}`);
+    if (cut !== undefined) return cut;
+    for (const wall of this.#walls) if (wall.between(from, to)) return wall.how;
+    return undefined;
+  }
+
+  #release(): void {
+    const due = this.#held.filter((h) => this.#cutOn(h.from, h.to) === undefined);
+    this.#held = this.#held.filter((h) => this.#cutOn(h.from, h.to) !== undefined);
+    for (const h of due) this.sim.after(this.#latency(h.from, h.to), h.deliver);
   }
 
-  #latency(): number {
-    return 1 + this.sim.random() * 6 + (this.sim.random() < 0.01 ? 300 * this.sim.random() : 0);
+  #latency(from: string, to: string): number {
+    let ms = 1 + this.sim.random() * 6 + (this.sim.random() < 0.01 ? 300 * this.sim.random() : 0);
+    for (const slow of this.#slow) if (slow.between(from, to)) ms += slow.ms * (0.5 + this.sim.random());
+    return ms;
   }
 
   /** Brings one message over; `deliver` may run late or never. */
   pass(from: string, to: string, deliver: () => void): void {
-    const how = this.#cuts.get(`${from}>${to}`);
+    const how = this.#cutOn(from, to);
     if (how === 'lose') return;
-    if (how === 'hold') this.#held.push({ way: `${from}>${to}`, deliver });
-    else this.sim.after(this.#latency(), deliver);
+    if (how === 'hold') this.#held.push({ from, to, deliver });
+    else this.sim.after(this.#latency(from, to), deliver);
   }
 
   http(from: string, alive: () => boolean): Http {
@@ -59,7 +93,7 @@
             if (answering && !over) {
               giveUp();
               over = true;
-              this.sim.after(this.#latency(), () => {
+              this.sim.after(this.#latency(addr, from), () => {
                 if (alive()) reject(new NoAnswer('refused'));
               });
             }
--- a/packages/testkit/src/worker.ts
+++ b/packages/testkit/src/worker.ts
@@ -42,6 +42,8 @@
   alive = true;
   /** Tasks end with an error shortly after their start. */
   sick = false;
+  /** Tasks take so many times as long. */
+  slowness = 1;
   readonly tasks = new Map<string, RunningTask>();
   readonly #images = new Set<string>();
   /** When the last answered report was sent, or the session began. */
@@ -106,6 +108,12 @@
     this.tasks.clear();
   }
 
+  /** The cloud will take the machine. */
+  notice(seconds: number): void {
+    this.noticeS = seconds;
+    this.#changed();
+  }
+
   #body(): Buffer {
     return encodeReport({
       machine: this.name,
@@ -222,7 +230,9 @@
       this.#changed();
       if (this.sick) t.cancelTimer = sim.after(300, () => this.#exit(t, 'error'));
       else if (job.kind === 'array') {
-        t.cancelTimer = sim.after(job.estimateS * 1000 * (0.5 + sim.random()), () => this.#exit(t, 'done'));
+        t.cancelTimer = sim.after(job.estimateS * 1000 * (0.5 + sim.random()) * this.slowness, () =>
+          this.#exit(t, 'done'),
+        );
       }
     });
   }
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -52,7 +52,7 @@
   readonly gpusMax?: number;
 }
 
-const ZONES = ['north', 'south', 'east'];
+export const ZONES: readonly string[] = ['north', 'south', 'east'];
 const TEAMS = ['red', 'blue'];
 const TYPE: MachineType = {
   name: 'box',
@@ -64,7 +64,7 @@
   price: 4,
   spotPrice: 1,
   bootS: 5,
-  zones: ZONES,
+  zones: [...ZONES],
 };
 interface Told {
   accepted: boolean;
@@ -75,6 +75,7 @@
 
 interface Node {
   readonly name: string;
+  readonly zone: string;
   readonly host: string;
   controller: Controller | null;
   link: SimLink | null;
@@ -142,6 +143,7 @@
     this.cancelMs = (options.cancelS ?? 20) * 1000;
     this.nodes = Array.from({ length: options.controllers ?? 3 }, (_, i) => ({
       name: `node-${i}`,
+      zone: ZONES[i % ZONES.length]!,
       host: `node-${i}:8080`,
       controller: null,
       link: null,
@@ -157,6 +159,12 @@
     return this.nodes.map((n) => n.name);
   }
 
+  /** The zone of a host on the network; null: it is regional. */
+  zoneOf(host: string): string | null {
+    const name = host.replace(/^peer:/, '').replace(/:\d+$/, '');
+    return this.workers.get(name)?.zone ?? this.nodes.find((n) => n.name === name)?.zone ?? null;
+  }
+
   job(id: string): JobSpec | undefined {
     return this.#specs.get(id);
   }
--- a/packages/testkit/test/rules.test.ts
+++ b/packages/testkit/test/rules.test.ts
@@ -5,13 +5,16 @@
 
 const seconds = (min: number, max: number): fc.Arbitrary<number> =>
   fc.integer({ min: min * 10, max: max * 10 }).map((n) => n * 100);
-const node = fc.integer({ min: 0, max: 2 });
+const node = fc.integer({ min: 0, max: 6 });
 const machine = fc.integer({ min: 0, max: 20 });
 
+const zone = fc.integer({ min: 0, max: 2 });
+const how = fc.constantFrom('hold' as const, 'lose' as const);
+
 const fault: fc.Arbitrary<Fault> = fc.oneof(
   fc.record({
     kind: fc.constant('crash' as const),
-    nodes: fc.uniqueArray(node, { minLength: 1, maxLength: 3 }),
+    nodes: fc.uniqueArray(node, { minLength: 1, maxLength: 7 }),
     backMs: fc.oneof(seconds(0.1, 1), seconds(2, 8)),
   }),
   fc.record({ kind: fc.constant('state outage' as const), forMs: seconds(1, 25) }),
@@ -20,14 +23,14 @@
     kind: fc.constant('node cut' as const),
     node,
     from: fc.constantFrom('state' as const, 'peers' as const, 'both' as const, 'workers' as const),
-    how: fc.constantFrom('hold' as const, 'lose' as const),
+    how,
     forMs: seconds(1, 45),
   }),
   fc.record({ kind: fc.constant('deaf machine' as const), machine, forMs: seconds(1, 30) }),
   fc.record({
     kind: fc.constant('mute machine' as const),
     machine,
-    how: fc.constantFrom('hold' as const, 'lose' as const),
+    how,
     forMs: seconds(1, 30),
   }),
   fc.record({
@@ -45,6 +48,42 @@
   fc.record({ kind: fc.constant('sick machine' as const), machine, forMs: seconds(5, 30) }),
   fc.record({ kind: fc.constant('cloud outage' as const), forMs: seconds(5, 30) }),
   fc.record({ kind: fc.constant('events forgotten' as const) }),
+  fc.record({ kind: fc.constant('rolling restarts' as const), everyMs: seconds(1, 10), backMs: seconds(0.2, 5) }),
+  fc.record({
+    kind: fc.constant('slow controller' as const),
+    node,
+    ms: fc.constantFrom(100, 400, 1500),
+    forMs: seconds(5, 30),
+  }),
+  fc.record({ kind: fc.constant('peers refused' as const), forMs: seconds(1, 40) }),
+  fc.record({
+    kind: fc.constant('slow state service' as const),
+    ms: fc.constantFrom(50, 300, 1200),
+    forMs: seconds(5, 40),
+  }),
+  fc.record({ kind: fc.constantFrom('zone cut' as const, 'zones apart' as const), zone, how, forMs: seconds(1, 60) }),
+  fc.record({
+    kind: fc.constant('spot wave' as const),
+    share: fc.constantFrom(0.3, 1),
+    noticeMs: fc.constantFrom(0, 3000),
+  }),
+  fc.record({
+    kind: fc.constant('slow machine' as const),
+    machine,
+    factor: fc.constantFrom(2, 6),
+    forMs: seconds(5, 40),
+  }),
+);
+
+/** Any number of controllers, and fleets from a few machines to several per controller. */
+const size = fc.record(
+  {
+    controllers: fc.integer({ min: 1, max: 7 }),
+    machines: fc.integer({ min: 3, max: 24 }),
+    capacity: fc.integer({ min: 3, max: 12 }),
+    load: fc.constantFrom(1, 2),
+  },
+  { noNullPrototype: true },
 );
 
 test('no rule is broken on a quiet day, and its work gets done', async () => {
@@ -60,9 +99,10 @@
   await fc.assert(
     fc.asyncProperty(
       fc.integer({ min: 1, max: 1_000_000 }),
+      size,
       fc.array(fc.record({ at: seconds(3, 60), fault }), { minLength: 1, maxLength: 6 }),
-      async (seed, faults) => {
-        const world = new World({ seed });
+      async (seed, size, faults) => {
+        const world = new World({ seed, ...size });
         await playDay(world, { seed, forMs: 200_000, faults });
         assert.deepEqual(world.breaches, []);
         assert.deepEqual(world.open(), []);
