--- a/packages/core/src/division.ts
+++ b/packages/core/src/division.ts
@@ -122,8 +122,6 @@
   const use = teamUse(jobs);
   const deals: Deal[] = [];
   const unmet: Unmet[] = [];
-  // Shapes of tasks for which there is no room left: rooms only shrink from here on, so nobody looks for them again.
-  const full = new Set<string>();
   for (const job of jobs.filter((j) => !j.cancelled).sort(jobOrder)) {
     const gaps = job.undealt();
     if (gaps.length === 0) continue;
@@ -137,14 +135,13 @@
     const cap = spreadCap(job);
     const rounds: Round[] = [];
     const meant: { machine: string; need: Amounts }[] = [];
-    const shape = shapeOf(job);
     let missing = 0;
     tasks: for (const [from, count] of gaps) {
       for (let index = from; index < from + count; index++) {
         if (job.isFinished(index)) continue;
         if (allowed <= 0) break tasks;
         const bin =
-          missing > 0 || full.has(shape)
+          missing > 0 || deals.length >= input.most
             ? undefined
             : pick(
                 job,
@@ -154,8 +151,6 @@
               );
         allowed--;
         if (bin === undefined) {
-          // With zones of its own to keep to, it says nothing of others.
-          if (!job.spec.spread && !job.spec.oneZone) full.add(shape);
           missing++;
           continue;
         }
@@ -169,9 +164,7 @@
       }
     }
     use.set(team.name, plus(use.get(team.name) ?? NOTHING, job.spec, rounds.length + missing));
-    // What has room but no place in this transaction any more comes with the next: it is not without room.
-    if (rounds.length > 0 && deals.length < input.most)
-      deals.push({ job, rounds: joinRounds([...job.rounds, ...rounds]), meant });
+    if (rounds.length > 0) deals.push({ job, rounds: joinRounds([...job.rounds, ...rounds]), meant });
     if (missing > 0) {
       const open = job.spec.spread ? input.facts.zones.filter((z) => (zones.get(z) ?? 0) < cap) : null;
       unmet.push({
@@ -184,10 +177,6 @@
   return { deals, unmet };
 }
 
-function shapeOf({ rank, spec }: Job): string {
-  return [rank, spec.cpus, spec.gpus, spec.memoryGb, spec.zone, spec.spot, ...(spec.types ?? [])].join();
-}
-
 function suits(job: Job, bin: Bin): boolean {
   return typeAllows(job.spec, bin.room.type, bin.room.zone, bin.room.spot);
 }
