--- a/packages/core/src/division.ts
+++ b/packages/core/src/division.ts
@@ -122,6 +122,8 @@
   const use = teamUse(jobs);
   const deals: Deal[] = [];
   const unmet: Unmet[] = [];
+  // Shapes of tasks for which there is no room left: rooms only shrink from here on, so nobody looks for them again.
+  const full = new Set<string>();
   for (const job of jobs.filter((j) => !j.cancelled).sort(jobOrder)) {
     const gaps = job.undealt();
     if (gaps.length === 0) continue;
@@ -135,13 +137,14 @@
     const cap = spreadCap(job);
     const rounds: Round[] = [];
     const meant: { machine: string; need: Amounts }[] = [];
+    const shape = shapeOf(job);
     let missing = 0;
     tasks: for (const [from, count] of gaps) {
       for (let index = from; index < from + count; index++) {
         if (job.isFinished(index)) continue;
         if (allowed <= 0) break tasks;
         const bin =
-          missing > 0 || deals.length >= input.most
+          missing > 0 || deals.length >= input.most || full.has(shape)
             ? undefined
             : pick(
                 job,
@@ -151,6 +154,8 @@
               );
         allowed--;
         if (bin === undefined) {
+          // With zones of its own to keep to, it says nothing of others.
+          if (deals.length < input.most && !job.spec.spread && !job.spec.oneZone) full.add(shape);
           missing++;
           continue;
         }
@@ -177,6 +182,10 @@
   return { deals, unmet };
 }
 
+function shapeOf({ rank, spec }: Job): string {
+  return [rank, spec.cpus, spec.gpus, spec.memoryGb, spec.zone, spec.spot, ...(spec.types ?? [])].join();
+}
+
 function suits(job: Job, bin: Bin): boolean {
   return typeAllows(job.spec, bin.room.type, bin.room.zone, bin.room.spot);
 }
