--- a/packages/core/src/ownership.ts
+++ b/packages/core/src/ownership.ts
@@ -46,11 +46,24 @@
   | { readonly kind: 'take'; readonly txn: Txn; readonly term: number; readonly movedAt: number }
   | { readonly kind: 'resume'; readonly txn: Txn };
 
-/** How long a state lease of a controller lasts without renewal. */
+/**
+ * How long a state lease of a controller lasts without renewal. Its workers have to find the next owner within their own
+ * lease, several tries included, and what waits in its parts waits for that long.
+ */
 export function stateLeaseMs(facts: Facts): number {
-  return facts.reportMs * 2.5;
+  return Math.min(facts.reportMs * 2.5, facts.leaseMs / 4);
 }
 
+/** What the controllers that come before this one for a slot are known to be, as intervals to leave to each. */
+export const TURN = {
+  /** It will see the slot free within a read. */
+  alive: 1 / 3,
+  /** It was there and has fallen silent. */
+  silent: 0,
+  /** Not heard of since our start: it may be starting, too. */
+  unknown: 1,
+} as const;
+
 export class Holding {
   state: HoldingState = 'away';
   term = 0;
@@ -67,8 +80,8 @@
     readonly slot: string,
     readonly facts: Facts,
     readonly me: Me,
-    /** Intervals to leave to controllers that come before us for this slot. */
-    readonly turn: number,
+    /** Report intervals to leave to the controllers that come before us for this slot, as things stand. */
+    readonly turn: () => number,
   ) {}
 
   get owned(): boolean {
@@ -112,7 +125,7 @@
     // A hold that names this controller is an earlier process's, and that one is dead: there is one at a time.
     const earlierSelf = view.hold?.record.node === this.me.node;
     if (view.hold !== null && !earlierSelf) return { kind: 'none' };
-    const wait = this.turn * this.facts.reportMs;
+    const wait = this.turn() * this.facts.reportMs;
     if (!earlierSelf && now - (this.#absentSince ?? now) < wait) return { kind: 'none' };
 
     const term = (view.term?.record ?? 0) + 1;
--- a/packages/core/test/ownership.test.ts
+++ b/packages/core/test/ownership.test.ts
@@ -68,7 +68,8 @@
       let process = 0;
       let nextLease = 1;
       const leases = new Map<number, number>();
-      const make = (n: number): Holding => new Holding('0', facts, { node: `n${n}`, process: `p${++process}` }, n);
+      const make = (n: number): Holding =>
+        new Holding('0', facts, { node: `n${n}`, process: `p${++process}` }, () => n);
       const nodes = [0, 1, 2].map((n) => ({ holding: make(n), n, oldView: store.view('0') }));
       for (const { n } of nodes) leases.set(n, nextLease++);
       const valid = (lease: number): boolean => [...leases.values()].includes(lease);
@@ -137,18 +138,18 @@
       ),
     );
   };
-  const first = new Holding('0', facts, { node: 'a', process: '1' }, 0);
+  const first = new Holding('0', facts, { node: 'a', process: '1' }, () => 0);
   take(first, 0);
   assert.equal(first.clearAt, 0);
-  const again = new Holding('0', facts, { node: 'a', process: '2' }, 0);
+  const again = new Holding('0', facts, { node: 'a', process: '2' }, () => 0);
   take(again, 1000);
   assert.ok(again.clearAt >= 1000 + facts.leaseMs && again.clearAt < 1000 + facts.cancelMs);
   store.dropLease(1);
-  const other = new Holding('0', facts, { node: 'b', process: '3' }, 0);
+  const other = new Holding('0', facts, { node: 'b', process: '3' }, () => 0);
   take(other, 2000);
   assert.ok(other.clearAt >= 2000 + facts.cancelMs);
   // Its restart does not shorten the wait that began with the takeover between controllers.
-  const otherAgain = new Holding('0', facts, { node: 'b', process: '4' }, 0);
+  const otherAgain = new Holding('0', facts, { node: 'b', process: '4' }, () => 0);
   take(otherAgain, 3000);
   assert.ok(otherAgain.clearAt >= 2000 + facts.cancelMs);
 });
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -22,6 +22,7 @@
   partOf,
   type PartSummary,
   stateLeaseMs,
+  TURN,
 } from '@gingerlock/core';
 import type { PeerLink, PeerMessage } from '@gingerlock/peer';
 import {
@@ -98,6 +99,8 @@
   readonly #seen = new Map<number, SeenSummary>();
   readonly #redirected = new Map<string, Redirected>();
   readonly #relays = new Map<number, Relaying>();
+  /** Controllers that this process has heard of. */
+  readonly #met = new Set<string>();
   readonly #peerContact = new Map<string, { ageMs: number; at: number }>();
   #leader: Leader | null = null;
   #lease: number | null = null;
@@ -272,11 +275,19 @@
     const nodes = [node, ...peers.map((p) => p.node)].sort();
     const mine = nodes.indexOf(node);
     const me = { node, process: this.process };
-    const turn = (home: number): number => (mine - home + nodes.length * parts) % nodes.length;
+    const turn = (home: number): number => {
+      let sum = 0;
+      for (let i = home % nodes.length; i !== mine; i = (i + 1) % nodes.length) {
+        const before = nodes[i]!;
+        if (this.link.alive(before)) sum += TURN.alive;
+        else sum += this.#met.has(before) ? TURN.silent : TURN.unknown;
+      }
+      return sum;
+    };
     for (let part = 0; part < parts; part++) {
-      this.#holdings.set(String(part), new Holding(String(part), facts, me, turn(part)));
+      this.#holdings.set(String(part), new Holding(String(part), facts, me, () => turn(part)));
     }
-    this.#holdings.set(LEAD, new Holding(LEAD, facts, me, turn(0) / 2));
+    this.#holdings.set(LEAD, new Holding(LEAD, facts, me, () => turn(0)));
   }
 
   async #take(holding: Holding, decision: Extract<Decision, { kind: 'take' | 'resume' }>): Promise<void> {
@@ -430,6 +441,7 @@
 
   #fromPeer(from: string, message: PeerMessage): void {
     const now = this.clock.now();
+    this.#met.add(from);
     switch (message.kind) {
       case 'Hello':
         // It may have just started: what we saw last of the parts tells it which images its machines have.
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -171,7 +171,7 @@
 
   // --- controllers -------------------------------------------------------------------------------------------------
 
-  #settings(node: string): unknown {
+  settings(node: string): unknown {
     const peers = this.nodes
       .filter((n) => n.name !== node)
       .map((n) => ({ node: n.name, area: 'north', address: `${n.name}:8081` }));
@@ -203,7 +203,7 @@
     const alive = (): boolean => node.link === link;
     node.link = link;
     const ports: ControllerPorts = {
-      settings: settingsOf(this.#settings(name), {}),
+      settings: settingsOf(this.settings(name), {}),
       clock: this.sim.clock(node.drift, (this.sim.random() - 0.5) * 200, alive),
       http: this.network.http(name, alive),
       link,
