--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -71,6 +71,9 @@
 /** A worker waits this long for an answer, says the protocol. */
 const WORKER_PATIENCE_MS = 4000;
 
+/** Of that, how much a report may wait for its part to get an owner: the answer has to get there in time. */
+const HOLD_SHARE = 0.7;
+
 interface Relaying {
   readonly resolve: (reply: Reply) => void;
 }
@@ -380,12 +383,39 @@
     }
   }
 
-  /** The worker belongs to a part of another controller. */
+  /**
+   * The worker belongs to a part of another controller, or of none now. Sent away without an owner's name it would try
+   * the next controller, which may be dead or cut off too: that costs it seconds of its lease at each. So its report waits
+   * here for as long as it waits itself, until the part has an owner that it can be sent to.
+   */
   async #sendOn(part: number, report: WorkerReport, body: Buffer): Promise<Reply> {
+    const until = this.clock.now() + WORKER_PATIENCE_MS * HOLD_SHARE;
+    for (;;) {
+      const before = this.#ownerOf(part);
+      const reply = await this.#pointTo(before, part, report, body);
+      if (reply.status !== 503) return reply;
+      do {
+        if (this.clock.now() >= until || this.#stopped) return reply;
+        await sleep(this.clock, this.settings.facts.reportMs / 10);
+        if (this.#owners.has(part)) return this.#answer(part, report);
+      } while (this.#ownerOf(part) === before);
+    }
+  }
+
+  /**
+   * Who owns the part, as far as we know; null: nobody now. What an owner says of itself may be newer than our replica:
+   * a controller without the state service still sends workers the right way.
+   */
+  #ownerOf(part: number): string | null {
+    const owner = this.store.owners.get(String(part));
+    const seen = this.#seen.get(part);
+    if (seen !== undefined && seen.summary.term > (owner?.record.term ?? 0)) return seen.owner;
+    return this.store.holds.has(String(part)) ? (owner?.record.node ?? null) : null;
+  }
+
+  async #pointTo(owner: string | null, part: number, report: WorkerReport, body: Buffer): Promise<Reply> {
     const { facts, node } = this.settings;
-    const owner = this.store.owners.get(String(part))?.record.node ?? null;
-    const held = this.store.holds.has(String(part));
-    if (owner === null || owner === node || !held) return refusal(503, 'part has no owner now');
+    if (owner === null || owner === node) return refusal(503, 'part has no owner now');
     const now = this.clock.now();
     const last = this.#redirected.get(report.machine);
     // Back within its lease after it was sent there, or the owner says that it has not heard it for a while: it can not
@@ -445,7 +475,7 @@
     switch (message.kind) {
       case 'Hello':
         // It may have just started: what we saw last of the parts tells it which images its machines have.
-        for (const { summary } of this.#seen.values()) this.link.send(from, summaryMessage(summary));
+        for (const { summary, owner } of this.#seen.values()) this.link.send(from, summaryMessage(summary, owner));
         return;
       case 'Alive':
         this.#peerContact.set(from, { ageMs: message.contactAgeMs, at: now });
@@ -463,10 +493,10 @@
         this.replica.hint(message.revision);
         return;
       case 'Summary': {
-        const { part, term, revision, machines, missing } = message;
+        const { owner, part, term, revision, machines, missing } = message;
         if (this.#owners.has(part) || term < (this.#seen.get(part)?.summary.term ?? 0)) return;
         const running = message.running.map((r) => [r.job, r.tasks] as const);
-        this.#seen.set(part, { summary: { part, term, revision, machines, missing, running }, at: now });
+        this.#seen.set(part, { summary: { part, term, revision, machines, missing, running }, at: now, owner });
         return;
       }
       case 'FleetOrders':
@@ -551,8 +581,8 @@
     if (forAll) this.#summaryToAllAt = now;
     for (const owner of this.#owners.values()) {
       const summary = owner.summary(now);
-      this.#seen.set(owner.part, { summary, at: now });
-      const message = summaryMessage(summary);
+      this.#seen.set(owner.part, { summary, at: now, owner: this.settings.node });
+      const message = summaryMessage(summary, this.settings.node);
       for (const node of this.link.nodes) if (forAll || node === lead) this.link.send(node, message);
     }
     this.#broadcast({ kind: 'Alive', contactAgeMs: this.#contactAgeMs(now), revision: this.replica.revision });
@@ -729,9 +759,10 @@
   }
 }
 
-function summaryMessage(summary: PartSummary): PeerMessage {
+function summaryMessage(summary: PartSummary, owner: string): PeerMessage {
   return {
     kind: 'Summary',
+    owner,
     part: summary.part,
     term: summary.term,
     revision: summary.revision,
--- a/packages/daemon/src/leader.ts
+++ b/packages/daemon/src/leader.ts
@@ -15,6 +15,7 @@
 export interface SeenSummary {
   readonly summary: PartSummary;
   readonly at: number;
+  readonly owner: string;
 }
 
 interface Meant {
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -3,7 +3,7 @@
 import avro from 'avsc';
 
 /** Raised with every change of the schema; controllers of different versions do not talk. */
-export const PEER_VERSION = 2;
+export const PEER_VERSION = 3;
 
 const record = (name: string, fields: Record<string, unknown>): object => ({
   type: 'record',
@@ -16,6 +16,7 @@
 const schema = [
   record('Hello', { version: 'int', node: 'string' }),
   record('Summary', {
+    owner: 'string',
     part: 'int',
     term: 'long',
     revision: 'long',
@@ -69,6 +70,7 @@
 export interface PeerMessages {
   Hello: { version: number; node: string };
   Summary: {
+    owner: string;
     part: number;
     term: number;
     revision: number;
--- a/packages/peer/test/link.test.ts
+++ b/packages/peer/test/link.test.ts
@@ -17,6 +17,7 @@
   { kind: 'Lend', writes: 3 },
   {
     kind: 'Summary',
+    owner: 'node-1',
     part: 1,
     term: 5,
     revision: 6,
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -85,7 +85,7 @@
 class SimLink implements PeerLink {
   readonly nodes: readonly string[];
   onMessage: (from: string, message: PeerMessage) => void = () => undefined;
-  readonly #heardAt = new Map<string, number>();
+  readonly #heard = new Map<string, { link: SimLink; at: number }>();
 
   constructor(
     readonly world: World,
@@ -95,7 +95,10 @@
   }
 
   alive(node: string): boolean {
-    return this.world.sim.now - (this.#heardAt.get(node) ?? -Infinity) < this.world.reportMs * 2;
+    const heard = this.#heard.get(node);
+    // The end of a process ends its connections.
+    if (heard === undefined || this.world.nodes.find((n) => n.name === node)!.link !== heard.link) return false;
+    return this.world.sim.now - heard.at < this.world.reportMs * 2;
   }
 
   send(node: string, message: PeerMessage): boolean {
@@ -106,7 +109,7 @@
     if (link === null) return false;
     this.world.network.pass(`peer:${this.node}`, `peer:${node}`, () => {
       if (to.link !== link) return;
-      link.#heardAt.set(this.node, this.world.sim.now);
+      link.#heard.set(this.node, { link: this, at: this.world.sim.now });
       link.onMessage(this.node, decodePeer(bytes));
     });
     return true;
--- a/packages/testkit/test/takeover.test.ts
+++ b/packages/testkit/test/takeover.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { settingsOf } from '@gingerlock/daemon';
-import { stateLeaseMs } from '@gingerlock/core';
+import { partOf, stateLeaseMs } from '@gingerlock/core';
 import { World } from '../src/index';
 
 /** Which controllers own each part now. */
@@ -32,3 +32,26 @@
     for (const [part, names] of after) assert.equal(names.length, 1, `part ${part}: ${names.join()}`);
   }
 });
+
+// A worker that was sent away from a part without an owner went on to the next controller, which could be dead or cut off
+// as well, and lost its lease, with all that ran there, after two of those.
+test('a report to a part whose owner has just died waits for the next owner and is sent there', async () => {
+  for (const seed of [1, 2, 3, 4]) {
+    const world = new World({ seed, controllers: 5, machines: 30 });
+    await world.sim.run(8000);
+    const worker = [...world.workers.values()][0]!;
+    world.crash(owners(world).get(partOf(worker.name, 5))![0]!);
+    await world.sim.run(world.sim.now + 300);
+    const asked = world.nodes.filter((n) => n.controller !== null)[seed - 1]!;
+    const askedAt = world.sim.now;
+    let answer: { status: number; afterMs: number } | null = null;
+    void asked.controller!.checkin(worker.inspect().body).then(({ status }) => {
+      answer = { status, afterMs: world.sim.now - askedAt };
+    });
+    await world.sim.run(askedAt + 4000);
+    // A worker drops answers after 4 s.
+    assert.ok(answer !== null, `${asked.name} did not answer`);
+    const { status } = answer as { status: number };
+    assert.ok(status === 200 || status === 421, `${asked.name} answered ${status}`);
+  }
+});
