--- a/packages/core/src/division.ts
+++ b/packages/core/src/division.ts
@@ -10,6 +10,8 @@
   readonly type: string;
   readonly zone: string;
   readonly spot: boolean;
+  /** What its worker called its session last: a new owner needs it to show its term. */
+  readonly session: number;
   /** Left after its claims and after the waiting tasks that the owner expects to bind here. */
   readonly free: Amounts;
   /** What stopping its claims of each rank would free, by rank. */
--- a/packages/core/test/fleet.test.ts
+++ b/packages/core/test/fleet.test.ts
@@ -38,6 +38,7 @@
     type: 'box',
     zone: 'a',
     spot: false,
+    session: 1,
     free: { cpus: 8, gpus: 4, memoryGb: 32 },
     byRank: [NOTHING, NOTHING, NOTHING, NOTHING],
     images: [],
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -326,8 +326,8 @@
       this.#leader = new Leader(this.shared, holding, () => [...this.#seen.values()], this.#http);
     } else {
       const before = this.#seen.get(Number(slot))?.summary.machines ?? [];
-      const images = new Map(before.map((m) => [m.name, m.images] as const));
-      this.#owners.set(Number(slot), new PartOwner(this.shared, Number(slot), holding, images));
+      const rooms = new Map(before.map((m) => [m.name, m] as const));
+      this.#owners.set(Number(slot), new PartOwner(this.shared, Number(slot), holding, rooms));
     }
   }
 
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -36,6 +36,9 @@
   readonly failed?: () => void;
 }
 
+/** How many machines are shown a new owner's term at each tick: all at once would hold up everything else. */
+const CALLS_PER_TICK = 8;
+
 /** One part that this controller owns: its claim book, and the writes that follow from it. */
 export class PartOwner {
   readonly book: PartBook;
@@ -46,15 +49,20 @@
   #packedAt = -Infinity;
   #packedChange = -1;
   readonly #rosterRemovals = new Set<string>();
-  #calledAt: number;
+  /** Machines of the roster that are to be shown our term, and when the last round of that began. */
+  #toCall: string[] = [];
+  #calledAt = -Infinity;
+  /** By machine: what an earlier owner told of it. Good for the first call only. */
+  #before: ReadonlyMap<string, MachineRoom>;
 
   constructor(
     readonly shared: Shared,
     readonly part: number,
     readonly holding: Holding,
-    images: ReadonlyMap<string, readonly string[]>,
+    before: ReadonlyMap<string, MachineRoom>,
   ) {
     const { store, facts, clock, log } = shared;
+    this.#before = before;
     this.book = new PartBook({
       facts,
       part,
@@ -63,12 +71,10 @@
       jobs: store.jobs,
       types: () => store.types,
       roster: store.roster(part),
-      images,
+      images: new Map([...before].map(([name, m]) => [name, m.images])),
       log: (message, detail) => log.debug({ part, ...detail }, message),
     });
-    const now = clock.now();
-    this.#calledAt = now;
-    for (const id of store.jobs.live.keys()) this.book.syncJob(id, now);
+    for (const id of store.jobs.live.keys()) this.book.syncJob(id, clock.now());
   }
 
   jobChanged(id: string): void {
@@ -77,9 +83,15 @@
 
   tick(now: number): void {
     for (const name of this.book.tick(now)) this.#rosterRemovals.add(name);
-    if (this.book.unheard.size > 0 && now - this.#calledAt > this.shared.facts.reportMs) {
+    if (now - this.#calledAt > this.shared.facts.reportMs) {
+      const first = this.#calledAt === -Infinity;
       this.#calledAt = now;
-      for (const [name, addr] of this.book.unheard) void this.#call(name, addr);
+      this.#toCall = [...this.book.unheard.keys()];
+      if (!first) this.#before = new Map();
+    }
+    for (const name of this.#toCall.splice(0, CALLS_PER_TICK)) {
+      const addr = this.book.unheard.get(name);
+      if (addr !== undefined) void this.#call(name, addr, this.#before.get(name)?.session);
     }
     if (now - this.#scannedAt > this.shared.scanMs) {
       this.#scannedAt = now;
@@ -151,11 +163,10 @@
    * an old owner that still answers it steps down. Neither answer is taken as proof of anything: it can overtake a start
    * that is under way.
    */
-  async #call(name: string, addr: string): Promise<void> {
+  async #call(name: string, addr: string, known: number | undefined): Promise<void> {
     const { http, facts, log } = this.shared;
     try {
-      const inspected = await http(addr, 'GET', '/inspect', null, facts.reportMs);
-      const { session } = decodeReport(inspected.body);
+      const session = known ?? decodeReport((await http(addr, 'GET', '/inspect', null, facts.reportMs)).body).session;
       await http(
         addr,
         'POST',
@@ -307,6 +318,7 @@
         type: m.type,
         zone: m.zone,
         spot: m.spot,
+        session: m.session,
         free: this.#rooms.get(m) ?? NOTHING,
         byRank,
         images: [...m.cache.keys()],
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -3,7 +3,7 @@
 import avro from 'avsc';
 
 /** Raised with every change of the schema; controllers of different versions do not talk. */
-export const PEER_VERSION = 3;
+export const PEER_VERSION = 4;
 
 const record = (name: string, fields: Record<string, unknown>): object => ({
   type: 'record',
@@ -27,6 +27,7 @@
         type: 'string',
         zone: 'string',
         spot: 'boolean',
+        session: 'long',
         free: amounts,
         byRank: { type: 'array', items: 'Amounts' },
         images: { type: 'array', items: 'string' },
@@ -79,6 +80,7 @@
       type: string;
       zone: string;
       spot: boolean;
+      session: number;
       free: PeerAmounts;
       byRank: PeerAmounts[];
       images: string[];
--- a/packages/peer/test/link.test.ts
+++ b/packages/peer/test/link.test.ts
@@ -27,6 +27,7 @@
         type: 't',
         zone: 'z',
         spot: true,
+        session: 3,
         free: amounts,
         byRank: [amounts, amounts],
         images: ['i'],
