--- a/packages/core/src/ownership.ts
+++ b/packages/core/src/ownership.ts
@@ -8,14 +8,16 @@
  * taking:   a takeover is on its way; its outcome is not known yet.
  * held:     ours.
  * resuming: ours, our state lease had lapsed, and the hold is being put back under the same term.
+ * releasing: given up for the controller that it belongs to. Nobody is answered any more, whatever comes of the write.
  */
-export type HoldingState = 'away' | 'taking' | 'held' | 'resuming';
+export type HoldingState = 'away' | 'taking' | 'held' | 'resuming' | 'releasing';
 
 const MOVES: Record<HoldingState, readonly HoldingState[]> = {
   away: ['taking'],
   taking: ['held', 'away'],
-  held: ['away', 'resuming'],
+  held: ['away', 'resuming', 'releasing'],
   resuming: ['held', 'away'],
+  releasing: ['away'],
 };
 
 export interface Versioned<T> {
@@ -99,7 +101,7 @@
     if (view.hold !== null) this.#absentSince = null;
     else this.#absentSince ??= now;
 
-    if (this.state === 'taking' || this.state === 'resuming') return { kind: 'none' };
+    if (this.state !== 'held' && this.state !== 'away') return { kind: 'none' };
     if (this.state === 'held') {
       if (view.owner === null || view.owner.version !== this.version) {
         this.#move('away');
@@ -130,13 +132,11 @@
 
     const term = (view.term?.record ?? 0) + 1;
     const previous = view.owner?.record ?? null;
-    // The time of the last takeover between controllers outlives our own restarts.
-    this.#movedAt =
-      previous === null
-        ? 0
-        : previous.node === this.me.node && view.hold?.record.process !== this.me.process
-          ? previous.movedAt
-          : wallNow;
+    // The time of the last takeover between controllers outlives our own restarts. An earlier process of ours is dead,
+    // and an owner that has released the slot answers nobody: either leaves leases that run out by themselves.
+    const ownRestart = previous?.node === this.me.node && view.hold?.record.process !== this.me.process;
+    if (previous === null) this.#movedAt = 0;
+    else this.#movedAt = ownRestart || previous.released ? previous.movedAt : wallNow;
     this.#takeSentAt = now;
     this.term = term;
     this.#move('taking');
@@ -154,7 +154,7 @@
           { put: KEYS.term, value: termRecord.write(term) },
           {
             put: KEYS.owner(this.slot),
-            value: ownerRecord.write({ term, node: this.me.node, movedAt: this.#movedAt }),
+            value: ownerRecord.write({ term, node: this.me.node, movedAt: this.#movedAt, released: false }),
           },
           { put: KEYS.hold(this.slot), value: holdRecord.write(this.me), lease },
         ],
@@ -198,6 +198,30 @@
     if (this.state === 'resuming') this.#move('held');
   }
 
+  /**
+   * Gives the slot up for the controller that it belongs to: from here on nobody is answered, so the next owner has to
+   * wait for no more than one worker lease. Null: not now.
+   */
+  release(view: SlotView): Txn | null {
+    if (this.state !== 'held' || view.owner?.version !== this.version || view.hold === null) return null;
+    this.#move('releasing');
+    return {
+      conditions: [
+        { key: KEYS.owner(this.slot), version: this.version },
+        { key: KEYS.hold(this.slot), version: view.hold.version },
+      ],
+      changes: [
+        { put: KEYS.owner(this.slot), value: ownerRecord.write({ ...view.owner.record, released: true }) },
+        { remove: KEYS.hold(this.slot) },
+      ],
+    };
+  }
+
+  /** The outcome of the release is known, or we no longer care. */
+  released(): void {
+    if (this.state === 'releasing') this.#move('away');
+  }
+
   /** Somebody else is known to own the slot. */
   stepDown(): void {
     if (this.owned) this.#move('away');
--- a/packages/core/test/ownership.test.ts
+++ b/packages/core/test/ownership.test.ts
@@ -56,7 +56,7 @@
   const step = fc.record(
     {
       node: fc.integer({ min: 0, max: 2 }),
-      what: fc.constantFrom('decide', 'decide', 'decide', 'restart', 'lose lease', 'late', 'stale'),
+      what: fc.constantFrom('decide', 'decide', 'decide', 'restart', 'lose lease', 'late', 'stale', 'release'),
       after: fc.integer({ min: 1, max: 4000 }),
     },
     { noNullPrototype: true },
@@ -95,6 +95,16 @@
           if (held !== undefined) store.run(held.txn, valid);
           continue;
         }
+        if (s.what === 'release') {
+          const txn = node.holding.release(store.view('0'));
+          if (txn === null) continue;
+          assert.ok(!node.holding.owned);
+          // Sent twice, or so late that it comes after all else.
+          late.push({ txn, lease: leases.get(node.n)! });
+          if (s.after % 2 === 0) store.run(txn, valid);
+          node.holding.released();
+          continue;
+        }
         const view = s.what === 'stale' ? node.oldView : store.view('0');
         node.oldView = store.view('0');
         const had = view.owner !== null;
@@ -153,3 +163,30 @@
   take(otherAgain, 3000);
   assert.ok(otherAgain.clearAt >= 2000 + facts.cancelMs);
 });
+
+test('a slot that was given back is cleared after a worker lease, but not before the takeover that preceded it', () => {
+  const store = new Store();
+  const take = (node: string, lease: number, now: number): Holding => {
+    const holding = new Holding('0', facts, { node, process: `${node}${now}` }, () => 0);
+    const had = store.view('0').owner !== null;
+    const decision = holding.decide(store.view('0'), lease, now, 1e12 + now);
+    assert.ok(decision.kind === 'take');
+    const version = store.run(decision.txn, () => true);
+    assert.ok(holding.taken(version, had, now, 1e12 + now));
+    return holding;
+  };
+  const giveBack = (holding: Holding): void => {
+    assert.ok(store.run(holding.release(store.view('0'))!, () => true) > 0);
+    assert.equal(holding.owned, false);
+    assert.equal(holding.release(store.view('0')), null);
+  };
+  giveBack(take('a', 1, 0));
+  const second = take('b', 2, 1000);
+  assert.ok(second.clearAt >= 1000 + facts.leaseMs && second.clearAt < 1000 + facts.cancelMs);
+  store.dropLease(2);
+  const third = take('c', 3, 2000);
+  assert.ok(third.clearAt >= 2000 + facts.cancelMs);
+  giveBack(third);
+  // The one before the last may have gone on until then.
+  assert.ok(take('a', 1, 3000).clearAt >= 2000 + facts.cancelMs);
+});
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -23,6 +23,7 @@
   type PartSummary,
   stateLeaseMs,
   TURN,
+  type Txn,
 } from '@gingerlock/core';
 import type { PeerLink, PeerMessage } from '@gingerlock/peer';
 import {
@@ -102,8 +103,9 @@
   readonly #seen = new Map<number, SeenSummary>();
   readonly #redirected = new Map<string, Redirected>();
   readonly #relays = new Map<number, Relaying>();
-  /** Controllers that this process has heard of. */
-  readonly #met = new Set<string>();
+  /** Controllers that this process has heard of, and since when without a gap; null: silent now. */
+  readonly #met = new Map<string, number | null>();
+  #releasedAt = -Infinity;
   readonly #peerContact = new Map<string, { ageMs: number; at: number }>();
   #leader: Leader | null = null;
   #lease: number | null = null;
@@ -210,7 +212,9 @@
 
   #tick(): void {
     const now = this.clock.now();
+    for (const node of this.#met.keys()) if (!this.link.alive(node)) this.#met.set(node, null);
     for (const owner of this.#owners.values()) owner.tick(now);
+    this.#releaseOne(now);
     this.#summarise(now);
     this.#leader?.tick();
     this.#askPeers(now);
@@ -273,9 +277,45 @@
     this.shared.announce(result.revision);
   }
 
+  /** All controllers, in the order in which parts have their homes. */
+  #nodes(): string[] {
+    const { node, peers } = this.settings;
+    return [node, ...peers.map((p) => p.node)].sort();
+  }
+
+  /**
+   * Gives a part that was taken over back to its home, once that is well again: after rolling restarts one controller
+   * owned most of the fleet, and its end cost the most. One at a time, and not while anything is wrong: workers of the
+   * part have to find their new owner.
+   */
+  #releaseOne(now: number): void {
+    const { leaseMs, reportMs } = this.settings.facts;
+    if (now - this.#releasedAt < leaseMs || !this.shared.fresh() || this.replica.failures > 0) return;
+    const nodes = this.#nodes();
+    for (const { part, holding, book } of this.#owners.values()) {
+      const home = nodes[part % nodes.length]!;
+      if (home === this.settings.node || holding.state !== 'held' || !book.cleared) continue;
+      if (now - holding.takenAt < leaseMs || now - (this.#met.get(home) ?? now) < leaseMs) continue;
+      const contact = this.#peerContact.get(home);
+      if (contact === undefined || now - contact.at > reportMs || contact.ageMs > reportMs) continue;
+      const txn = holding.release(this.store.view(holding.slot));
+      if (txn === null) continue;
+      this.#releasedAt = now;
+      this.#released(holding);
+      void this.#settleRelease(holding, txn);
+      return;
+    }
+  }
+
+  async #settleRelease(holding: Holding, { conditions, changes }: Txn): Promise<void> {
+    const revision = await this.shared.settle(URGENCY.renew, conditions, changes, () => !this.#stopped);
+    holding.released();
+    this.log.info({ slot: holding.slot, term: holding.term, done: revision > 0 }, 'given back');
+  }
+
   #openHoldings(parts: number): void {
-    const { node, peers, facts } = this.settings;
-    const nodes = [node, ...peers.map((p) => p.node)].sort();
+    const { node, facts } = this.settings;
+    const nodes = this.#nodes();
     const mine = nodes.indexOf(node);
     const me = { node, process: this.process };
     const turn = (home: number): number => {
@@ -471,7 +511,7 @@
 
   #fromPeer(from: string, message: PeerMessage): void {
     const now = this.clock.now();
-    this.#met.add(from);
+    if ((this.#met.get(from) ?? null) === null) this.#met.set(from, now);
     switch (message.kind) {
       case 'Hello':
         // It may have just started: what we saw last of the parts tells it which images its machines have.
--- a/packages/testkit/test/takeover.test.ts
+++ b/packages/testkit/test/takeover.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { settingsOf } from '@gingerlock/daemon';
 import { partOf, stateLeaseMs } from '@gingerlock/core';
-import { World } from '../src/index';
+import { playDay, World } from '../src/index';
 
 /** Which controllers own each part now. */
 function owners(world: World): Map<number, string[]> {
@@ -58,3 +58,27 @@
     assert.ok(status === 200 || status === 421, `${asked.name} answered ${status}`);
   }
 });
+
+// Parts stayed with whoever took them over: after rolling restarts one controller owned most of the fleet.
+test('parts go back to their homes once those are well, and no worker loses its lease over it', async () => {
+  const world = new World({ seed: 3, controllers: 5, machines: 15, load: 1 });
+  const day = playDay(world, { seed: 3, forMs: 120_000, faults: [] });
+  for (const name of ['node-1', 'node-3']) {
+    world.sim.after(15_000, () => world.crash(name));
+    world.sim.after(20_000, () => world.startNode(name));
+  }
+  let moved = new Map<number, string[]>();
+  world.sim.after(19_000, () => {
+    moved = owners(world);
+  });
+  const sessions = new Map<string, number>();
+  world.sim.after(25_000, () => {
+    for (const [name, w] of world.workers) sessions.set(name, w.session);
+  });
+  await day;
+  assert.ok([...moved.values()].flat().every((name) => name !== 'node-1' && name !== 'node-3'));
+  assert.deepEqual([...owners(world).values()].flat().sort(), world.controllers);
+  for (const [name, w] of world.workers) if (sessions.has(name)) assert.equal(w.session, sessions.get(name), name);
+  assert.ok(sessions.size > 0);
+  assert.deepEqual(world.breaches, []);
+});
--- a/packages/wire/src/records.ts
+++ b/packages/wire/src/records.ts
@@ -83,16 +83,25 @@
 export interface OwnerRecord {
   readonly term: number;
   readonly node: string;
-  /** Time of day (ms) of the last takeover from another controller; 0 if there never was one. */
+  /** Time of day (ms) of the last takeover from another controller that may have gone on; 0 if there never was one. */
   readonly movedAt: number;
+  /** Given back: this owner has answered nobody since before this was written. */
+  readonly released: boolean;
 }
 
-const checkOwner = checker(Type.Object({ t: Type.Integer({ minimum: 1 }), n: Type.String(), at: Type.Number() }));
+const checkOwner = checker(
+  Type.Object({
+    t: Type.Integer({ minimum: 1 }),
+    n: Type.String(),
+    at: Type.Number(),
+    r: Type.Optional(Type.Integer()),
+  }),
+);
 export const ownerRecord = {
-  write: (o: OwnerRecord): unknown => ({ t: o.term, n: o.node, at: o.movedAt }),
+  write: (o: OwnerRecord): unknown => ({ t: o.term, n: o.node, at: o.movedAt, ...(o.released ? { r: 1 } : {}) }),
   read: (value: unknown): OwnerRecord => {
     const o = checkOwner(value);
-    return { term: o.t, node: o.n, movedAt: o.at };
+    return { term: o.t, node: o.n, movedAt: o.at, released: o.r === 1 };
   },
 };
 
