--- a/packages/core/src/division.ts
+++ b/packages/core/src/division.ts
@@ -2,7 +2,7 @@
 import { type MachineType, PRIORITIES, type Round } from '@gingerlock/wire';
 import { type Amounts, type Facts, fits, limitAllows, NOTHING, plus, typeAllows } from './facts';
 import { type Job, joinRounds } from './jobs';
-import { fetchMs, SERVICE_VICTIM_MS } from './placement';
+import { fetchMs, SERVICE_VICTIM_MS, STOP_MS } from './placement';
 
 /** What a part's owner says of one machine. */
 export interface MachineRoom {
@@ -235,7 +235,7 @@
       for (; rank > job.rank && !fits(job.spec, room); rank--) room = plus(room, bin.byRank[rank]!);
       if (!fits(job.spec, room)) continue;
       // By preemption: as an owner reckons it.
-      c += input.facts.reportMs * 1.5;
+      c += STOP_MS + input.facts.reportMs / 2;
       // Work that is urgent itself goes only when there is no other room.
       if (rank < URGENT) c += SERVICE_VICTIM_MS;
     }
--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -30,6 +30,12 @@
   readonly victims: readonly Slot[];
 }
 
+/**
+ * How long it takes until what was stopped on a machine is known to be gone: stops go to the worker directly, and it
+ * reports a change at once, but not more often than every half second, says the protocol.
+ */
+export const STOP_MS = 500;
+
 /** Stopping a replica counts like this much waiting: more than any fetch. */
 export const SERVICE_VICTIM_MS = 120_000;
 
@@ -61,9 +67,9 @@
       const found = leastVictims(machine, slot, room, doomed);
       if (found === null) continue;
       victims = found;
-      // One report to say that they have stopped, and their lost work. A replica that is stopped is missed at once, so
-      // that is for when there is no other room at all.
-      ms += reportMs * (1 + victims.length / 2);
+      // Until they have stopped, and their lost work. A replica that is stopped is missed at once, so that is for when
+      // there is no other room at all.
+      ms += STOP_MS + reportMs * (victims.length / 2);
       for (const v of victims) if (v.job.spec.kind === 'service') ms += SERVICE_VICTIM_MS;
     }
     const cost = ms + (reportMs / 10) * tightness(room, type);
