--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -824,10 +824,16 @@
     return byJob;
   }
 
-  /** What the services' tasks add up to that no machine has reported though it should have. */
+  /**
+   * What the services' tasks add up to that no machine has reported though it should have. While most machines of the
+   * part have yet to find their new owner, that says nothing of any of them: a new leader once asked for 44 machines.
+   */
   missing(now: number): Amounts {
     let sum = NOTHING;
     if (this.#cleared) return sum;
+    let settled = 0;
+    for (const m of this.machines.values()) if (m.settled) settled++;
+    if (this.unheard.size > settled) return sum;
     for (const slots of this.slots.values()) {
       for (const slot of slots.values()) {
         if (slot.state !== 'uncertain' || slot.job.spec.kind !== 'service' || slot.job.cancelled) continue;
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -309,23 +309,6 @@
         bins.at(-1)!.free = plus(bins.at(-1)!.free, need, -1);
       }
     }
-    // Likewise for what a new owner is still waiting to hear of.
-    for (const { missing } of input.summaries) {
-      for (let need = missing; need.cpus > 0.01 || need.gpus > 0.01;) {
-        const helps = (a: Amounts): boolean => (need.gpus > 0.01 ? a.gpus > 0.01 : a.cpus > 0.01);
-        const block = bins.find((b) => !b.spot && !silent(b.zone) && helps(b.free));
-        if (block === undefined) {
-          const ordinary = (t: MachineType, zone: string, spot: boolean): boolean =>
-            !spot && helps(t) && open(t.name, zone, spot) && belowLimit(spot);
-          if (this.#add(bins, perZone, ordinary, types) === null) break;
-          count.ordinary++;
-          continue;
-        }
-        const part = least(need, block.free);
-        need = plus(need, part, -1);
-        block.free = plus(block.free, part, -1);
-      }
-    }
     for (const { job, count, zones } of input.unmet) {
       for (let i = 0; i < count; i++) {
         const bin = bins.find(
@@ -338,11 +321,13 @@
         else if (!request(job.spec, zones)) break;
       }
     }
-    // Room for what comes next, on top of what is asked for now: a boot takes longer than most aims allow.
+    // Room for what comes next, on top of what is asked for now, and for what new owners are still waiting to hear of: a
+    // boot takes longer than most aims allow.
     let free = 0;
     for (const m of rooms.values()) if (!m.spot && m.takesWork) free += roomForServices(m);
     for (const b of bins) if (!b.spot) free += b.free.gpus;
-    for (const target = this.#headroom(input, rooms); free < target;) {
+    const missing = input.summaries.reduce((sum, s) => sum + s.missing.gpus, 0);
+    for (const target = this.#headroom(input, rooms) + missing; free < target;) {
       const ordinary = (t: MachineType, zone: string, spot: boolean): boolean =>
         !spot && open(t.name, zone, spot) && belowLimit(spot);
       const type = this.#add(bins, perZone, ordinary, types);
@@ -506,14 +491,6 @@
   return m.byRank.reduce((sum, a, rank) => sum + (rank >= BATCH_RANK ? a.gpus : 0), m.free.gpus);
 }
 
-function least(a: Amounts, b: Amounts): Amounts {
-  return {
-    cpus: Math.min(a.cpus, b.cpus),
-    gpus: Math.min(a.gpus, b.gpus),
-    memoryGb: Math.min(a.memoryGb, b.memoryGb),
-  };
-}
-
 function place(type: string, zone: string, spot: boolean): string {
   return `${type}/${zone}/${spot ? 'spot' : 'ordinary'}`;
 }
--- /dev/null
+++ b/packages/core/test/claims.test.ts
@@ -0,0 +1,94 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { jobRecord, type JobSpec, type MachineType, type WorkerReport } from '@gingerlock/wire';
+import { CALLS_PER_TERM, type Facts, JobTable, PartBook } from '../src/index';
+
+const facts: Facts = {
+  controllers: 1,
+  zones: ['a'],
+  teams: new Map(),
+  reportMs: 1000,
+  leaseMs: 6000,
+  cancelMs: 20_000,
+  skewMs: 100,
+  listLagMs: 2000,
+};
+const type: MachineType = {
+  name: 'box',
+  cpus: 16,
+  gpus: 4,
+  memoryGb: 64,
+  cacheGb: 100,
+  fetchGbPerS: 10,
+  price: 4,
+  spotPrice: 1,
+  bootS: 5,
+  zones: ['a'],
+};
+const spec: JobSpec = {
+  id: 'j-000001',
+  jobClass: 'service',
+  team: 'red',
+  kind: 'service',
+  priority: 'high',
+  tasks: 4,
+  cpus: 2,
+  gpus: 1,
+  memoryGb: 8,
+  image: 'img',
+  imageGb: 30,
+  types: null,
+  zone: null,
+  oneZone: false,
+  spread: false,
+  spot: false,
+  estimateS: 0,
+  checkpointS: 0,
+  saveS: 0,
+  deadlineS: null,
+};
+
+/** The book of a new owner: four tasks were dealt before its time, and three machines may hold them. */
+function taken(): PartBook {
+  const jobs = new JobTable(() => 64);
+  const rounds = [{ from: 0, count: 4, part: 0, zone: null, term: 1 }];
+  jobs.applyJob(spec.id, jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, rounds }), 5);
+  const book = new PartBook({
+    facts,
+    part: 0,
+    term: 2,
+    clearAt: 20_000,
+    jobs,
+    types: () => new Map([[type.name, type]]),
+    roster: ['m-1', 'm-2', 'm-3'].map((name) => [name, `${name}:1`] as const),
+  });
+  book.syncJob(spec.id, 0);
+  return book;
+}
+
+function report(machine: string, seq: number, token: number): WorkerReport {
+  return {
+    machine,
+    addr: `${machine}:1`,
+    type: type.name,
+    zone: 'a',
+    spot: false,
+    session: 1,
+    seq,
+    token,
+    noticeS: null,
+    tasks: [],
+  };
+}
+
+test('tasks that no machine has reported count as missing once most machines of the part were heard', () => {
+  const book = taken();
+  assert.equal(book.missing(3500).gpus, 0);
+  for (const name of ['m-1', 'm-2']) {
+    // The first answer shows it our term; the next report proves that it knows it.
+    book.report(report(name, 1, CALLS_PER_TERM), 3500, true);
+    assert.equal(book.missing(3600).gpus, 0);
+    book.report(report(name, 2, 2 * CALLS_PER_TERM), 3700, true);
+  }
+  assert.equal(book.missing(3800).gpus, 4);
+});
