--- /dev/null
+++ b/packages/core/test/division.test.ts
@@ -0,0 +1,108 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { jobRecord, type JobSpec, type MachineType } from '@gingerlock/wire';
+import { divide, type Facts, JobTable, type MachineRoom, NOTHING, type PartSummary } from '../src/index';
+
+const ZONES = ['a', 'b', 'c'];
+const team = { name: 'red', cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 };
+const facts: Facts = {
+  controllers: 5,
+  zones: ZONES,
+  teams: new Map([[team.name, team]]),
+  reportMs: 1000,
+  leaseMs: 6000,
+  cancelMs: 20_000,
+  skewMs: 100,
+  listLagMs: 2000,
+};
+const type: MachineType = {
+  name: 'box',
+  cpus: 48,
+  gpus: 8,
+  memoryGb: 192,
+  cacheGb: 100,
+  fetchGbPerS: 10,
+  price: 4,
+  spotPrice: 1,
+  bootS: 5,
+  zones: ZONES,
+};
+
+/** A division of so many waiting jobs among so many machines; how often a machine was looked at. */
+function looks(machines: number, jobs: number, freeGpus: number): { looks: number; dealt: number; unmet: number } {
+  let n = 0;
+  const rooms = Array.from({ length: machines }, (_, i): MachineRoom => {
+    const room: MachineRoom = {
+      name: `m-${i}`,
+      type: type.name,
+      zone: ZONES[i % 3]!,
+      spot: false,
+      session: 1,
+      free: { cpus: 48, gpus: freeGpus, memoryGb: 192 },
+      byRank: [NOTHING, NOTHING, NOTHING, NOTHING],
+      images: [],
+      takesWork: true,
+      draining: false,
+      noticed: false,
+      sick: false,
+      empty: false,
+      emptyMs: 0,
+      silentMs: 0,
+    };
+    return new Proxy(room, {
+      get(target, property) {
+        if (property === 'zone') n++;
+        return Reflect.get(target, property) as unknown;
+      },
+    });
+  });
+  const table = new JobTable(() => 64);
+  for (let i = 0; i < jobs; i++) {
+    const spec: JobSpec = {
+      id: `j-${i}`,
+      jobClass: 'batch',
+      team: team.name,
+      kind: 'array',
+      priority: 'normal',
+      tasks: 4,
+      cpus: 2,
+      gpus: 1,
+      memoryGb: 8,
+      image: `img-${i % 7}`,
+      imageGb: 30,
+      types: null,
+      zone: null,
+      oneZone: false,
+      spread: false,
+      spot: false,
+      estimateS: 1,
+      checkpointS: 0,
+      saveS: 0,
+      deadlineS: null,
+    };
+    const record = { final: null, spec, acceptedAt: i, cancelled: false, rounds: [] };
+    table.applyJob(spec.id, jobRecord.write(record), i + 1);
+  }
+  const summary: PartSummary = { part: 0, term: 1, revision: 0, machines: rooms, missing: NOTHING, running: [] };
+  const { deals, unmet } = divide({
+    jobs: table.live.values(),
+    summaries: [summary],
+    recent: [],
+    facts,
+    types: new Map([[type.name, type]]),
+    most: 12,
+  });
+  return { looks: n, dealt: deals.length, unmet: unmet.length };
+}
+
+// A leader with no room left once looked through all machines for every waiting task, at every deal.
+test('one division looks at machines no more often than in step with how many there are, however many jobs wait', () => {
+  const small = looks(50, 100, 8);
+  assert.equal(small.dealt, 12);
+  assert.ok(looks(100, 100, 8).looks <= small.looks * 2.1);
+  assert.ok(looks(50, 400, 8).looks <= small.looks * 1.1);
+  const full = looks(50, 100, 0);
+  assert.equal(full.unmet, 100);
+  assert.ok(looks(100, 100, 0).looks <= full.looks * 2.1);
+  assert.ok(looks(50, 400, 0).looks <= full.looks * 1.1);
+});
--- a/packages/testkit/src/state-service.ts
+++ b/packages/testkit/src/state-service.ts
@@ -32,6 +32,9 @@
   /** Limits that a request breaks are counted, not enforced. */
   largestTxn = 0;
   largestValue = 0;
+  /** All that was asked for, by anybody. */
+  requests = 0;
+  changes = 0;
   #events: StateEvent[] = [];
   #dropped = 0;
   #leases = new Map<number, { ttlMs: number; until: number }>();
@@ -75,6 +78,7 @@
 
   handle(method: string, path: string, body: Buffer): HttpAnswer {
     const answer = (status: number, map: unknown): HttpAnswer => ({ status, body: encode(map) });
+    this.requests++;
     if (this.outage || this.sim.random() < this.refuse) return answer(503, { error: 'trouble' });
     const request = parseStateRequest(method, path);
     switch (request?.kind) {
@@ -82,6 +86,7 @@
         return answer(400, { error: 'malformed' });
       case 'txn': {
         const { conditions, changes } = txnRequestOf(decode(body));
+        this.changes += changes.length;
         this.largestTxn = Math.max(this.largestTxn, changes.length);
         for (const c of changes) {
           if ('put' in c && c.lease !== undefined && !this.#leases.has(c.lease))
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -107,6 +107,8 @@
     const { link } = to;
     // A connection ends with its process: nothing goes over from one process to the next.
     if (link === null) return false;
+    this.world.peerBytes += bytes.length;
+    this.world.peerMessages++;
     this.world.network.pass(`peer:${this.node}`, `peer:${node}`, () => {
       if (to.link !== link) return;
       link.#heard.set(this.node, { link: this, at: this.world.sim.now });
@@ -127,6 +129,9 @@
   readonly leaseMs: number;
   readonly cancelMs: number;
   cloudOutage = false;
+  /** What the controllers have told each other. */
+  peerBytes = 0;
+  peerMessages = 0;
   startsSeen = 0;
   readonly #specs = new Map<string, JobSpec>();
   readonly #told = new Map<string, Told>();
--- /dev/null
+++ b/packages/testkit/test/growth.test.ts
@@ -0,0 +1,32 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { playDay, World } from '../src/index';
+
+/** Work that grows in step with the fleet, give or take what chance does to one day. */
+const IN_STEP = 1.25;
+
+// Five controllers share a state service that does not grow, and each has the same fraction of a core: work is counted, as
+// time would say more of the machine that runs the test.
+test('requests, changes and what controllers tell each other grow no faster than the fleet and its jobs', async () => {
+  const counts: Record<string, number>[] = [];
+  for (const times of [1, 2, 4]) {
+    const world = new World({
+      seed: 6,
+      controllers: 5,
+      machines: 10 * times,
+      capacity: 6 * times,
+      load: times,
+      gpusMax: 10 * times,
+    });
+    await playDay(world, { seed: 6, forMs: 60_000, faults: [] });
+    assert.deepEqual(world.breaches, []);
+    const { requests, changes } = world.state;
+    counts.push({ requests, changes, peerBytes: world.peerBytes, peerMessages: world.peerMessages });
+  }
+  for (const what of Object.keys(counts[0]!)) {
+    const [one, two, four] = counts.map((c) => c[what]!) as [number, number, number];
+    assert.ok(one > 0, what);
+    assert.ok(two <= one * 2 * IN_STEP, `${what}: ${one}, then ${two}`);
+    assert.ok(four <= two * 2 * IN_STEP, `${what}: ${two}, then ${four}`);
+  }
+});
