Answers between controllers name the process that asked, and a loan counts once

Questions (relayed reports, vouching, loans of the write budget) were numbered from one in every process and an answer was matched by its number alone. A late answer to the process before could hand a worker another's orders, vouch for what nobody had asked, or lend twice. Ids now carry the process; a loan names the call it answers.

--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -102,21 +102,22 @@
   readonly #holdings = new Map<string, Holding>();
   readonly #seen = new Map<number, SeenSummary>();
   readonly #redirected = new Map<string, Redirected>();
-  readonly #relays = new Map<number, Relaying>();
+  readonly #relays = new Map<string, Relaying>();
   /** Controllers that this process has heard of, and since when without a gap; null: silent now. */
   readonly #met = new Map<string, number | null>();
   #releasedAt = -Infinity;
   readonly #peerContact = new Map<string, { ageMs: number; at: number }>();
   #leader: Leader | null = null;
   #lease: number | null = null;
-  #relayCounter = 0;
+  #questions = 0;
+  /** Calls for room to write that may still be answered, and who has lent for each: a copy of an answer lends nothing. */
+  readonly #needs = new Map<string, { readonly at: number; readonly lenders: Set<string> }>();
   #stopped = false;
   #summarySentAt = -Infinity;
   #summaryToAllAt = -Infinity;
   #summaryChanges = -1;
   /** Asked of the peers while the state service is out of reach. */
-  #asked: { id: number; at: number; vouched: Set<string> } | null = null;
-  #askCounter = 0;
+  #asked: { id: string; at: number; vouched: Set<string> } | null = null;
   /** Up to when all peers have vouched that nothing has happened that we have not seen. */
   #vouchedAt = -Infinity;
 
@@ -219,7 +220,12 @@
     this.#leader?.tick();
     this.#askPeers(now);
     const writes = this.#budget.shortOfWrites();
-    if (writes > 0) this.#broadcast({ kind: 'Need', writes });
+    if (writes > 0) {
+      const id = this.#question();
+      this.#needs.set(id, { at: now, lenders: new Set() });
+      this.#broadcast({ kind: 'Need', id, writes });
+    }
+    for (const [id, need] of this.#needs) if (now - need.at > this.settings.facts.reportMs) this.#needs.delete(id);
     for (const [machine, r] of this.#redirected) {
       if (now - r.at > this.settings.facts.leaseMs * 4) this.#redirected.delete(machine);
     }
@@ -483,7 +489,7 @@
   }
 
   #relay(owner: string, body: Buffer): Promise<Reply> {
-    const id = ++this.#relayCounter;
+    const id = this.#question();
     const message: PeerMessage = { kind: 'Relay', id, from: this.settings.node, to: owner, body };
     const via = this.link.alive(owner) ? owner : this.link.nodes.find((n) => n !== owner && this.link.alive(n));
     if (via === undefined || !this.link.send(via, message))
@@ -505,6 +511,14 @@
 
   // --- peers -------------------------------------------------------------------------------------------------------
 
+  /**
+   * The id of a question to other controllers. Counted from one in every process, a late answer to the process before
+   * could match: one worker would get another's orders, or a peer would vouch for what nobody had asked it.
+   */
+  #question(): string {
+    return `${this.process}-${++this.#questions}`;
+  }
+
   #broadcast(message: PeerMessage): void {
     for (const node of this.link.nodes) this.link.send(node, message);
   }
@@ -523,12 +537,16 @@
         return;
       case 'Need': {
         const writes = this.#budget.lend(message.writes);
-        if (writes > 0) this.link.send(from, { kind: 'Lend', writes });
+        if (writes > 0) this.link.send(from, { kind: 'Lend', id: message.id, writes });
         return;
       }
-      case 'Lend':
+      case 'Lend': {
+        const lenders = this.#needs.get(message.id)?.lenders;
+        if (lenders === undefined || lenders.has(from)) return;
+        lenders.add(from);
         this.#budget.borrow(message.writes);
         return;
+      }
       case 'Hint':
         this.replica.hint(message.revision);
         return;
@@ -658,7 +676,7 @@
       return;
     }
     if (this.#asked !== null && now - this.#asked.at < reportMs) return;
-    this.#asked = { id: ++this.#askCounter, at: now, vouched: new Set() };
+    this.#asked = { id: this.#question(), at: now, vouched: new Set() };
     this.#broadcast({ kind: 'Ask', id: this.#asked.id, revision: this.replica.revision });
   }
 
--- a/packages/daemon/test/daemon.test.ts
+++ b/packages/daemon/test/daemon.test.ts
@@ -5,25 +5,7 @@
 import { openServer } from '../src/server';
 import { SettingsError, settingsOf } from '../src/settings';
 import { SILENT } from '../src/log';
-
-const platform = {
-  node: 'n0',
-  area: 'a',
-  client_listen: '127.0.0.1:1',
-  cluster_listen: '127.0.0.1:2',
-  peers: [{ node: 'n1', area: 'b', address: '127.0.0.1:3' }],
-  services: { cloud: '127.0.0.1:4', state: '127.0.0.1:5' },
-  facts: {
-    count: 2,
-    zones: ['a', 'b'],
-    teams: [{ name: 't', cpus: 0, cpus_max: 0, gpus: 1, gpus_max: 2 }],
-    workers: { report_s: 1, lease_s: 5, cancel_s: 20 },
-    state: { rps: 100, write_rps: 50, value_kb: 8, txn_ops: 12 },
-    cloud: { rps: 5, list_lag_s: 3 },
-    machine_limits: { sockets: 600 },
-    skew_ms: 100,
-  },
-};
+import { platform } from './platform';
 
 test('a setting that is missing or wrong is named with its path, and unknown ones are ignored', () => {
   assert.equal(settingsOf({ ...platform, more: 1 }, {}).facts.leaseMs, 5000);
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -3,7 +3,7 @@
 import avro from 'avsc';
 
 /** Raised with every change of the schema; controllers of different versions do not talk. */
-export const PEER_VERSION = 4;
+export const PEER_VERSION = 5;
 
 const record = (name: string, fields: Record<string, unknown>): object => ({
   type: 'record',
@@ -51,15 +51,16 @@
     drain: { type: 'array', items: 'string' },
     gone: { type: 'array', items: 'string' },
   }),
-  record('Ask', { id: 'long', revision: 'long' }),
-  record('Vouch', { id: 'long', vouches: 'boolean', contactAgeMs: 'double' }),
+  // Ids name the process that asks: an answer to its predecessor, that was long under way, must match nothing here.
+  record('Ask', { id: 'string', revision: 'long' }),
+  record('Vouch', { id: 'string', vouches: 'boolean', contactAgeMs: 'double' }),
   /** A worker's report for the owner of a part, from a controller that the worker can reach. */
-  record('Relay', { id: 'long', from: 'string', to: 'string', body: 'bytes' }),
-  record('RelayAnswer', { id: 'long', to: 'string', status: 'int', body: 'bytes' }),
+  record('Relay', { id: 'string', from: 'string', to: 'string', body: 'bytes' }),
+  record('RelayAnswer', { id: 'string', to: 'string', status: 'int', body: 'bytes' }),
   record('Alive', { contactAgeMs: 'double', revision: 'long' }),
   /** So many changes wait at the sender for room in the state service's limit; a peer with room to spare lends some. */
-  record('Need', { writes: 'int' }),
-  record('Lend', { writes: 'int' }),
+  record('Need', { id: 'string', writes: 'int' }),
+  record('Lend', { id: 'string', writes: 'int' }),
 ];
 
 export interface PeerAmounts {
@@ -97,13 +98,13 @@
   };
   Hint: { revision: number };
   FleetOrders: { term: number; drain: string[]; gone: string[] };
-  Ask: { id: number; revision: number };
-  Vouch: { id: number; vouches: boolean; contactAgeMs: number };
-  Relay: { id: number; from: string; to: string; body: Buffer };
-  RelayAnswer: { id: number; to: string; status: number; body: Buffer };
+  Ask: { id: string; revision: number };
+  Vouch: { id: string; vouches: boolean; contactAgeMs: number };
+  Relay: { id: string; from: string; to: string; body: Buffer };
+  RelayAnswer: { id: string; to: string; status: number; body: Buffer };
   Alive: { contactAgeMs: number; revision: number };
-  Need: { writes: number };
-  Lend: { writes: number };
+  Need: { id: string; writes: number };
+  Lend: { id: string; writes: number };
 }
 
 export type PeerMessage = { [K in keyof PeerMessages]: { kind: K } & PeerMessages[K] }[keyof PeerMessages];
