--- a/packages/testkit/src/faults.ts
+++ b/packages/testkit/src/faults.ts
@@ -3,6 +3,12 @@
 
 export type Fault =
   | { readonly kind: 'crash'; readonly nodes: readonly number[]; readonly backMs: number }
+  /** Ends again and again, and is back within a fraction of a second. */
+  | { readonly kind: 'flapping'; readonly node: number; readonly times: number; readonly everyMs: number }
+  /** Stands still while its clocks run on. */
+  | { readonly kind: 'freeze'; readonly node: number; readonly forMs: number }
+  | { readonly kind: 'machines hang'; readonly machine: number; readonly count: number; readonly forMs: number }
+  | { readonly kind: 'late peer copies'; readonly share: number; readonly withinMs: number; readonly forMs: number }
   | { readonly kind: 'state outage'; readonly forMs: number }
   | { readonly kind: 'state refuses one'; readonly node: number; readonly forMs: number }
   | {
@@ -50,6 +56,29 @@
         sim.after(fault.backMs, () => world.startNode(name));
       }
       return;
+    case 'flapping': {
+      const name = node(fault.node);
+      for (let i = 0; i < fault.times; i++) {
+        sim.after(i * fault.everyMs, () => world.crash(name));
+        sim.after(i * fault.everyMs + fault.everyMs / 3, () => world.startNode(name));
+      }
+      return;
+    }
+    case 'freeze':
+      network.freeze(node(fault.node), fault.forMs);
+      return;
+    case 'machines hang':
+      for (let i = 0; i < fault.count; i++) {
+        const name = machine(fault.machine + i);
+        if (name !== undefined) network.freeze(name, fault.forMs);
+      }
+      return;
+    case 'late peer copies':
+      network.peerCopies = { share: fault.share, withinMs: fault.withinMs };
+      sim.after(fault.forMs, () => {
+        network.peerCopies = null;
+      });
+      return;
     case 'state outage':
       state.setOutage(true);
       sim.after(fault.forMs, () => state.setOutage(false));
@@ -93,7 +122,8 @@
       network.copies = {
         share: fault.share,
         withinMs: fault.withinMs,
-        only: (path) => path === '/checkin' || path === '/txn',
+        // Reports, stops, and all that is asked of the state service and of the cloud.
+        only: (path) => path !== '/inspect',
       };
       sim.after(fault.forMs, () => {
         network.copies = null;
--- a/packages/testkit/src/network.ts
+++ b/packages/testkit/src/network.ts
@@ -22,11 +22,32 @@
   #held: { readonly from: string; readonly to: string; readonly deliver: () => void }[] = [];
   /** Share of requests of which a copy arrives once more, and within which time. */
   copies: { share: number; withinMs: number; only: (path: string) => boolean } | null = null;
+  /** The same for messages that go one way. */
+  peerCopies: { share: number; withinMs: number } | null = null;
   /** Share of answers that are lost. */
   lostAnswers = 0;
+  /** Hosts that stand still, and until when: what comes to them is taken then. */
+  readonly #still = new Map<string, number>();
 
   constructor(readonly sim: Sim) {}
 
+  /** A host stands still for so long while its clocks run on. */
+  freeze(host: string, forMs: number): void {
+    this.#still.set(host, Math.max(this.#still.get(host) ?? 0, this.sim.now + forMs));
+  }
+
+  /** A host that was started anew does not stand still. */
+  thaw(host: string): void {
+    this.#still.delete(host);
+  }
+
+  /** Runs what happens on a host: at once, or when it goes on. */
+  on(host: string, run: () => void): void {
+    const until = this.#still.get(host) ?? 0;
+    if (until <= this.sim.now) run();
+    else this.sim.after(until - this.sim.now, () => this.on(host, run));
+  }
+
   cut(from: string, to: string, how: Cut): void {
     this.#cuts.set(`${from}>${to}`, how);
   }
@@ -79,14 +100,26 @@
     else this.sim.after(this.#latency(from, to), deliver);
   }
 
+  /** Brings a message that has no answer over, and maybe a copy of it later. */
+  tell(from: string, to: string, deliver: () => void): void {
+    this.pass(from, to, deliver);
+    const { peerCopies } = this;
+    if (peerCopies !== null && this.sim.random() < peerCopies.share) {
+      this.sim.after(this.sim.random() * peerCopies.withinMs, deliver);
+    }
+  }
+
   http(from: string, alive: () => boolean): Http {
     return (addr, method, path, body, timeoutMs) =>
       new Promise<HttpAnswer>((resolve, reject) => {
         let over = false;
-        const giveUp = this.sim.after(timeoutMs, () => {
-          over = true;
-          if (alive()) reject(new NoAnswer('no answer in time'));
-        });
+        const giveUp = this.sim.after(timeoutMs, () =>
+          this.on(from, () => {
+            if (over) return;
+            over = true;
+            if (alive()) reject(new NoAnswer('no answer in time'));
+          }),
+        );
         const arrive = (answering: boolean): void => {
           const handler = this.hosts.get(addr);
           if (handler === undefined) {
@@ -99,13 +132,17 @@
             }
             return;
           }
-          void Promise.resolve(handler(method, path, body ?? Buffer.alloc(0))).then((answer) => {
-            if (!answering || this.sim.random() < this.lostAnswers) return;
-            this.pass(addr, from, () => {
-              if (over || !alive()) return;
-              over = true;
-              giveUp();
-              resolve(answer);
+          this.on(addr, () => {
+            void Promise.resolve(handler(method, path, body ?? Buffer.alloc(0))).then((answer) => {
+              if (!answering || this.sim.random() < this.lostAnswers) return;
+              this.pass(addr, from, () =>
+                this.on(from, () => {
+                  if (over || !alive()) return;
+                  over = true;
+                  giveUp();
+                  resolve(answer);
+                }),
+              );
             });
           });
         };
--- a/packages/testkit/src/sim.ts
+++ b/packages/testkit/src/sim.ts
@@ -75,15 +75,23 @@
   }
 
   /** A machine's own clock: drifting, and off by some time of day. */
-  clock(drift: number, wallOffMs: number, alive: () => boolean): Clock {
+  clock(drift: number, wallOffMs: number, alive: () => boolean, on: (run: () => void) => void = (run) => run()): Clock {
     const start = this.now;
     return {
       now: () => (this.now - start) * (1 + drift),
       wall: () => 1_700_000_000_000 + this.now + wallOffMs,
-      after: (ms, callback) =>
-        this.after(ms / (1 + drift), () => {
-          if (alive()) callback();
-        }),
+      after: (ms, callback) => {
+        let over = false;
+        const cancel = this.after(ms / (1 + drift), () =>
+          on(() => {
+            if (!over && alive()) callback();
+          }),
+        );
+        return () => {
+          over = true;
+          cancel();
+        };
+      },
       random: this.random,
     };
   }
--- a/packages/testkit/src/worker.ts
+++ b/packages/testkit/src/worker.ts
@@ -63,13 +63,32 @@
   ) {
     this.#leaseFrom = world.sim.now;
     this.#target = Math.floor(world.sim.random() * world.controllers.length);
-    world.sim.after(world.sim.random() * world.reportMs, () => void this.#report());
+    this.#after(world.sim.random() * world.reportMs, () => void this.#report());
     this.#watchLease();
-    world.network.hosts.set(`${name}:9000`, (_method, path, body) =>
-      path === '/inspect' ? this.inspect() : this.command(body),
+    world.network.hosts.set(
+      `${name}:9000`,
+      (_method, path, body) =>
+        new Promise((resolve) => {
+          // A hanging machine that goes on executes what has come meanwhile.
+          world.network.on(name, () => resolve(path === '/inspect' ? this.inspect() : this.command(body)));
+        }),
     );
   }
 
+  /** A timer of this machine: while it hangs nothing happens on it. */
+  #after(ms: number, run: () => void): () => void {
+    let over = false;
+    const cancel = this.world.sim.after(ms, () =>
+      this.world.network.on(this.name, () => {
+        if (!over) run();
+      }),
+    );
+    return () => {
+      over = true;
+      cancel();
+    };
+  }
+
   #watchLease(): void {
     const { sim, leaseMs } = this.world;
     if (!this.alive) return;
@@ -79,7 +98,7 @@
       this.session++;
       this.#leaseFrom = sim.now;
     }
-    sim.after(20, () => this.#watchLease());
+    this.#after(20, () => this.#watchLease());
   }
 
   /** A `/inspect` request. */
@@ -173,13 +192,15 @@
     this.#inFlight = false;
     if (!this.alive) return;
     if (this.#soon) wait = Math.min(wait, 500);
-    this.#nextTimer = sim.after(wait, () => void this.#report());
+    this.#nextTimer = this.#after(wait, () => void this.#report());
   }
 
   /** Takes an answer; true if something changed. */
   #take(answer: HttpAnswer, session: number, sentAt: number): boolean {
     const { token, commands } = decodeOrders(answer.body);
     if (!this.alive || session !== this.session || token < this.token) return false;
+    // Late: it hung meanwhile.
+    if (this.world.sim.now - sentAt > 4000) return false;
     const higher = token > this.token;
     this.token = token;
     this.#leaseFrom = Math.max(this.#leaseFrom, sentAt);
@@ -223,14 +244,14 @@
       t.cause = job === undefined ? 'unknown' : 'busy';
       return;
     }
-    t.cancelTimer = sim.after(this.#images.has(job.image) ? 10 : 2000, () => {
+    t.cancelTimer = this.#after(this.#images.has(job.image) ? 10 : 2000, () => {
       this.#images.add(job.image);
       t.state = 'running';
       world.onTask(task, this.name);
       this.#changed();
-      if (this.sick) t.cancelTimer = sim.after(300, () => this.#exit(t, 'error'));
+      if (this.sick) t.cancelTimer = this.#after(300, () => this.#exit(t, 'error'));
       else if (job.kind === 'array') {
-        t.cancelTimer = sim.after(job.estimateS * 1000 * (0.5 + sim.random()) * this.slowness, () =>
+        t.cancelTimer = this.#after(job.estimateS * 1000 * (0.5 + sim.random()) * this.slowness, () =>
           this.#exit(t, 'done'),
         );
       }
@@ -253,6 +274,6 @@
     this.#soon = true;
     if (this.#inFlight) return;
     this.#nextTimer();
-    this.#nextTimer = this.world.sim.after(500, () => void this.#report());
+    this.#nextTimer = this.#after(500, () => void this.#report());
   }
 }
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -109,11 +109,14 @@
     if (link === null) return false;
     this.world.peerBytes += bytes.length;
     this.world.peerMessages++;
-    this.world.network.pass(`peer:${this.node}`, `peer:${node}`, () => {
-      if (to.link !== link) return;
-      link.#heard.set(this.node, { link: this, at: this.world.sim.now });
-      link.onMessage(this.node, decodePeer(bytes));
-    });
+    const { network } = this.world;
+    network.tell(`peer:${this.node}`, `peer:${node}`, () =>
+      network.on(node, () => {
+        if (to.link !== link) return;
+        link.#heard.set(this.node, { link: this, at: this.world.sim.now });
+        link.onMessage(this.node, decodePeer(bytes));
+      }),
+    );
     return true;
   }
 }
@@ -210,9 +213,10 @@
     const link = new SimLink(this, name);
     const alive = (): boolean => node.link === link;
     node.link = link;
+    this.network.thaw(name);
     const ports: ControllerPorts = {
       settings: settingsOf(this.settings(name), {}),
-      clock: this.sim.clock(node.drift, (this.sim.random() - 0.5) * 200, alive),
+      clock: this.sim.clock(node.drift, (this.sim.random() - 0.5) * 200, alive, (run) => this.network.on(name, run)),
       http: this.network.http(name, alive),
       link,
       log: this.options.log ?? SILENT,
--- a/packages/testkit/test/rules.test.ts
+++ b/packages/testkit/test/rules.test.ts
@@ -17,6 +17,25 @@
     nodes: fc.uniqueArray(node, { minLength: 1, maxLength: 7 }),
     backMs: fc.oneof(seconds(0.1, 1), seconds(2, 8)),
   }),
+  fc.record({
+    kind: fc.constant('flapping' as const),
+    node,
+    times: fc.integer({ min: 2, max: 6 }),
+    everyMs: seconds(0.3, 4),
+  }),
+  fc.record({ kind: fc.constant('freeze' as const), node, forMs: seconds(1, 35) }),
+  fc.record({
+    kind: fc.constant('machines hang' as const),
+    machine,
+    count: fc.constantFrom(1, 3, 12),
+    forMs: seconds(1, 12),
+  }),
+  fc.record({
+    kind: fc.constant('late peer copies' as const),
+    share: fc.constantFrom(0.05, 0.5),
+    withinMs: seconds(1, 20),
+    forMs: seconds(5, 40),
+  }),
   fc.record({ kind: fc.constant('state outage' as const), forMs: seconds(1, 25) }),
   fc.record({ kind: fc.constant('state refuses one' as const), node, forMs: seconds(1, 40) }),
   fc.record({
