--- a/packages/core/src/facts.ts
+++ b/packages/core/src/facts.ts
@@ -107,8 +107,8 @@
   return null;
 }
 
-/** A stable hash (FNV-1a) of a machine's name: which part it belongs to. */
-export function partOf(machine: string, parts: number): number {
+/** A stable hash (FNV-1a) of a machine's name. */
+function hashOf(machine: string): number {
   let hash = 0x811c9dc5;
   for (let i = 0; i < machine.length; i++) {
     hash = Math.imul(hash ^ machine.charCodeAt(i), 0x01000193);
@@ -117,5 +117,33 @@
   hash ^= hash >>> 15;
   hash = Math.imul(hash, 0x2c1b3c6d);
   hash ^= hash >>> 12;
-  return (hash >>> 0) % parts;
+  return hash >>> 0;
+}
+
+/**
+ * Which part each machine belongs to: by a hash of its name, among the parts that have their homes in its zone. A zone
+ * that is cut off so has an owner inside that goes on answering. Where no part is at home, all share the machines.
+ */
+export class Partition {
+  readonly #all: readonly number[];
+  readonly #byZone = new Map<string, number[]>();
+
+  constructor(
+    readonly count: number,
+    readonly zones: readonly string[] = [],
+  ) {
+    this.#all = Array.from({ length: count }, (_, part) => part);
+    for (const part of this.#all) {
+      const zone = zones[part];
+      if (zone === undefined) continue;
+      const parts = this.#byZone.get(zone);
+      if (parts === undefined) this.#byZone.set(zone, [part]);
+      else parts.push(part);
+    }
+  }
+
+  of(machine: string, zone: string): number {
+    const parts = this.#byZone.get(zone) ?? this.#all;
+    return parts[hashOf(machine) % parts.length]!;
+  }
 }
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -1,7 +1,7 @@
 // What the leader rents, drains and returns. It only plans; the controller talks to the cloud and to the owners.
 import { type CloudMachine, type MachineType, PRIORITIES, type RentRequest } from '@gingerlock/wire';
 import type { MachineRoom, PartSummary, Unmet } from './division';
-import { type Amounts, type Facts, fits, NOTHING, partOf, plus, typeAllows, workerLeaseBoundMs } from './facts';
+import { type Amounts, type Facts, fits, NOTHING, type Partition, plus, typeAllows, workerLeaseBoundMs } from './facts';
 
 /** What the operators have set. */
 export interface FleetLimits {
@@ -16,7 +16,7 @@
   readonly types: ReadonlyMap<string, MachineType>;
   readonly summaries: readonly PartSummary[];
   readonly unmet: readonly Unmet[];
-  readonly parts: number;
+  readonly parts: Partition;
 }
 
 export interface FleetPlan {
@@ -224,7 +224,7 @@
    * the time to hear it first: silence from before proves nothing, and healthy machines were once returned for it.
    */
   #quietSince(k: Known, input: FleetInput): number {
-    const part = partOf(k.name, input.parts);
+    const part = input.parts.of(k.name, k.zone);
     const owner = this.#partSince.get(part);
     if (owner === undefined) return Infinity;
     return Math.max(k.heardAt ?? -Infinity, k.upSince ?? -Infinity, owner.since);
@@ -454,7 +454,7 @@
       if (cost > spare[kind]) continue;
       if (!m.spot) {
         const others = (freeIn.get(m.zone) ?? 0) - (m.takesWork ? m.free.gpus : 0);
-        const part = partOf(m.name, input.parts);
+        const part = input.parts.of(m.name, m.zone);
         if (busy.has(part) || used > others) continue;
         busy.add(part);
         freeIn.set(m.zone, others - used);
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -19,7 +19,6 @@
   type Job,
   marginMs,
   neverRuns,
-  partOf,
   type PartSummary,
   stateLeaseMs,
   TURN,
@@ -275,7 +274,10 @@
   async #found(): Promise<void> {
     // About half of a value's room, in bits of base64: a page of a finished set always fits.
     const pageTasks = Math.max(64, Math.floor(this.settings.valueBytes / 2) * 6);
-    const meta = { format: FORMAT, parts: this.settings.facts.controllers, pageTasks: pageTasks - (pageTasks % 8) };
+    const parts = this.settings.facts.controllers;
+    const nodes = this.#nodes();
+    const zones = Array.from({ length: parts }, (_, part) => this.#zoneOf(nodes[part % nodes.length]!));
+    const meta = { format: FORMAT, parts, zones, pageTasks: pageTasks - (pageTasks % 8) };
     const changes = [{ put: KEYS.meta, value: metaRecord.write(meta) }];
     const result = await this.state.txn(URGENCY.accept, [{ key: KEYS.meta, version: 0 }], changes);
     if (result.kind !== 'done') return;
@@ -289,6 +291,18 @@
     return [node, ...peers.map((p) => p.node)].sort();
   }
 
+  #zoneOf(node: string): string {
+    return this.settings.peers.find((p) => p.node === node)?.zone ?? this.settings.zone;
+  }
+
+  /** Who should own the part, its home first: those in its zone go before the others. */
+  #orderFor(part: number): string[] {
+    const nodes = this.#nodes();
+    const zone = this.store.meta?.zones[part];
+    const from = nodes.map((_, i) => nodes[(i + part) % nodes.length]!);
+    return [...from.filter((n) => this.#zoneOf(n) === zone), ...from.filter((n) => this.#zoneOf(n) !== zone)];
+  }
+
   /**
    * Gives a part that was taken over back to its home, once that is well again: after rolling restarts one controller
    * owned most of the fleet, and its end cost the most. One at a time, and not while anything is wrong: workers of the
@@ -297,9 +311,8 @@
   #releaseOne(now: number): void {
     const { leaseMs, reportMs } = this.settings.facts;
     if (now - this.#releasedAt < leaseMs || !this.shared.fresh() || this.replica.failures > 0) return;
-    const nodes = this.#nodes();
     for (const { part, holding, book } of this.#owners.values()) {
-      const home = nodes[part % nodes.length]!;
+      const home = this.#orderFor(part)[0]!;
       if (home === this.settings.node || holding.state !== 'held' || !book.cleared) continue;
       if (now - holding.takenAt < leaseMs || now - (this.#met.get(home) ?? now) < leaseMs) continue;
       const contact = this.#peerContact.get(home);
@@ -321,22 +334,22 @@
 
   #openHoldings(parts: number): void {
     const { node, facts } = this.settings;
-    const nodes = this.#nodes();
-    const mine = nodes.indexOf(node);
     const me = { node, process: this.process };
-    const turn = (home: number): number => {
+    const turn = (order: readonly string[]): number => {
       let sum = 0;
-      for (let i = home % nodes.length; i !== mine; i = (i + 1) % nodes.length) {
-        const before = nodes[i]!;
+      for (const before of order) {
+        if (before === node) break;
         if (this.link.alive(before)) sum += TURN.alive;
         else sum += this.#met.has(before) ? TURN.silent : TURN.unknown;
       }
       return sum;
     };
     for (let part = 0; part < parts; part++) {
-      this.#holdings.set(String(part), new Holding(String(part), facts, me, () => turn(part)));
+      const order = this.#orderFor(part);
+      this.#holdings.set(String(part), new Holding(String(part), facts, me, () => turn(order)));
     }
-    this.#holdings.set(LEAD, new Holding(LEAD, facts, me, () => turn(0)));
+    const nodes = this.#nodes();
+    this.#holdings.set(LEAD, new Holding(LEAD, facts, me, () => turn(nodes)));
   }
 
   async #take(holding: Holding, decision: Extract<Decision, { kind: 'take' | 'resume' }>): Promise<void> {
@@ -401,9 +414,9 @@
     } catch (error) {
       return refusal(400, error instanceof Malformed ? error.message : 'malformed');
     }
-    const { meta } = this.store;
-    if (meta === null) return refusal(503, 'starting');
-    const part = partOf(report.machine, meta.parts);
+    const { partition } = this.store;
+    if (partition === null) return refusal(503, 'starting');
+    const part = partition.of(report.machine, report.zone);
     if (this.#owners.has(part)) return this.#answer(part, report);
     return this.#sendOn(part, report, body);
   }
@@ -595,8 +608,8 @@
     let reply: Reply;
     try {
       const report = decodeReport(message.body);
-      const part = partOf(report.machine, this.store.meta?.parts ?? 1);
-      reply = this.#owners.has(part) ? this.#answer(part, report) : refusal(503, 'not the owner');
+      const part = this.store.partition?.of(report.machine, report.zone);
+      reply = part !== undefined && this.#owners.has(part) ? this.#answer(part, report) : refusal(503, 'not the owner');
     } catch {
       reply = refusal(400, 'malformed');
     }
@@ -618,7 +631,8 @@
     for (const owner of this.#owners.values()) {
       for (const m of owner.book.machines.values()) m.draining = draining.has(m.name);
       for (const name of gone) {
-        if (partOf(name, this.store.meta!.parts) === owner.part && !owner.book.isGone(name)) owner.gone(name);
+        // Its zone is not told with it: what is gone is gone for every part.
+        if (!owner.book.isGone(name)) owner.gone(name);
       }
     }
   }
--- a/packages/daemon/src/leader.ts
+++ b/packages/daemon/src/leader.ts
@@ -214,7 +214,7 @@
       types: store.types,
       summaries: current,
       unmet: this.#unmet,
-      parts: store.meta!.parts,
+      parts: store.partition!,
     });
     this.#drain = plan.drain;
     if (now - this.#toldAt > facts.listLagMs) {
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -68,9 +68,10 @@
 
 export interface Settings {
   readonly node: string;
+  readonly zone: string;
   readonly clientListen: string;
   readonly peerListen: string;
-  readonly peers: readonly PeerAddress[];
+  readonly peers: readonly (PeerAddress & { readonly zone: string })[];
   readonly cloud: string;
   readonly state: string;
   readonly stateRps: number;
@@ -99,9 +100,10 @@
   }
   return {
     node: p.node,
+    zone: p.area,
     clientListen: p.client_listen,
     peerListen: p.cluster_listen,
-    peers: p.peers.map((peer) => ({ node: peer.node, address: peer.address })),
+    peers: p.peers.map((peer) => ({ node: peer.node, zone: peer.area, address: peer.address })),
     cloud: p.services.cloud,
     state: p.services.state,
     stateRps: f.state.rps,
--- a/packages/daemon/src/store.ts
+++ b/packages/daemon/src/store.ts
@@ -1,4 +1,4 @@
-import { JobTable, type SlotView, type Versioned } from '@gingerlock/core';
+import { JobTable, Partition, type SlotView, type Versioned } from '@gingerlock/core';
 import {
   holdRecord,
   type HoldRecord,
@@ -16,6 +16,8 @@
 /** What this controller's replica of the state service says, in our own terms. */
 export class Store {
   meta: Meta | null = null;
+  /** Made of `meta`; null as long as that is. */
+  partition: Partition | null = null;
   term: Versioned<number> | null = null;
   types: ReadonlyMap<string, MachineType> = new Map();
   readonly jobs = new JobTable(() => this.meta?.pageTasks ?? 8);
@@ -46,7 +48,9 @@
     const k = parseKey(key);
     switch (k.kind) {
       case 'meta':
-        if (value !== undefined) this.meta = metaRecord.read(value);
+        if (value === undefined) return;
+        this.meta = metaRecord.read(value);
+        this.partition = new Partition(this.meta.parts, this.meta.zones);
         return;
       case 'term':
         this.term = value === undefined ? null : { record: termRecord.read(value), version };
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -185,11 +185,11 @@
   settings(node: string): unknown {
     const peers = this.nodes
       .filter((n) => n.name !== node)
-      .map((n) => ({ node: n.name, area: 'north', address: `${n.name}:8081` }));
+      .map((n) => ({ node: n.name, area: n.zone, address: `${n.name}:8081` }));
     const gpusMax = this.options.gpusMax ?? 10;
     return {
       node,
-      area: 'north',
+      area: this.nodes.find((n) => n.name === node)!.zone,
       client_listen: `${node}:8080`,
       cluster_listen: `${node}:8081`,
       peers,
--- a/packages/wire/src/records.ts
+++ b/packages/wire/src/records.ts
@@ -54,6 +54,8 @@
 export interface Meta {
   readonly format: number;
   readonly parts: number;
+  /** The zone in which each part has its home; none: machines are shared out without regard to zones. */
+  readonly zones: readonly string[];
   readonly pageTasks: number;
 }
 
@@ -64,13 +66,19 @@
     v: Type.Integer(),
     parts: Type.Integer({ minimum: 1, maximum: 1000 }),
     page: Type.Integer({ minimum: 8 }),
+    z: Type.Optional(Type.Array(Type.String())),
   }),
 );
 export const metaRecord = {
-  write: (m: Meta): unknown => ({ v: m.format, parts: m.parts, page: m.pageTasks }),
+  write: (m: Meta): unknown => ({
+    v: m.format,
+    parts: m.parts,
+    page: m.pageTasks,
+    ...(m.zones.length > 0 ? { z: m.zones } : {}),
+  }),
   read: (value: unknown): Meta => {
     const m = checkMeta(value);
-    return { format: m.v, parts: m.parts, pageTasks: m.page };
+    return { format: m.v, parts: m.parts, zones: m.z ?? [], pageTasks: m.page };
   },
 };
 
