A new owner counts its clearing time from a state lease before its takeover, and by its own steady clock

An owner answers until a bound after the last renewal of the state lease that its hold is attached to, so the next one's wait shrinks by that lease (proof and generated test: core ownership).

--- a/packages/core/src/ownership.ts
+++ b/packages/core/src/ownership.ts
@@ -1,7 +1,7 @@
 // Who owns a part, or the lead. One holding per slot, as a state machine; the controller carries out what it decides.
 import type { Condition, Change, HoldRecord, OwnerRecord } from '@gingerlock/wire';
 import { holdRecord, KEYS, ownerRecord, termRecord } from '@gingerlock/wire';
-import { type Facts, marginMs, workerLeaseBoundMs } from './facts';
+import { answerBoundMs, DRIFT, type Facts, marginMs, workerLeaseBoundMs } from './facts';
 
 /**
  * away:     somebody else's, or nobody's.
@@ -66,6 +66,16 @@
   unknown: 1,
 } as const;
 
+/**
+ * After a takeover from another controller, how long until nothing that it may still have answered runs any more. It
+ * answers until `answerBoundMs` after it last sent a renewal that was answered (`Holding.renewedAt`), and what it answers
+ * lives for a worker lease: `cancelMs` in all. Its hold, though, ended no sooner than a state lease after that sending,
+ * and the takeover came after that.
+ */
+function silenceMs(facts: Facts): number {
+  return facts.cancelMs * (1 + DRIFT) - stateLeaseMs(facts) * (1 - DRIFT);
+}
+
 export class Holding {
   state: HoldingState = 'away';
   term = 0;
@@ -76,7 +86,12 @@
   /** Since when the slot has been seen without a hold; null: it has one. */
   #absentSince: number | null = null;
   #movedAt = 0;
+  /** The takeover under way is from a controller that may go on. */
+  #moving = false;
   #takeSentAt = 0;
+  /** The state lease that our hold is attached to, and when its last renewal that was answered was sent. */
+  #lease: number | null = null;
+  renewedAt = -Infinity;
 
   constructor(
     readonly slot: string,
@@ -110,6 +125,7 @@
       if (view.hold === null && lease !== null) {
         // Our state lease lapsed, and nobody took the slot: the owner key proves it. The term and all claims stand.
         this.#move('resuming');
+        this.#lease = lease;
         return {
           kind: 'resume',
           txn: {
@@ -135,9 +151,10 @@
     // The time of the last takeover between controllers outlives our own restarts. An earlier process of ours is dead,
     // and an owner that has released the slot answers nobody: either leaves leases that run out by themselves.
     const ownRestart = previous?.node === this.me.node && view.hold?.record.process !== this.me.process;
-    if (previous === null) this.#movedAt = 0;
-    else this.#movedAt = ownRestart || previous.released ? previous.movedAt : wallNow;
+    this.#moving = previous !== null && !ownRestart && !previous.released;
+    this.#movedAt = this.#moving ? wallNow : (previous?.movedAt ?? 0);
     this.#takeSentAt = now;
+    this.#lease = lease;
     this.term = term;
     this.#move('taking');
     return {
@@ -176,19 +193,20 @@
     this.takenAt = now;
     // DESIGN: tasks of an earlier owner are granted again only once the old workers' leases have surely run out.
     const own = hadOwner ? now + workerLeaseBoundMs(this.facts) : now;
-    const moved =
-      this.#movedAt === 0
-        ? now
-        : now +
-          (this.#movedAt - wallNow) +
-          this.facts.cancelMs +
-          2 * this.facts.skewMs +
-          stateLeaseMs(this.facts) +
-          2 * marginMs(this.facts);
+    // How long ago the takeover from another controller was, at the least: this one is over now, one before it was
+    // written down by the time of day, up to a report interval before it was carried out.
+    const { skewMs, reportMs } = this.facts;
+    const ago = this.#moving ? 0 : wallNow - this.#movedAt - 2 * skewMs - reportMs;
+    const moved = this.#movedAt === 0 ? now : now - ago + silenceMs(this.facts) + marginMs(this.facts);
     this.clearAt = Math.max(own, moved);
     return true;
   }
 
+  /** A renewal of that state lease was answered; it was sent at `sentAt`. */
+  renewed(lease: number, sentAt: number): void {
+    if (lease === this.#lease && this.state !== 'resuming') this.renewedAt = sentAt;
+  }
+
   /** A takeover or a resumption that was surely not carried out. */
   failed(): void {
     if (this.state === 'taking' || this.state === 'resuming') this.#move('away');
@@ -198,6 +216,13 @@
     if (this.state === 'resuming') this.#move('held');
   }
 
+  /** Until when the owner of this slot may answer workers, given what it knows of the state service; see `silenceMs`. */
+  answersUntil(seenAt: number, vouchedAt: number): number {
+    // A vouched time says that no takeover had come by then: its next owner may count from a state lease before.
+    const kept = Math.max(this.renewedAt, vouchedAt - stateLeaseMs(this.facts));
+    return Math.min(Math.max(seenAt, vouchedAt), kept) + answerBoundMs(this.facts);
+  }
+
   /**
    * Gives the slot up for the controller that it belongs to: from here on nobody is answered, so the next owner has to
    * wait for no more than one worker lease. Null: not now.
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -11,7 +11,6 @@
   URGENCY,
 } from '@gingerlock/clients';
 import {
-  answerBoundMs,
   dealtUnfinished,
   type Decision,
   DRIFT,
@@ -108,6 +107,8 @@
   readonly #peerContact = new Map<string, { ageMs: number; at: number }>();
   #leader: Leader | null = null;
   #lease: number | null = null;
+  /** The last renewal, or grant, that was answered. */
+  #renewed: { readonly lease: number; readonly at: number } | null = null;
   #questions = 0;
   /** Calls for room to write that may still be answered, and who has lent for each: a copy of an answer lends nothing. */
   readonly #needs = new Map<string, { readonly at: number; readonly lenders: Set<string> }>();
@@ -243,6 +244,8 @@
           this.shared.leaseUntil = -Infinity;
           continue;
         }
+        for (const holding of this.#holdings.values()) holding.renewed(this.#lease, sent);
+        this.#renewed = { lease: this.#lease, at: sent };
         // Counted from the sending: the service may have started counting then.
         this.shared.leaseUntil = sent + ttl * (1 - DRIFT) - marginMs(facts) / 2;
       } catch (error) {
@@ -364,6 +367,7 @@
     }
     if (decision.kind === 'resume') {
       holding.resumed();
+      this.#attached(holding);
       this.log.info({ slot, term: holding.term }, 'resumed');
       return;
     }
@@ -380,6 +384,7 @@
       return;
     }
     if (!holding.taken(revision, hadOwner, this.clock.now(), this.clock.wall())) return;
+    this.#attached(holding);
     this.log.info({ slot, term: holding.term, clearInMs: Math.round(holding.clearAt - this.clock.now()) }, 'taken');
     if (slot === LEAD) {
       this.#leader = new Leader(this.shared, holding, () => [...this.#seen.values()], this.#http);
@@ -390,6 +395,11 @@
     }
   }
 
+  /** Our hold was attached to a state lease: its last renewal counts for the slot. */
+  #attached(holding: Holding): void {
+    if (this.#renewed !== null) holding.renewed(this.#renewed.lease, this.#renewed.at);
+  }
+
   #released(holding: Holding): void {
     this.log.info({ slot: holding.slot, term: holding.term }, 'released');
     if (holding.slot === LEAD) {
@@ -402,11 +412,6 @@
 
   // --- workers -----------------------------------------------------------------------------------------------------
 
-  /** Up to when nothing can have been accepted, cancelled or taken that we have not seen. */
-  #contactAt(): number {
-    return Math.max(this.replica.contactAt ?? -Infinity, this.#vouchedAt);
-  }
-
   async checkin(body: Buffer): Promise<Reply> {
     let report: WorkerReport;
     try {
@@ -424,9 +429,9 @@
   #answer(part: number, report: WorkerReport): Reply {
     const owner = this.#owners.get(part)!;
     const now = this.clock.now();
-    const { facts } = this.settings;
     // The bound within which a part's next owner, and users who cancel, may count on our silence.
-    if (now > this.#contactAt() + answerBoundMs(facts)) return refusal(503, 'no contact with the state service');
+    if (now > owner.holding.answersUntil(this.replica.contactAt ?? -Infinity, this.#vouchedAt))
+      return refusal(503, 'no contact with the state service');
     const outcome = owner.book.report(report, now, owner.mayGrant(now));
     switch (outcome.kind) {
       case 'answer':
