--- a/packages/core/src/facts.ts
+++ b/packages/core/src/facts.ts
@@ -35,9 +35,12 @@
   return facts.leaseMs * (1 + DRIFT) + marginMs(facts);
 }
 
-/** How long after its last contact with the state service an owner may still answer workers. */
+/**
+ * How long after its last contact with the state service an owner may still answer workers. The worker's lease counts from
+ * when it sent the report, before the answer: a margin for its timer is all that is left to allow for.
+ */
 export function answerBoundMs(facts: Facts): number {
-  return (facts.cancelMs - facts.leaseMs) * (1 - DRIFT) - 3 * marginMs(facts);
+  return (facts.cancelMs - facts.leaseMs) * (1 - DRIFT) - marginMs(facts);
 }
 
 /** How old a controller's view of the jobs may be for it to start tasks. */
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -67,6 +67,9 @@
 /** What users are shown of a job that is not over may lag by this much, says the protocol. */
 const SHOWN_MS = 3000;
 
+/** A state lease is renewed so many times in its life: what an owner may still answer counts from the last renewal. */
+const RENEWALS = 8;
+
 /** A worker waits this long for an answer, says the protocol. */
 const WORKER_PATIENCE_MS = 4000;
 
@@ -251,7 +254,7 @@
       } catch (error) {
         this.log.info({ error: String(error) }, 'state lease not renewed');
       }
-      await sleep(this.clock, Math.max(0, sent + ttl / 4 - this.clock.now()) + 1);
+      await sleep(this.clock, Math.max(0, sent + ttl / RENEWALS - this.clock.now()) + 1);
     }
   }
 
