--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -129,6 +129,9 @@
 /** DESIGN's grant lease: a machine silent for three report intervals is suspect. */
 const SUSPECT_INTERVALS = 3;
 
+/** A part of which most machines have not been heard for so many report intervals after its takeover is cut off. */
+const CUT_INTERVALS = 4;
+
 /** A worker takes a higher token as a cause to report once in half of its lease; a little more, for drift. */
 const CALL_EVERY_LEASES = 0.52;
 
@@ -140,6 +143,8 @@
   readonly part: number;
   readonly term: number;
   readonly clearAt: number;
+  /** When this owner took the part over. */
+  readonly openedAt: number;
   readonly jobs: JobTable;
   readonly types: () => ReadonlyMap<string, MachineType>;
   readonly roster: Iterable<readonly [string, string]>;
@@ -153,6 +158,7 @@
   readonly part: number;
   readonly term: number;
   readonly clearAt: number;
+  readonly openedAt: number;
   readonly machines = new Map<string, Machine>();
   readonly slots = new Map<string, Map<number, Slot>>();
   /** Machines of the roster that may run tasks of an earlier owner. */
@@ -176,6 +182,7 @@
     this.part = options.part;
     this.term = options.term;
     this.clearAt = options.clearAt;
+    this.openedAt = options.openedAt;
     this.#jobs = options.jobs;
     this.#types = options.types;
     this.unheard = new Map(options.roster);
@@ -826,14 +833,19 @@
 
   /**
    * What the services' tasks add up to that no machine has reported though it should have. While most machines of the
-   * part have yet to find their new owner, that says nothing of any of them: a new leader once asked for 44 machines.
+   * part have yet to find their new owner, that says nothing of any of them: a new leader once asked for 44 machines. If
+   * that lasts, their zone is cut off. Room for them is asked for so that it has booted when the part is cleared: waiting
+   * for that first cost a boot more of every long cut, and a short one may be over before.
    */
   missing(now: number): Amounts {
     let sum = NOTHING;
     if (this.#cleared) return sum;
     let settled = 0;
     for (const m of this.machines.values()) if (m.settled) settled++;
-    if (this.unheard.size > settled) return sum;
+    if (this.unheard.size > settled) {
+      const bootMs = Math.max(0, ...[...this.#types().values()].map((t) => t.bootS * 1000));
+      if (now < Math.max(this.openedAt + this.facts.reportMs * CUT_INTERVALS, this.clearAt - bootMs)) return sum;
+    }
     for (const slots of this.slots.values()) {
       for (const slot of slots.values()) {
         if (slot.state !== 'uncertain' || slot.job.spec.kind !== 'service' || slot.job.cancelled) continue;
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -336,8 +336,7 @@
     let free = 0;
     for (const m of rooms.values()) if (!m.spot && m.takesWork) free += roomForServices(m);
     for (const b of bins) if (!b.spot) free += b.free.gpus;
-    const missing = input.summaries.reduce((sum, s) => sum + s.missing.gpus, 0);
-    for (const target = this.#headroom(input, rooms) + missing; free < target;) {
+    for (const target = this.#headroom(input, rooms); free < target;) {
       const ordinary = (t: MachineType, zone: string, spot: boolean): boolean =>
         !spot && open(t.name, zone, spot) && belowLimit(spot);
       const type = this.#add(bins, perZone, ordinary, types);
@@ -379,14 +378,18 @@
     return best.type;
   }
 
-  /** How much room, in accelerators, ordinary machines should have for new services. */
+  /**
+   * How much room, in accelerators, ordinary machines should have: for new services, and for those that new owners are
+   * still waiting to hear of.
+   */
   #headroom(input: FleetInput, rooms: ReadonlyMap<string, MachineRoom>): number {
     let used = 0;
     for (const m of rooms.values()) {
       const type = input.types.get(m.type);
       if (type !== undefined && !m.spot) used += type.gpus - roomForServices(m);
     }
-    return used * this.limits.headroom;
+    const missing = input.summaries.reduce((sum, s) => sum + s.missing.gpus, 0);
+    return used * this.limits.headroom + missing;
   }
 
   /** Machines that have been empty for about a boot time go, if enough room is left without them. */
--- a/packages/core/test/claims.test.ts
+++ b/packages/core/test/claims.test.ts
@@ -58,6 +58,7 @@
     part: 0,
     term: 2,
     clearAt: 20_000,
+    openedAt: 0,
     jobs,
     types: () => new Map([[type.name, type]]),
     roster: ['m-1', 'm-2', 'm-3'].map((name) => [name, `${name}:1`] as const),
@@ -92,3 +93,13 @@
   }
   assert.equal(book.missing(3800).gpus, 4);
 });
+
+// Of a zone that was cut off for long nothing was rented before its tasks were known to be gone: a boot was waited for on top.
+test('tasks of a part of which nothing is heard count as missing a boot before it is cleared, and not sooner', () => {
+  const book = taken();
+  const bootMs = type.bootS * 1000;
+  assert.equal(book.missing(book.clearAt - bootMs - 1).gpus, 0);
+  assert.equal(book.missing(book.clearAt - bootMs).gpus, 4);
+  book.tick(book.clearAt);
+  assert.equal(book.missing(book.clearAt).gpus, 0);
+});
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -68,6 +68,7 @@
       part,
       term: holding.term,
       clearAt: holding.clearAt,
+      openedAt: holding.takenAt,
       jobs: store.jobs,
       types: () => store.types,
       roster: store.roster(part),
