--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -157,7 +157,7 @@
   readonly facts: Facts;
   readonly part: number;
   readonly term: number;
-  readonly clearAt: number;
+  clearAt: number;
   readonly openedAt: number;
   readonly machines = new Map<string, Machine>();
   readonly slots = new Map<string, Map<number, Slot>>();
--- a/packages/core/src/ownership.ts
+++ b/packages/core/src/ownership.ts
@@ -86,8 +86,8 @@
   /** Since when the slot has been seen without a hold; null: it has one. */
   #absentSince: number | null = null;
   #movedAt = 0;
-  /** The takeover under way is from a controller that may go on. */
-  #moving = false;
+  /** The controller that the slot was taken from, if it may go on, and the time of the takeover before. */
+  before: { readonly node: string; readonly movedAt: number } | null = null;
   #takeSentAt = 0;
   /** The state lease that our hold is attached to, and when its last renewal that was answered was sent. */
   #lease: number | null = null;
@@ -151,8 +151,9 @@
     // The time of the last takeover between controllers outlives our own restarts. An earlier process of ours is dead,
     // and an owner that has released the slot answers nobody: either leaves leases that run out by themselves.
     const ownRestart = previous?.node === this.me.node && view.hold?.record.process !== this.me.process;
-    this.#moving = previous !== null && !ownRestart && !previous.released;
-    this.#movedAt = this.#moving ? wallNow : (previous?.movedAt ?? 0);
+    const moving = previous !== null && !ownRestart && !previous.released;
+    this.before = moving ? { node: previous.node, movedAt: previous.movedAt } : null;
+    this.#movedAt = moving ? wallNow : (previous?.movedAt ?? 0);
     this.#takeSentAt = now;
     this.#lease = lease;
     this.term = term;
@@ -193,15 +194,35 @@
     this.takenAt = now;
     // DESIGN: tasks of an earlier owner are granted again only once the old workers' leases have surely run out.
     const own = hadOwner ? now + workerLeaseBoundMs(this.facts) : now;
-    // How long ago the takeover from another controller was, at the least: this one is over now, one before it was
-    // written down by the time of day, up to a report interval before it was carried out.
-    const { skewMs, reportMs } = this.facts;
-    const ago = this.#moving ? 0 : wallNow - this.#movedAt - 2 * skewMs - reportMs;
-    const moved = this.#movedAt === 0 ? now : now - ago + silenceMs(this.facts) + marginMs(this.facts);
+    const moved =
+      this.before !== null
+        ? now + silenceMs(this.facts) + marginMs(this.facts)
+        : this.#movedClearAt(this.#movedAt, now, wallNow);
     this.clearAt = Math.max(own, moved);
     return true;
   }
 
+  /**
+   * When a takeover that was written down is cleared. The time of day stands in its record, up to a report interval before
+   * it was carried out.
+   */
+  #movedClearAt(movedAt: number, now: number, wallNow: number): number {
+    if (movedAt === 0) return now;
+    const { skewMs, reportMs } = this.facts;
+    return now + (movedAt - wallNow) + 2 * skewMs + reportMs + silenceMs(this.facts) + marginMs(this.facts);
+  }
+
+  /**
+   * Asked after our takeover, the controller that had the slot before said that it does not own it: it will not answer
+   * anybody for it, and what it has answered is gone within a worker lease. Owners before it are bound by its own takeover.
+   */
+  gaveUp(node: string, now: number, wallNow: number): void {
+    if (this.state !== 'held' || this.before?.node !== node) return;
+    const own = now + workerLeaseBoundMs(this.facts);
+    this.clearAt = Math.min(this.clearAt, Math.max(own, this.#movedClearAt(this.before.movedAt, now, wallNow)));
+    this.before = null;
+  }
+
   /** A renewal of that state lease was answered; it was sent at `sentAt`. */
   renewed(lease: number, sentAt: number): void {
     if (lease === this.#lease && this.state !== 'resuming') this.renewedAt = sentAt;
--- a/packages/core/test/ownership.test.ts
+++ b/packages/core/test/ownership.test.ts
@@ -237,3 +237,47 @@
     { seed: 391, numRuns: 1000 },
   );
 });
+
+// After a crash in the middle of a cut the wait for a cancellation began anew, though the controller that had crashed was back
+// and could say that it owned nothing.
+test('an owner before that has given the slot up leaves a worker lease, and the one before it its own time', () => {
+  const ttl = stateLeaseMs(facts);
+  const span = fc.integer({ min: 0, max: 30_000 });
+  fc.assert(
+    fc.property(span, span, span, span, (renewedAt, late, reign, asked) => {
+      const store = new Store();
+      const take = (node: string, lease: number, now: number): Holding => {
+        const holding = new Holding('0', facts, { node, process: `${node}${now}` }, () => 0);
+        const had = store.view('0').owner !== null;
+        const decision = holding.decide(store.view('0'), lease, now, 1e12 + now);
+        assert.ok(decision.kind === 'take');
+        assert.ok(
+          holding.taken(
+            store.run(decision.txn, () => true),
+            had,
+            now,
+            1e12 + now,
+          ),
+        );
+        return holding;
+      };
+      const first = take('a', 1, 0);
+      first.renewed(1, renewedAt);
+      const firstTakenAt = renewedAt + ttl + late;
+      store.dropLease(1);
+      take('b', 2, firstTakenAt);
+      store.dropLease(2);
+      const takenAt = firstTakenAt + ttl + reign;
+      const third = take('c', 3, takenAt);
+      const waiting = third.clearAt;
+      third.gaveUp('a', takenAt + asked, 1e12 + takenAt + asked);
+      assert.equal(third.clearAt, waiting, 'it was not the owner before');
+      const saidAt = takenAt + asked;
+      third.gaveUp('b', saidAt, 1e12 + saidAt);
+      const gone = Math.max(saidAt + facts.leaseMs, first.answersUntil(firstTakenAt, -Infinity) + facts.leaseMs);
+      assert.ok(third.clearAt >= Math.min(waiting, gone), `${third.clearAt} before ${gone}`);
+      assert.ok(third.clearAt <= waiting);
+    }),
+    { seed: 391, numRuns: 1000 },
+  );
+});
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -114,6 +114,9 @@
   #renewed: { readonly lease: number; readonly at: number } | null = null;
   #questions = 0;
   /** Calls for room to write that may still be answered, and who has lent for each: a copy of an answer lends nothing. */
+  /** Questions to the controllers that parts of ours were taken from. */
+  readonly #askedOwners = new Map<string, { readonly part: number; readonly term: number; readonly at: number }>();
+  #ownersAskedAt = -Infinity;
   readonly #needs = new Map<string, { readonly at: number; readonly lenders: Set<string> }>();
   #stopped = false;
   #summarySentAt = -Infinity;
@@ -218,6 +221,7 @@
     const now = this.clock.now();
     for (const node of this.#met.keys()) if (!this.link.alive(node)) this.#met.set(node, null);
     for (const owner of this.#owners.values()) owner.tick(now);
+    this.#askOwners(now);
     this.#releaseOne(now);
     this.#summarise(now);
     this.#leader?.tick();
@@ -596,6 +600,17 @@
         if (this.link.nodes.every((n) => asked.vouched.has(n))) this.#vouchedAt = Math.max(this.#vouchedAt, asked.at);
         return;
       }
+      case 'AskOwner':
+        this.link.send(from, { kind: 'TellOwner', id: message.id, owns: this.#owners.has(message.part) });
+        return;
+      case 'TellOwner': {
+        const asked = this.#askedOwners.get(message.id);
+        const owner = asked === undefined ? undefined : this.#owners.get(asked.part);
+        if (asked === undefined || message.owns || owner?.holding.term !== asked.term) return;
+        owner.holding.gaveUp(from, now, this.clock.wall());
+        owner.book.clearAt = owner.holding.clearAt;
+        return;
+      }
       case 'Relay':
         if (message.to === this.settings.node) {
           void this.#relayed(from, message);
@@ -678,6 +693,20 @@
     return this.replica.contactAt === null ? 1e9 : now - this.replica.contactAt;
   }
 
+  /** Asks those that had parts of ours before whether they have given them up: if so, the parts are clear sooner. */
+  #askOwners(now: number): void {
+    const { reportMs } = this.settings.facts;
+    if (now - this.#ownersAskedAt < reportMs / 2) return;
+    this.#ownersAskedAt = now;
+    for (const [id, asked] of this.#askedOwners) if (now - asked.at > reportMs * 2) this.#askedOwners.delete(id);
+    for (const { part, holding, book } of this.#owners.values()) {
+      if (holding.before === null || book.cleared) continue;
+      const id = this.#question();
+      this.#askedOwners.set(id, { part, term: holding.term, at: now });
+      this.link.send(holding.before.node, { kind: 'AskOwner', id, part });
+    }
+  }
+
   // --- an outage of the state service ------------------------------------------------------------------------------
 
   /**
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -3,7 +3,7 @@
 import avro from 'avsc';
 
 /** Raised with every change of the schema; controllers of different versions do not talk. */
-export const PEER_VERSION = 5;
+export const PEER_VERSION = 6;
 
 const record = (name: string, fields: Record<string, unknown>): object => ({
   type: 'record',
@@ -54,6 +54,9 @@
   // Ids name the process that asks: an answer to its predecessor, that was long under way, must match nothing here.
   record('Ask', { id: 'string', revision: 'long' }),
   record('Vouch', { id: 'string', vouches: 'boolean', contactAgeMs: 'double' }),
+  /** Asks the owner before of a part whether it still is; see `Holding.gaveUp`. */
+  record('AskOwner', { id: 'string', part: 'int' }),
+  record('TellOwner', { id: 'string', owns: 'boolean' }),
   /** A worker's report for the owner of a part, from a controller that the worker can reach. */
   record('Relay', { id: 'string', from: 'string', to: 'string', body: 'bytes' }),
   record('RelayAnswer', { id: 'string', to: 'string', status: 'int', body: 'bytes' }),
@@ -100,6 +103,8 @@
   FleetOrders: { term: number; drain: string[]; gone: string[] };
   Ask: { id: string; revision: number };
   Vouch: { id: string; vouches: boolean; contactAgeMs: number };
+  AskOwner: { id: string; part: number };
+  TellOwner: { id: string; owns: boolean };
   Relay: { id: string; from: string; to: string; body: Buffer };
   RelayAnswer: { id: string; to: string; status: number; body: Buffer };
   Alive: { contactAgeMs: number; revision: number };
