--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -222,11 +222,11 @@
   /**
    * How long a machine may be silent before it is returned. One of a zone that is silent as a whole is cut off rather than
    * dead, and mostly comes back with its images: a hundred of them were once returned four seconds before the cut
-   * healed. By then its owner inside may still have answered it, so it is left for as much longer.
+   * healed. Its owner inside may have answered it for as long as a cancellation has, so its lease counts from there.
    */
   #patienceMs(k: Known, now: number): number {
-    const lease = 2 * workerLeaseBoundMs(this.facts);
-    return (this.#silentZones.get(k.zone) ?? 0) > now ? lease + this.facts.cancelMs : lease;
+    const lease = workerLeaseBoundMs(this.facts);
+    return (this.#silentZones.get(k.zone) ?? 0) > now ? Math.max(2 * lease, this.facts.cancelMs + lease) : 2 * lease;
   }
 
   /**
