--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -32,7 +32,8 @@
   readonly zone: string;
   readonly spot: boolean;
   readonly bornAt: number;
-  state: 'booting' | 'running' | 'failed';
+  /** vanished: not listed any more. Returned once more, for the answer to that is proof. */
+  state: 'booting' | 'running' | 'failed' | 'vanished';
   listed: boolean;
   /** Since when it is up, as far as lists and reports tell. */
   upSince: number | null;
@@ -142,10 +143,11 @@
     for (const k of this.known.values()) {
       if (names.has(k.name)) continue;
       k.missingSince ??= now;
-      // Listed once and missing now: deleted or taken. Lists may go back in time, so not at once.
+      // Listed once and missing now: deleted or taken. Lists may go back in time, so not at once. It is not just forgotten:
+      // its part would show it as silent ever after, and a zone of such machines was taken for cut off and never served.
       const wait = this.facts.listLagMs * (k.listed ? 2 : 6);
       if (now - k.missingSince > wait && (k.heardAt === null || now - k.heardAt > this.facts.leaseMs))
-        this.known.delete(k.name);
+        k.state = 'vanished';
     }
     for (const [name, at] of this.#returned) if (now - at > this.facts.listLagMs * 20) this.#returned.delete(name);
     return { failed: [...this.known.values()].filter((k) => k.state === 'failed').map((k) => k.name) };
@@ -204,7 +206,7 @@
     for (const k of this.known.values()) {
       const bootMs = (types.get(k.type)?.bootS ?? 60) * 1000;
       const room = rooms.get(k.name);
-      if (k.state === 'failed') giveBack.push(k.name);
+      if (k.state === 'failed' || k.state === 'vanished') giveBack.push(k.name);
       else if (k.state === 'booting' && room === undefined) {
         if (now - k.bornAt > bootMs * STUCK_BOOTS) giveBack.push(k.name);
         else if (now - k.bornAt < bootMs * LATE_BOOTS) booting.push(k);
--- a/packages/core/test/fleet.test.ts
+++ b/packages/core/test/fleet.test.ts
@@ -166,6 +166,25 @@
   assert.ok(zones(fresh, 400, back).includes('b'));
 });
 
+// Machines that the cloud had taken stayed in their parts' books as silent ones: where all of a zone's were of that kind, the
+// zone was taken for cut off, and jobs that had to run there waited for ever.
+test('a silent machine that is listed no more is returned, so that its part forgets it and its zone is served', () => {
+  const fleet = new Fleet(facts, 1, limits);
+  fleet.listed([listed('m-1', 500)], 0);
+  const gone = { ...used('m-1', 2), silentMs: 1e9 };
+  const plan = (now: number): readonly string[] =>
+    fleet.plan({ now, types, summaries: summaries(1, [gone]), unmet: [], parts: PARTS }).giveBack;
+  for (let now = 1000; now <= 4000; now += 1000) {
+    assert.deepEqual(fleet.listed([], now).failed, []);
+    assert.deepEqual(plan(now), []);
+  }
+  fleet.listed([], 6000);
+  assert.deepEqual(plan(6000), ['m-1']);
+  // A list that is newer than the one it was missing from.
+  fleet.listed([listed('m-1', 500)], 7000);
+  assert.deepEqual(plan(7000), []);
+});
+
 // A cut of 40 s once cost all hundred machines of a zone: they were returned four seconds before it healed.
 test('machines of a zone that is cut off are left for longer than a machine that fell silent alone', () => {
   const fleet = new Fleet(facts, 1, limits);
