--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -14,97 +14,8 @@
 } from '@gingerlock/wire';
 import { type Amounts, type Facts, fits, NOTHING, plus, typeAllows, workerLeaseBoundMs } from './facts';
 import type { Job, JobTable } from './jobs';
-import { bestPlan, betterElsewhere, type Plan } from './placement';
-
-/**
- * uncertain: dealt before this owner's takeover and seen nowhere yet, so an unheard machine may hold it.
- * waiting:   no machine holds it; it is posted in a wake.
- * claimed:   a machine holds it, or may.
- * finishing: completed; the state service has yet to be told.
- * leaving:   a change of the job's record that gives it back is on its way.
- */
-export type SlotState = 'uncertain' | 'waiting' | 'claimed' | 'finishing' | 'leaving';
-
-const MOVES: Record<SlotState, readonly SlotState[]> = {
-  uncertain: ['waiting', 'claimed', 'finishing'],
-  waiting: ['claimed', 'leaving', 'finishing'],
-  claimed: ['waiting', 'finishing'],
-  finishing: ['claimed'],
-  leaving: ['waiting', 'claimed', 'finishing'],
-};
-
-export interface Claim {
-  readonly machine: Machine;
-  readonly attempt: number;
-  readonly session: number;
-  readonly grantedAt: number;
-  /** What the worker said last; `granted` until it has said anything. */
-  stage: 'granted' | 'fetching' | 'running' | 'saving';
-  /** Set when the task is to be stopped, with the time it gets for saving. */
-  stopGraceS: number | null;
-}
-
-/** Room on a machine to which a replica might move. */
-export interface Refuge {
-  readonly type: string;
-  readonly zone: string;
-  readonly spot: boolean;
-  readonly free: Amounts;
-  readonly images: readonly string[];
-}
-
-export interface Slot {
-  readonly job: Job;
-  readonly index: number;
-  readonly name: string;
-  readonly zone: string | null;
-  state: SlotState;
-  claim: Claim | null;
-  /** Since when it is in this state. */
-  since: number;
-  /** Not granted before: a task that failed waits a while. */
-  notBefore: number;
-  failures: number;
-  /** Where it would run soonest, by the last packing. */
-  plan: Plan | null;
-  /** Stopped so that its machine can go: it waits only for a machine that has its image, or goes back to the leader. */
-  moving: boolean;
-  /** Version of the job's record on which the change that gives this task back is conditional. */
-  leavingVersion: number;
-}
-
-export interface Machine {
-  readonly name: string;
-  addr: string;
-  type: string;
-  zone: string;
-  spot: boolean;
-  session: number;
-  seq: number;
-  /** A report that carries this owner's term has come: no older command can run there any more. */
-  settled: boolean;
-  /** Answers given in a row to reports that did not carry our term. */
-  unsettledAnswers: number;
-  /** When the last report that was answered was received; null: none was, or its lease has run out since. */
-  answeredAt: number | null;
-  /** How often it was called under this term, and when last: see `call`. */
-  calls: number;
-  calledAt: number;
-  noticed: boolean;
-  /** Its name is in the state service's roster, so that a new owner knows to ask for it. */
-  rostered: boolean;
-  draining: boolean;
-  reported: readonly ReportedTask[];
-  readonly claims: Map<string, Slot>;
-  /** Our guess at its image cache, the most recently used last. */
-  readonly cache: Map<string, number>;
-  emptySince: number;
-  /** Grants in a row that the next report did not show. */
-  lostGrants: number;
-  deafUntil: number;
-  /** Jobs that failed here since a task last went well. */
-  readonly failedJobs: Set<string>;
-}
+import { betterElsewhere } from './placement';
+import { type Claim, type Machine, type Slot, SLOT_MOVES, type SlotState } from './slots';
 
 export type ReportOutcome =
   | { readonly kind: 'answer'; readonly token: number; readonly commands: WorkerCommand[] }
@@ -123,9 +34,6 @@
   return Math.floor(token / CALLS_PER_TERM);
 }
 
-/** A task that is stopped gets a little more than it says it needs for saving. */
-const SAVE_SLACK = 1.25;
-
 /** DESIGN's grant lease: a machine silent for three report intervals is suspect. */
 const SUSPECT_INTERVALS = 3;
 
@@ -135,9 +43,6 @@
 /** A worker takes a higher token as a cause to report once in half of its lease; a little more, for drift. */
 const CALL_EVERY_LEASES = 0.52;
 
-/** A start counts for the users if nothing stops the task within 30 s, says the protocol: no replica is moved before. */
-const MOVED_AFTER_MS = 30_000;
-
 export interface BookOptions {
   readonly facts: Facts;
   readonly part: number;
@@ -167,7 +72,7 @@
   readonly #images: ReadonlyMap<string, readonly string[]>;
   readonly #jobs: JobTable;
   readonly #types: () => ReadonlyMap<string, MachineType>;
-  readonly #log: (message: string, detail: Record<string, unknown>) => void;
+  readonly log: (message: string, detail: Record<string, unknown>) => void;
   /** The wake queue: jobs with waiting tasks, merged, the most urgent and then the oldest first. */
   #wakes: Job[] = [];
   readonly #posted = new Set<string>();
@@ -187,7 +92,7 @@
     this.#types = options.types;
     this.unheard = new Map(options.roster);
     this.#images = options.images ?? new Map();
-    this.#log = options.log ?? (() => undefined);
+    this.log = options.log ?? (() => undefined);
   }
 
   get cleared(): boolean {
@@ -202,7 +107,7 @@
 
   /** The one function that changes a slot's state. */
   #move(slot: Slot, next: SlotState, now: number, claim: Claim | null = null): void {
-    if (slot.state !== next && !MOVES[slot.state].includes(next)) {
+    if (slot.state !== next && !SLOT_MOVES[slot.state].includes(next)) {
       throw new Error(`task ${slot.name}: no move from ${slot.state} to ${next}`);
     }
     if (slot.claim !== null) slot.claim.machine.claims.delete(slot.name);
@@ -338,7 +243,7 @@
 
   #endClaims(machine: Machine, now: number, why: string): void {
     for (const slot of [...machine.claims.values()]) {
-      this.#log('claim ended', { task: slot.name, machine: machine.name, why });
+      this.log('claim ended', { task: slot.name, machine: machine.name, why });
       this.#move(slot, 'waiting', now);
     }
   }
@@ -405,19 +310,6 @@
     return since > reportMs / 10 && since < reportMs * 0.9;
   }
 
-  /** The machines that waiting tasks are planned for and that would report later than need be. */
-  toCall(now: number): Set<Machine> {
-    const machines = new Set<Machine>();
-    for (const job of this.wakes()) {
-      for (const slot of this.waitingSlots(job)) {
-        if (slot.plan === null || slot.plan.victims.length > 0 || slot.notBefore > now) continue;
-        const { machine } = slot.plan;
-        if (machine.rostered && this.takesWork(machine, now) && this.mayCall(machine, now)) machines.add(machine);
-      }
-    }
-    return machines;
-  }
-
   /** Raises the machine's token; the caller sends it there. */
   call(machine: Machine, now: number): number {
     machine.calls++;
@@ -510,7 +402,7 @@
       // later report lacks has not started and will not.
       const lost = slot.claim!.stage === 'granted';
       if (lost && ++m.lostGrants >= 2) m.deafUntil = now + this.facts.leaseMs;
-      this.#log('claim ended', {
+      this.log('claim ended', {
         task: slot.name,
         machine: m.name,
         why: lost ? 'start was lost' : 'not reported any more',
@@ -569,7 +461,7 @@
     }
     if (!ours) return false;
     this.#blame(m, slot, task.cause ?? 'error', now);
-    this.#log('claim ended', { task: slot.name, machine: m.name, why: `exited: ${task.cause}` });
+    this.log('claim ended', { task: slot.name, machine: m.name, why: `exited: ${task.cause}` });
     this.#move(slot, 'waiting', now);
     return false;
   }
@@ -634,7 +526,7 @@
           stopGraceS: null,
         });
         slot.moving = false;
-        this.#log('task bound', {
+        this.log('task bound', {
           task: slot.name,
           machine: m.name,
           attempt,
@@ -665,7 +557,7 @@
     for (const slots of this.slots.values()) {
       for (const slot of slots.values()) if (slot.state === 'uncertain') this.#move(slot, 'waiting', now);
     }
-    this.#log('part cleared', { part: this.part, term: this.term });
+    this.log('part cleared', { part: this.part, term: this.term });
   }
 
   /** Ends what time alone ends; returns the machines whose lease has run out. */
@@ -686,94 +578,6 @@
     return lapsed;
   }
 
-  /**
-   * Packs the waiting tasks into the rooms as the coming reports would, stopping work of lower priority where that is
-   * the soonest. Returns what is left of each room, the tasks that no machine of this part can take, and what was told
-   * to stop.
-   */
-  pack(now: number): { rooms: Map<Machine, Amounts>; stuck: Slot[]; stopped: Slot[] } {
-    const rooms = new Map<Machine, Amounts>();
-    for (const m of this.machines.values()) {
-      if (!this.takesWork(m, now)) continue;
-      let room = this.room(m);
-      // What is stopping is free soon: counted now, so that nothing more is stopped for the same task.
-      for (const slot of m.claims.values()) if (slot.claim!.stopGraceS !== null) room = plus(room, slot.job.spec);
-      rooms.set(m, room);
-    }
-    const stuck: Slot[] = [];
-    const doomed = new Set<Slot>();
-    for (const job of this.wakes()) {
-      for (const slot of this.waitingSlots(job)) {
-        slot.plan = bestPlan(this, slot, rooms, doomed, now);
-        if (slot.plan === null) {
-          stuck.push(slot);
-          continue;
-        }
-        let room = rooms.get(slot.plan.machine)!;
-        for (const victim of slot.plan.victims) {
-          doomed.add(victim);
-          room = plus(room, victim.job.spec);
-        }
-        rooms.set(slot.plan.machine, plus(room, job.spec, -1));
-        if (slot.notBefore <= now) for (const victim of slot.plan.victims) this.#preempt(victim, slot);
-      }
-    }
-    return { rooms, stuck, stopped: [...doomed].filter((s) => s.claim?.stopGraceS !== null) };
-  }
-
-  /**
-   * Stops the replicas of draining machines that would be up again elsewhere within a moment: where there is room and
-   * their image is, in this part if the machine can be called, or in another. A machine is left as it is unless all can
-   * move, and one is emptied at a time. Returns what is to be stopped.
-   */
-  vacate(rooms: ReadonlyMap<Machine, Amounts>, others: () => readonly Refuge[], now: number): Slot[] {
-    for (const job of this.wakes()) {
-      if (job.spec.kind === 'service' && this.waitingSlots(job).next().done !== true) return [];
-    }
-    let refuges: Refuge[] | null = null;
-    for (const m of this.machines.values()) {
-      if (!m.draining || m.noticed || m.spot || this.isSuspect(m, now)) continue;
-      const replicas = [...m.claims.values()].filter((s) => s.job.spec.kind === 'service');
-      if (replicas.length === 0) continue;
-      if (replicas.some((s) => s.claim!.stopGraceS !== null || s.claim!.stage !== 'running')) continue;
-      if (replicas.some((s) => now - s.claim!.grantedAt < MOVED_AFTER_MS)) continue;
-      refuges ??= [...this.#refuges(rooms, now), ...others()];
-      const left = new Map<Refuge, Amounts>();
-      const moves = replicas.every(({ job: { spec }, zone }) => {
-        for (const r of refuges!) {
-          const free = left.get(r) ?? r.free;
-          if (!fits(spec, free) || !r.images.includes(spec.image)) continue;
-          if ((zone !== null && zone !== r.zone) || !typeAllows(spec, r.type, r.zone, r.spot)) continue;
-          left.set(r, plus(free, spec, -1));
-          return true;
-        }
-        return false;
-      });
-      if (!moves) continue;
-      for (const slot of replicas) {
-        slot.claim!.stopGraceS = 0;
-        slot.moving = true;
-        this.#log('replica moved', { task: slot.name, machine: m.name });
-      }
-      return replicas;
-    }
-    return [];
-  }
-
-  *#refuges(rooms: ReadonlyMap<Machine, Amounts>, now: number): Generator<Refuge> {
-    for (const [m, free] of rooms) {
-      if (m.spot || this.reportsInMs(m, now) > 0) continue;
-      yield { type: m.type, zone: m.zone, spot: m.spot, free, images: [...m.cache.keys()] };
-    }
-  }
-
-  #preempt(victim: Slot, slot: Slot): void {
-    const spec = victim.job.spec;
-    // A service must not wait for a save; between batch jobs the saved work is worth the time.
-    victim.claim!.stopGraceS = slot.job.spec.kind === 'array' && spec.checkpointS > 0 ? spec.saveS * SAVE_SLACK : 0;
-    this.#log('task preempted', { task: victim.name, machine: victim.claim!.machine.name, for: slot.name });
-  }
-
   /**
    * Tasks that can be given back to the leader, by job: those of cancelled jobs that surely run nowhere, and those that
    * have waited a while for room that this part does not have.
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,3 +5,5 @@
 export * from './division';
 export * from './fleet';
 export * from './ownership';
+export * from './packing';
+export * from './slots';
--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -4,8 +4,9 @@
 // the image, or after stopping work of lower priority. A machine that reports passes on a task only if another machine of
 // the part would run it sooner than this one could.
 import type { MachineType } from '@gingerlock/wire';
-import type { Machine, PartBook, Slot } from './claims';
+import type { PartBook } from './claims';
 import { type Amounts, fits, plus, typeAllows } from './facts';
+import type { Machine, Slot } from './slots';
 
 /** Whether a task could be bound to the machine if it had the room. */
 export function suits(slot: Slot, m: Machine): boolean {
--- /dev/null
+++ b/packages/core/src/slots.ts
@@ -0,0 +1,96 @@
+// What a claim book keeps of tasks and machines.
+import type { ReportedTask } from '@gingerlock/wire';
+import type { Amounts } from './facts';
+import type { Job } from './jobs';
+import type { Plan } from './placement';
+
+/**
+ * uncertain: dealt before this owner's takeover and seen nowhere yet, so an unheard machine may hold it.
+ * waiting:   no machine holds it; it is posted in a wake.
+ * claimed:   a machine holds it, or may.
+ * finishing: completed; the state service has yet to be told.
+ * leaving:   a change of the job's record that gives it back is on its way.
+ */
+export type SlotState = 'uncertain' | 'waiting' | 'claimed' | 'finishing' | 'leaving';
+
+/** To which state a slot may go from each. */
+export const SLOT_MOVES: Record<SlotState, readonly SlotState[]> = {
+  uncertain: ['waiting', 'claimed', 'finishing'],
+  waiting: ['claimed', 'leaving', 'finishing'],
+  claimed: ['waiting', 'finishing'],
+  finishing: ['claimed'],
+  leaving: ['waiting', 'claimed', 'finishing'],
+};
+
+export interface Claim {
+  readonly machine: Machine;
+  readonly attempt: number;
+  readonly session: number;
+  readonly grantedAt: number;
+  /** What the worker said last; `granted` until it has said anything. */
+  stage: 'granted' | 'fetching' | 'running' | 'saving';
+  /** Set when the task is to be stopped, with the time it gets for saving. */
+  stopGraceS: number | null;
+}
+
+/** Room on a machine to which a replica might move. */
+export interface Refuge {
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly free: Amounts;
+  readonly images: readonly string[];
+}
+
+export interface Slot {
+  readonly job: Job;
+  readonly index: number;
+  readonly name: string;
+  readonly zone: string | null;
+  state: SlotState;
+  claim: Claim | null;
+  /** Since when it is in this state. */
+  since: number;
+  /** Not granted before: a task that failed waits a while. */
+  notBefore: number;
+  failures: number;
+  /** Where it would run soonest, by the last packing. */
+  plan: Plan | null;
+  /** Stopped so that its machine can go: it waits only for a machine that has its image, or goes back to the leader. */
+  moving: boolean;
+  /** Version of the job's record on which the change that gives this task back is conditional. */
+  leavingVersion: number;
+}
+
+export interface Machine {
+  readonly name: string;
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  session: number;
+  seq: number;
+  /** A report that carries this owner's term has come: no older command can run there any more. */
+  settled: boolean;
+  /** Answers given in a row to reports that did not carry our term. */
+  unsettledAnswers: number;
+  /** When the last report that was answered was received; null: none was, or its lease has run out since. */
+  answeredAt: number | null;
+  /** How often it was called under this term, and when last: see `call`. */
+  calls: number;
+  calledAt: number;
+  noticed: boolean;
+  /** Its name is in the state service's roster, so that a new owner knows to ask for it. */
+  rostered: boolean;
+  draining: boolean;
+  reported: readonly ReportedTask[];
+  readonly claims: Map<string, Slot>;
+  /** Our guess at its image cache, the most recently used last. */
+  readonly cache: Map<string, number>;
+  emptySince: number;
+  /** Grants in a row that the next report did not show. */
+  lostGrants: number;
+  deafUntil: number;
+  /** Jobs that failed here since a task last went well. */
+  readonly failedJobs: Set<string>;
+}
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -1,24 +1,12 @@
 // One controller: its view of the state service, the parts it owns, the lead if it has it, and the answers to users,
 // workers and peers. Everything it needs of the world comes in through ports.
-import {
-  Budget,
-  type Clock,
-  type Http,
-  Replica,
-  sleep,
-  StateService,
-  type TxnResult,
-  URGENCY,
-} from '@gingerlock/clients';
+import { Budget, type Clock, type Http, Replica, sleep, StateService, URGENCY } from '@gingerlock/clients';
 import {
   answerBoundMs,
-  dealtUnfinished,
   type Decision,
   DRIFT,
   Holding,
-  type Job,
   marginMs,
-  neverRuns,
   type PartSummary,
   stateLeaseMs,
   TURN,
@@ -27,16 +15,9 @@
 import type { PeerLink, PeerMessage } from '@gingerlock/peer';
 import {
   decodeReport,
-  decodeSubmission,
-  encodeError,
-  encodeJobState,
   encodeOrders,
   encodeReportTo,
   FORMAT,
-  isJobId,
-  jobRecord,
-  type JobSpec,
-  type JobState,
   KEYS,
   LEAD,
   Malformed,
@@ -47,15 +28,11 @@
 import { Leader, type SeenSummary } from './leader';
 import type { Log } from './log';
 import { PartOwner } from './owner';
+import { refusal, type Reply } from './reply';
 import type { Settings } from './settings';
 import { Shared } from './shared';
 import { Store } from './store';
-
-export interface Reply {
-  readonly status: number;
-  readonly body: Buffer | null;
-  readonly retryAfterS?: number;
-}
+import { Users } from './users';
 
 export interface ControllerPorts {
   readonly settings: Settings;
@@ -97,6 +74,7 @@
   readonly process: string;
   readonly #http: Http;
   readonly #budget: Budget;
+  readonly #users: Users;
   readonly #owners = new Map<number, PartOwner>();
   readonly #holdings = new Map<string, Holding>();
   readonly #seen = new Map<number, SeenSummary>();
@@ -157,6 +135,13 @@
       onError: (error) => this.log.info({ error: String(error) }, 'state service can not be read'),
     });
     this.shared = new Shared(this.settings, ports.clock, ports.log, this.state, this.replica, this.store, ports.http);
+    this.#users = new Users(this.shared, (id) => {
+      let running = 0;
+      for (const { summary } of this.#seen.values()) {
+        for (const [name, tasks] of summary.running) if (name === id) running += tasks;
+      }
+      return running;
+    });
     this.shared.announce = (revision) => {
       this.#broadcast({ kind: 'Hint', revision });
       this.replica.hint(revision);
@@ -738,126 +723,16 @@
     return stale && peerHasIt ? refusal(503, 'state service is out of reach') : { status: 200, body: null };
   }
 
-  #stateOf(id: string): JobState | null {
-    const final = this.store.jobs.finals.get(id);
-    if (final !== undefined) return { id, status: final };
-    const job = this.store.jobs.live.get(id);
-    if (job === undefined) return null;
-    if (job.cancelled) return { id, status: 'cancelled' };
-    let running = 0;
-    for (const { summary } of this.#seen.values()) {
-      for (const [name, tasks] of summary.running) if (name === id) running += tasks;
-    }
-    return { id, status: running > 0 ? 'running' : 'queued', done: job.finishedCount, running };
-  }
-
-  #reply(id: string, status: number): Reply {
-    const state = this.#stateOf(id);
-    return state === null ? refusal(404, 'no such job') : { status, body: encodeJobState(state) };
-  }
-
-  /** Whether what the replica says of the job can not change any more. */
-  #settled(id: string): boolean {
-    return this.store.jobs.finals.has(id) || this.store.jobs.live.get(id)?.cancelled === true;
-  }
-
-  #known(id: string): boolean {
-    return this.store.jobs.finals.has(id) || this.store.jobs.live.has(id);
-  }
-
-  async poll(id: string): Promise<Reply> {
-    if (!isJobId(id)) return refusal(404, 'no such job');
-    if (!this.#settled(id)) {
-      try {
-        await this.replica.barrier();
-      } catch {
-        return this.#unavailable();
-      }
-    }
-    return this.#reply(id, 200);
-  }
-
-  #unavailable(): Reply {
-    return refusal(503, 'state service is out of reach', 1);
+  poll(id: string): Promise<Reply> {
+    return this.#users.poll(id);
   }
 
-  async submit(body: Buffer): Promise<Reply> {
-    let spec: JobSpec;
-    try {
-      spec = decodeSubmission(body);
-    } catch (error) {
-      return refusal(400, error instanceof Malformed ? error.message : 'malformed');
-    }
-    const { id } = spec;
-    if (this.#known(id)) return this.poll(id);
-    if (this.store.types.size === 0) return refusal(503, 'machine types are not known yet', 1);
-    const never = neverRuns(spec, this.settings.facts, [...this.store.types.values()]);
-    if (never !== null) {
-      // Another controller may have accepted it under other settings or types.
-      const known = await this.poll(id);
-      return known.status === 404 ? refusal(422, never) : known;
-    }
-    const wait = this.state.options.budget.waitMs(URGENCY.accept);
-    if (wait > 2000) return refusal(429, 'too many requests', Math.ceil(wait / 1000));
-    const key = KEYS.job(id);
-    const record = { final: null, spec, acceptedAt: this.clock.wall(), cancelled: false, rounds: [] };
-    const changes = [{ put: key, value: jobRecord.write(record) }];
-    const result = await this.state.txn(URGENCY.accept, [{ key, version: 0 }], changes, 2000);
-    switch (result.kind) {
-      case 'done':
-        this.replica.applyOwn(changes, result.revision);
-        this.shared.announce(result.revision);
-        this.log.debug({ job: id, class: spec.jobClass, team: spec.team, tasks: spec.tasks }, 'accepted');
-        return this.#reply(id, 201);
-      case 'conflict':
-        return this.poll(id);
-      default:
-        return this.#undecided(id, result);
-    }
+  submit(body: Buffer): Promise<Reply> {
+    return this.#users.submit(body);
   }
 
-  async #undecided(id: string, result: TxnResult): Promise<Reply> {
-    this.log.info({ job: id, result }, 'outcome not known');
-    if (result.kind === 'refused') return this.#unavailable();
-    // Read back before answering: it may have been carried out.
-    const reply = await this.poll(id);
-    return reply.status === 200 ? reply : this.#unavailable();
-  }
-
-  async cancel(id: string): Promise<Reply> {
-    if (!isJobId(id)) return refusal(404, 'no such job');
-    const until = this.clock.now() + 3000;
-    while (!this.#settled(id)) {
-      let job: Job | undefined = this.store.jobs.live.get(id);
-      if (job === undefined) {
-        const reply = await this.poll(id);
-        if (reply.status !== 200) return reply;
-        job = this.store.jobs.live.get(id);
-        if (job === undefined || job.cancelled) break;
-      }
-      const key = KEYS.job(id);
-      const { spec, acceptedAt, rounds } = job;
-      // With nothing dealt there is nothing to stop: the record closes at once.
-      const record =
-        rounds.length === 0
-          ? ({ final: 'cancelled' } as const)
-          : { final: null, spec, acceptedAt, cancelled: true, rounds };
-      const changes = [{ put: key, value: jobRecord.write(record) }];
-      const result = await this.state.txn(URGENCY.cancel, [{ key, version: job.version }], changes, 2000);
-      if (result.kind === 'done') {
-        this.replica.applyOwn(changes, result.revision);
-        this.shared.announce(result.revision);
-        this.log.debug({ job: id, dealt: dealtUnfinished(job) }, 'cancelled');
-        break;
-      }
-      if (result.kind === 'refused' || this.clock.now() > until) return this.#unavailable();
-      try {
-        await this.replica.barrier();
-      } catch {
-        return this.#unavailable();
-      }
-    }
-    return this.#reply(id, 200);
+  cancel(id: string): Promise<Reply> {
+    return this.#users.cancel(id);
   }
 }
 
@@ -873,7 +748,3 @@
     running: summary.running.map(([job, tasks]) => ({ job, tasks })),
   };
 }
-
-function refusal(status: number, reason: string, retryAfterS?: number): Reply {
-  return { status, body: encodeError(reason), ...(retryAfterS === undefined ? {} : { retryAfterS }) };
-}
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -7,10 +7,13 @@
   type Machine,
   type MachineRoom,
   NOTHING,
+  pack,
   PartBook,
   type PartSummary,
   plus,
   type Slot,
+  toCall,
+  vacate,
   withoutTasks,
 } from '@gingerlock/core';
 import { URGENCY } from '@gingerlock/clients';
@@ -101,17 +104,17 @@
     if (this.book.changes !== this.#packedChange || now - this.#packedAt > this.shared.facts.reportMs / 3) {
       this.#packedChange = this.book.changes;
       this.#packedAt = now;
-      const { rooms, stuck, stopped } = this.book.pack(now);
+      const { rooms, stuck, stopped } = pack(this.book, now);
       this.#rooms = rooms;
       this.#stuck = stuck;
-      if (this.mayGrant(now)) stopped.push(...this.book.vacate(rooms, () => this.shared.refuges(this.part), now));
+      if (this.mayGrant(now)) stopped.push(...vacate(this.book, rooms, () => this.shared.refuges(this.part), now));
       for (const machine of new Set(stopped.map((s) => s.claim!.machine))) {
         this.#pushStops(
           machine,
           stopped.filter((s) => s.claim!.machine === machine),
         );
       }
-      if (this.mayGrant(now)) for (const machine of this.book.toCall(now)) this.#callForReport(machine, now);
+      if (this.mayGrant(now)) for (const machine of toCall(this.book, now)) this.#callForReport(machine, now);
     }
     void this.#write();
   }
--- a/packages/daemon/src/server.ts
+++ b/packages/daemon/src/server.ts
@@ -1,7 +1,8 @@
 import { fastify, type FastifyInstance, type FastifyReply } from 'fastify';
 import { MAX_BODY_BYTES } from '@gingerlock/wire';
-import type { Controller, Reply } from './controller';
+import type { Controller } from './controller';
 import type { Log } from './log';
+import type { Reply } from './reply';
 
 /** The users' and workers' interface. It knows HTTP and nothing else. */
 export function openServer(controller: Controller, log: Log, sockets: number): FastifyInstance {
--- /dev/null
+++ b/packages/daemon/src/users.ts
@@ -0,0 +1,142 @@
+// What users ask for: submissions, polls and cancellations.
+import { type TxnResult, URGENCY } from '@gingerlock/clients';
+import { dealtUnfinished, type Job, neverRuns } from '@gingerlock/core';
+import {
+  decodeSubmission,
+  encodeJobState,
+  isJobId,
+  jobRecord,
+  type JobSpec,
+  type JobState,
+  KEYS,
+  Malformed,
+} from '@gingerlock/wire';
+import { refusal, type Reply } from './reply';
+import type { Shared } from './shared';
+
+export class Users {
+  constructor(
+    readonly shared: Shared,
+    /** How many tasks of a job run now, as far as we have heard. */
+    readonly running: (id: string) => number,
+  ) {}
+
+  #stateOf(id: string): JobState | null {
+    const final = this.shared.store.jobs.finals.get(id);
+    if (final !== undefined) return { id, status: final };
+    const job = this.shared.store.jobs.live.get(id);
+    if (job === undefined) return null;
+    if (job.cancelled) return { id, status: 'cancelled' };
+    const running = this.running(id);
+    return { id, status: running > 0 ? 'running' : 'queued', done: job.finishedCount, running };
+  }
+
+  #reply(id: string, status: number): Reply {
+    const state = this.#stateOf(id);
+    return state === null ? refusal(404, 'no such job') : { status, body: encodeJobState(state) };
+  }
+
+  /** Whether what the replica says of the job can not change any more. */
+  #settled(id: string): boolean {
+    return this.shared.store.jobs.finals.has(id) || this.shared.store.jobs.live.get(id)?.cancelled === true;
+  }
+
+  #known(id: string): boolean {
+    return this.shared.store.jobs.finals.has(id) || this.shared.store.jobs.live.has(id);
+  }
+
+  async poll(id: string): Promise<Reply> {
+    if (!isJobId(id)) return refusal(404, 'no such job');
+    if (!this.#settled(id)) {
+      try {
+        await this.shared.replica.barrier();
+      } catch {
+        return this.#unavailable();
+      }
+    }
+    return this.#reply(id, 200);
+  }
+
+  #unavailable(): Reply {
+    return refusal(503, 'state service is out of reach', 1);
+  }
+
+  async submit(body: Buffer): Promise<Reply> {
+    let spec: JobSpec;
+    try {
+      spec = decodeSubmission(body);
+    } catch (error) {
+      return refusal(400, error instanceof Malformed ? error.message : 'malformed');
+    }
+    const { id } = spec;
+    if (this.#known(id)) return this.poll(id);
+    if (this.shared.store.types.size === 0) return refusal(503, 'machine types are not known yet', 1);
+    const never = neverRuns(spec, this.shared.settings.facts, [...this.shared.store.types.values()]);
+    if (never !== null) {
+      // Another controller may have accepted it under other settings or types.
+      const known = await this.poll(id);
+      return known.status === 404 ? refusal(422, never) : known;
+    }
+    const wait = this.shared.state.options.budget.waitMs(URGENCY.accept);
+    if (wait > 2000) return refusal(429, 'too many requests', Math.ceil(wait / 1000));
+    const key = KEYS.job(id);
+    const record = { final: null, spec, acceptedAt: this.shared.clock.wall(), cancelled: false, rounds: [] };
+    const changes = [{ put: key, value: jobRecord.write(record) }];
+    const result = await this.shared.state.txn(URGENCY.accept, [{ key, version: 0 }], changes, 2000);
+    switch (result.kind) {
+      case 'done':
+        this.shared.replica.applyOwn(changes, result.revision);
+        this.shared.announce(result.revision);
+        this.shared.log.debug({ job: id, class: spec.jobClass, team: spec.team, tasks: spec.tasks }, 'accepted');
+        return this.#reply(id, 201);
+      case 'conflict':
+        return this.poll(id);
+      default:
+        return this.#undecided(id, result);
+    }
+  }
+
+  async #undecided(id: string, result: TxnResult): Promise<Reply> {
+    this.shared.log.info({ job: id, result }, 'outcome not known');
+    if (result.kind === 'refused') return this.#unavailable();
+    // Read back before answering: it may have been carried out.
+    const reply = await this.poll(id);
+    return reply.status === 200 ? reply : this.#unavailable();
+  }
+
+  async cancel(id: string): Promise<Reply> {
+    if (!isJobId(id)) return refusal(404, 'no such job');
+    const until = this.shared.clock.now() + 3000;
+    while (!this.#settled(id)) {
+      let job: Job | undefined = this.shared.store.jobs.live.get(id);
+      if (job === undefined) {
+        const reply = await this.poll(id);
+        if (reply.status !== 200) return reply;
+        job = this.shared.store.jobs.live.get(id);
+        if (job === undefined || job.cancelled) break;
+      }
+      const key = KEYS.job(id);
+      const { spec, acceptedAt, rounds } = job;
+      // With nothing dealt there is nothing to stop: the record closes at once.
+      const record =
+        rounds.length === 0
+          ? ({ final: 'cancelled' } as const)
+          : { final: null, spec, acceptedAt, cancelled: true, rounds };
+      const changes = [{ put: key, value: jobRecord.write(record) }];
+      const result = await this.shared.state.txn(URGENCY.cancel, [{ key, version: job.version }], changes, 2000);
+      if (result.kind === 'done') {
+        this.shared.replica.applyOwn(changes, result.revision);
+        this.shared.announce(result.revision);
+        this.shared.log.debug({ job: id, dealt: dealtUnfinished(job) }, 'cancelled');
+        break;
+      }
+      if (result.kind === 'refused' || this.shared.clock.now() > until) return this.#unavailable();
+      try {
+        await this.shared.replica.barrier();
+      } catch {
+        return this.#unavailable();
+      }
+    }
+    return this.#reply(id, 200);
+  }
+}
