--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -577,9 +577,16 @@
         if (this.link.nodes.every((n) => asked.vouched.has(n))) this.#vouchedAt = Math.max(this.#vouchedAt, asked.at);
         return;
       }
-      case 'AskOwner':
+      case 'AskOwner': {
+        // Without the state service we may be the last to learn that the part was taken from us.
+        const holding = this.#owners.get(message.part)?.holding;
+        if (holding !== undefined && holding.term < message.term) {
+          holding.stepDown();
+          this.#released(holding);
+        }
         this.link.send(from, { kind: 'TellOwner', id: message.id, owns: this.#owners.has(message.part) });
         return;
+      }
       case 'TellOwner': {
         const asked = this.#askedOwners.get(message.id);
         const owner = asked === undefined ? undefined : this.#owners.get(asked.part);
@@ -681,7 +688,7 @@
       if (holding.before === null || book.cleared) continue;
       const id = this.#question();
       this.#askedOwners.set(id, { part, term: holding.term, at: now });
-      this.link.send(holding.before.node, { kind: 'AskOwner', id, part });
+      this.link.send(holding.before.node, { kind: 'AskOwner', id, part, term: holding.term });
     }
   }
 
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -55,7 +55,7 @@
   record('Ask', { id: 'string', revision: 'long' }),
   record('Vouch', { id: 'string', vouches: 'boolean', contactAgeMs: 'double' }),
   /** Asks the owner before of a part whether it still is; see `Holding.gaveUp`. */
-  record('AskOwner', { id: 'string', part: 'int' }),
+  record('AskOwner', { id: 'string', part: 'int', term: 'long' }),
   record('TellOwner', { id: 'string', owns: 'boolean' }),
   /** A worker's report for the owner of a part, from a controller that the worker can reach. */
   record('Relay', { id: 'string', from: 'string', to: 'string', body: 'bytes' }),
@@ -103,7 +103,7 @@
   FleetOrders: { term: number; drain: string[]; gone: string[] };
   Ask: { id: string; revision: number };
   Vouch: { id: string; vouches: boolean; contactAgeMs: number };
-  AskOwner: { id: string; part: number };
+  AskOwner: { id: string; part: number; term: number };
   TellOwner: { id: string; owns: boolean };
   Relay: { id: string; from: string; to: string; body: Buffer };
   RelayAnswer: { id: string; to: string; status: number; body: Buffer };
--- a/packages/peer/test/link.test.ts
+++ b/packages/peer/test/link.test.ts
@@ -19,7 +19,7 @@
   { kind: 'FleetOrders', term: 3, drain: ['m-1'], gone: [] },
   { kind: 'Ask', id: 'p-1', revision: 9 },
   { kind: 'Vouch', id: 'p-1', vouches: true, contactAgeMs: 12.5 },
-  { kind: 'AskOwner', id: 'p-2', part: 3 },
+  { kind: 'AskOwner', id: 'p-2', part: 3, term: 9 },
   { kind: 'TellOwner', id: 'p-2', owns: false },
   { kind: 'Relay', id: 'p-4', from: 'a', to: 'b', body: Buffer.from([1, 2, 3]) },
   { kind: 'RelayAnswer', id: 'p-4', to: 'a', status: 200, body: Buffer.alloc(0) },
