--- a/packages/clients/test/state.test.ts
+++ b/packages/clients/test/state.test.ts
@@ -125,6 +125,31 @@
   replica.stop();
 });
 
+test('reads follow the time, not the number of polls and hints that wait for them', async () => {
+  const reads = async (polls: number): Promise<number> => {
+    const sim = new Sim(5);
+    const service = new SimStateService(sim);
+    const { replica } = replicaOf(sim, service);
+    replica.start();
+    await sim.run(1000);
+    const before = service.requests;
+    let answered = 0;
+    for (let i = 0; i < polls; i++) {
+      sim.after((i * 1000) / polls, () => {
+        replica.hint(replica.revision + 1 + i);
+        void replica.barrier().then(() => answered++);
+      });
+    }
+    await sim.run(2200);
+    replica.stop();
+    assert.equal(answered, polls);
+    return service.requests - before;
+  };
+  const few = await reads(100);
+  assert.ok(few > 0);
+  assert.ok((await reads(5000)) <= few * 1.1);
+});
+
 test('our own removal is not undone by a read that was under way', async () => {
   const sim = new Sim(4);
   const service = new SimStateService(sim);
--- /dev/null
+++ b/packages/core/test/cost.test.ts
@@ -0,0 +1,124 @@
+// What a report and a packing cost, counted in looks at machines: each look asks for the machine's type.
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { jobRecord, type JobSpec, type MachineType, type WorkerReport } from '@gingerlock/wire';
+import { CALLS_PER_TERM, type Facts, JobTable, pack, PartBook } from '../src/index';
+
+const facts: Facts = {
+  controllers: 5,
+  zones: ['a'],
+  teams: new Map(),
+  reportMs: 1000,
+  leaseMs: 6000,
+  cancelMs: 20_000,
+  skewMs: 100,
+  listLagMs: 2000,
+};
+const type: MachineType = {
+  name: 'box',
+  cpus: 48,
+  gpus: 8,
+  memoryGb: 192,
+  cacheGb: 300,
+  fetchGbPerS: 9,
+  price: 4,
+  spotPrice: 1,
+  bootS: 5,
+  zones: ['a'],
+};
+const TASKS = 6;
+
+/** A part of so many machines with six replicas on each: looks of one unchanged report, and of a packing with so many waiting. */
+function costs(count: number, waiting: number): { report: number; packing: number } {
+  let looks = 0;
+  const types = new Map([[type.name, type]]);
+  const jobs = new JobTable(() => 64);
+  const job = (id: string, tasks: number): void => {
+    const spec: JobSpec = {
+      id,
+      jobClass: 'mid',
+      team: 'red',
+      kind: 'service',
+      priority: 'production',
+      tasks,
+      cpus: 4,
+      gpus: 1,
+      memoryGb: 12,
+      image: 'img-1',
+      imageGb: 34,
+      types: null,
+      zone: null,
+      oneZone: false,
+      spread: false,
+      spot: false,
+      estimateS: 0,
+      checkpointS: 0,
+      saveS: 0,
+      deadlineS: null,
+    };
+    const rounds = [{ from: 0, count: tasks, part: 0, zone: null, term: 2 }];
+    jobs.applyJob(id, jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, rounds }), 5);
+  };
+  const book = new PartBook({
+    facts,
+    part: 0,
+    term: 2,
+    clearAt: 0,
+    openedAt: 0,
+    jobs,
+    types: () => {
+      looks++;
+      return types;
+    },
+    roster: [],
+  });
+  const id = (m: number): string => `j-${String(m).padStart(6, '0')}`;
+  const report = (m: number, seq: number): WorkerReport => ({
+    machine: `m-${m}`,
+    addr: `m-${m}:1`,
+    type: type.name,
+    zone: 'a',
+    spot: false,
+    session: 1,
+    seq,
+    token: 2 * CALLS_PER_TERM,
+    noticeS: null,
+    tasks: Array.from({ length: TASKS }, (_, i) => ({
+      task: `${id(m)}/${i}`,
+      attempt: m * 100 + i,
+      state: 'running' as const,
+      cause: null,
+      saved: false,
+    })),
+  });
+  for (let m = 0; m < count; m++) {
+    job(id(m), TASKS);
+    book.syncJob(id(m), 0);
+    book.report(report(m, 1), 1, false);
+    book.setRostered(`m-${m}`, true);
+  }
+  if (waiting > 0) {
+    job('j-999999', waiting);
+    book.syncJob('j-999999', 1);
+  }
+  looks = 0;
+  const outcome = book.report(report(0, 2), 2, false);
+  assert.deepEqual(outcome, { kind: 'answer', token: 2 * CALLS_PER_TERM, commands: [] });
+  const ofReport = looks;
+  looks = 0;
+  const { stuck } = pack(book, 3);
+  assert.equal(stuck.length, 0);
+  return { report: ofReport, packing: looks };
+}
+
+test('an unchanged report costs the same in a part of 40 machines and in one of 900', () => {
+  assert.equal(costs(900, 0).report, costs(40, 0).report);
+  assert.equal(costs(900, 50).report, costs(40, 50).report);
+});
+
+test('a packing grows no faster than the machines of the part, nor than the waiting tasks', () => {
+  const small = costs(40, 4).packing;
+  assert.ok(costs(900, 4).packing <= small * (900 / 40) * 1.1);
+  assert.ok(costs(40, 16).packing <= small * 4 * 1.1);
+  assert.ok(costs(900, 0).packing <= 900);
+});
--- a/packages/testkit/test/growth.test.ts
+++ b/packages/testkit/test/growth.test.ts
@@ -30,3 +30,28 @@
     assert.ok(four <= two * 2 * IN_STEP, `${what}: ${two}, then ${four}`);
   }
 });
+
+test('what one controller that owns every part asks of the state service grows no faster than the fleet', async () => {
+  const counts: { requests: number; changes: number }[] = [];
+  for (const times of [1, 4]) {
+    const world = new World({
+      seed: 6,
+      controllers: 5,
+      machines: 10 * times,
+      capacity: 6 * times,
+      load: times,
+      gpusMax: 10 * times,
+    });
+    world.sim.after(15_000, () => {
+      for (const name of world.controllers.slice(1)) world.crash(name);
+    });
+    await playDay(world, { seed: 6, forMs: 60_000, faults: [] });
+    assert.deepEqual(world.breaches, []);
+    assert.equal(world.nodes[0]!.controller!.owned().length, 5);
+    assert.ok(world.finished() > 0);
+    counts.push({ requests: world.state.requests, changes: world.state.changes });
+  }
+  const [one, four] = counts as [(typeof counts)[0], (typeof counts)[0]];
+  assert.ok(four.requests <= one.requests * 4 * IN_STEP, `${one.requests}, then ${four.requests}`);
+  assert.ok(four.changes <= one.changes * 4 * IN_STEP, `${one.changes}, then ${four.changes}`);
+});
