--- a/packages/core/test/cost.test.ts
+++ b/packages/core/test/cost.test.ts
@@ -2,18 +2,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { jobRecord, type JobSpec, type MachineType, type WorkerReport } from '@gingerlock/wire';
-import { CALLS_PER_TERM, type Facts, JobTable, pack, PartBook } from '../src/index';
+import { CALLS_PER_TERM, JobTable, pack, PartBook } from '../src/index';
+import { FACTS } from './fixtures';
 
-const facts: Facts = {
-  controllers: 5,
-  zones: ['a'],
-  teams: new Map(),
-  reportMs: 1000,
-  leaseMs: 6000,
-  cancelMs: 20_000,
-  skewMs: 100,
-  listLagMs: 2000,
-};
+const facts = FACTS;
 const type: MachineType = {
   name: 'box',
   cpus: 48,
--- a/packages/core/test/division.test.ts
+++ b/packages/core/test/division.test.ts
@@ -1,20 +1,12 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { jobRecord, type JobSpec, type MachineType } from '@gingerlock/wire';
-import { divide, type Facts, JobTable, type MachineRoom, NOTHING, type PartSummary } from '../src/index';
+import { divide, JobTable, type MachineRoom, NOTHING, type PartSummary } from '../src/index';
+import { FACTS } from './fixtures';
 
 const ZONES = ['a', 'b', 'c'];
 const team = { name: 'red', cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 };
-const facts: Facts = {
-  controllers: 5,
-  zones: ZONES,
-  teams: new Map([[team.name, team]]),
-  reportMs: 1000,
-  leaseMs: 6000,
-  cancelMs: 20_000,
-  skewMs: 100,
-  listLagMs: 2000,
-};
+const facts = { ...FACTS, zones: ZONES, teams: new Map([[team.name, team]]) };
 const type: MachineType = {
   name: 'box',
   cpus: 48,
--- a/packages/core/test/fleet.test.ts
+++ b/packages/core/test/fleet.test.ts
@@ -1,18 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { CloudMachine, MachineType } from '@gingerlock/wire';
-import { type Facts, Fleet, type MachineRoom, NOTHING, Partition, type PartSummary } from '../src/index';
+import { Fleet, type MachineRoom, NOTHING, Partition, type PartSummary } from '../src/index';
+import { FACTS } from './fixtures';
 
-const facts: Facts = {
-  controllers: 2,
-  zones: ['a', 'b'],
-  teams: new Map(),
-  reportMs: 1000,
-  leaseMs: 6000,
-  cancelMs: 20_000,
-  skewMs: 100,
-  listLagMs: 2000,
-};
+const facts = { ...FACTS, controllers: 2, zones: ['a', 'b'] };
 const type: MachineType = {
   name: 'box',
   cpus: 8,
--- a/packages/core/test/ownership.test.ts
+++ b/packages/core/test/ownership.test.ts
@@ -3,18 +3,10 @@
 import type { Change, HoldRecord, OwnerRecord } from '@gingerlock/wire';
 import { holdRecord, KEYS, ownerRecord, termRecord } from '@gingerlock/wire';
 import fc from 'fast-check';
-import { answerBoundMs, type Facts, Holding, type SlotView, stateLeaseMs, type Txn } from '../src/index';
+import { answerBoundMs, Holding, type SlotView, stateLeaseMs, type Txn } from '../src/index';
+import { FACTS } from './fixtures';
 
-const facts: Facts = {
-  controllers: 3,
-  zones: ['a'],
-  teams: new Map(),
-  reportMs: 1000,
-  leaseMs: 6000,
-  cancelMs: 20_000,
-  skewMs: 100,
-  listLagMs: 2000,
-};
+const facts = { ...FACTS, controllers: 3 };
 
 /** The least of a state service that the state machine can be run against. */
 class Store {
