A job of one zone is bound by its unfinished tasks only

Cause: rounds keep finished tasks, and the division counted them as if they ran, so the rest of such a job waited for a zone that had lost its machines. Found by reading the code along the meeting of one-zone jobs that lose machines; the new test fails without the change.

--- a/packages/core/src/division.ts
+++ b/packages/core/src/division.ts
@@ -87,11 +87,13 @@
 }
 
 export function dealtUnfinished(job: Job): number {
+  return job.rounds.reduce((n, r) => n + unfinishedIn(job, r), 0);
+}
+
+function unfinishedIn(job: Job, { from, count }: Round): number {
+  if (job.finishedCount === 0) return count;
   let n = 0;
-  for (const r of job.rounds) {
-    if (job.finishedCount === 0) n += r.count;
-    else for (let i = r.from; i < r.from + r.count; i++) if (!job.isFinished(i)) n++;
-  }
+  for (let i = from; i < from + count; i++) if (!job.isFinished(i)) n++;
   return n;
 }
 
@@ -100,10 +102,15 @@
   return Math.ceil(job.spec.tasks / 2);
 }
 
+/**
+ * How many tasks of the job may be in each zone now. Those that are finished are off their machines: counted with the
+ * others, they once bound the rest of a job of one zone to a zone that had lost its machines.
+ */
 function zoneCounts(job: Job): Map<string, number> {
   const counts = new Map<string, number>();
   for (const r of job.rounds) {
-    if (r.zone !== null) counts.set(r.zone, (counts.get(r.zone) ?? 0) + r.count);
+    const n = unfinishedIn(job, r);
+    if (r.zone !== null && n > 0) counts.set(r.zone, (counts.get(r.zone) ?? 0) + n);
   }
   return counts;
 }
--- a/packages/core/test/division.test.ts
+++ b/packages/core/test/division.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { jobRecord, type JobSpec, type MachineType } from '@gingerlock/wire';
+import { finishedRecord, jobRecord, type JobSpec, type MachineType } from '@gingerlock/wire';
 import { divide, JobTable, type MachineRoom, NOTHING, type PartSummary } from '../src/index';
 import { FACTS } from './fixtures';
 
@@ -20,27 +20,56 @@
   zones: ZONES,
 };
 
+function roomIn(name: string, zone: string, freeGpus: number): MachineRoom {
+  return {
+    name,
+    type: type.name,
+    zone,
+    spot: false,
+    session: 1,
+    free: { cpus: 48, gpus: freeGpus, memoryGb: 192 },
+    byRank: [NOTHING, NOTHING, NOTHING, NOTHING],
+    images: [],
+    takesWork: true,
+    draining: false,
+    noticed: false,
+    sick: false,
+    empty: false,
+    emptyMs: 0,
+    silentMs: 0,
+  };
+}
+
+function jobOf(id: string, image: string): JobSpec {
+  return {
+    id,
+    jobClass: 'batch',
+    team: team.name,
+    kind: 'array',
+    priority: 'normal',
+    tasks: 4,
+    cpus: 2,
+    gpus: 1,
+    memoryGb: 8,
+    image,
+    imageGb: 30,
+    types: null,
+    zone: null,
+    oneZone: false,
+    spread: false,
+    spot: false,
+    estimateS: 1,
+    checkpointS: 0,
+    saveS: 0,
+    deadlineS: null,
+  };
+}
+
 /** A division of so many waiting jobs among so many machines; how often a machine was looked at. */
 function looks(machines: number, jobs: number, freeGpus: number): { looks: number; dealt: number; unmet: number } {
   let n = 0;
   const rooms = Array.from({ length: machines }, (_, i): MachineRoom => {
-    const room: MachineRoom = {
-      name: `m-${i}`,
-      type: type.name,
-      zone: ZONES[i % 3]!,
-      spot: false,
-      session: 1,
-      free: { cpus: 48, gpus: freeGpus, memoryGb: 192 },
-      byRank: [NOTHING, NOTHING, NOTHING, NOTHING],
-      images: [],
-      takesWork: true,
-      draining: false,
-      noticed: false,
-      sick: false,
-      empty: false,
-      emptyMs: 0,
-      silentMs: 0,
-    };
+    const room = roomIn(`m-${i}`, ZONES[i % 3]!, freeGpus);
     return new Proxy(room, {
       get(target, property) {
         if (property === 'zone') n++;
@@ -50,28 +79,7 @@
   });
   const table = new JobTable(() => 64);
   for (let i = 0; i < jobs; i++) {
-    const spec: JobSpec = {
-      id: `j-${i}`,
-      jobClass: 'batch',
-      team: team.name,
-      kind: 'array',
-      priority: 'normal',
-      tasks: 4,
-      cpus: 2,
-      gpus: 1,
-      memoryGb: 8,
-      image: `img-${i % 7}`,
-      imageGb: 30,
-      types: null,
-      zone: null,
-      oneZone: false,
-      spread: false,
-      spot: false,
-      estimateS: 1,
-      checkpointS: 0,
-      saveS: 0,
-      deadlineS: null,
-    };
+    const spec = jobOf(`j-${i}`, `img-${i % 7}`);
     const record = { final: null, spec, acceptedAt: i, cancelled: false, rounds: [] };
     table.applyJob(spec.id, jobRecord.write(record), i + 1);
   }
@@ -102,3 +110,34 @@
     assert.ok(looks(900, 1800, free).looks <= earlier.looks * 4.5 * 1.1, `${free} free`);
   }
 });
+
+// The rounds of a job keep its finished tasks, and they once counted as if they still ran: the rest of a job of one zone waited
+// for a zone that had lost its machines.
+test('a job of one zone goes on in another once all its tasks there are finished, and not while one may run', () => {
+  const table = new JobTable(() => 64);
+  const spec = { ...jobOf('j-1', 'img'), oneZone: true };
+  const rounds = [{ from: 0, count: 2, part: 0, zone: 'a', term: 1 }];
+  table.applyJob(spec.id, jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, rounds }), 1);
+  const zonesDealt = (): (string | null)[] => {
+    const { deals } = divide({
+      jobs: table.live.values(),
+      summaries: [{ part: 1, term: 1, revision: 0, machines: [roomIn('m-1', 'b', 8)], missing: NOTHING, running: [] }],
+      recent: [],
+      facts,
+      types: new Map([[type.name, type]]),
+      most: 12,
+    });
+    return deals.flatMap((d) => d.rounds.filter((r) => r.from >= 2).map((r) => r.zone));
+  };
+  const finish = (tasks: number, version: number): void =>
+    table.applyFinished(
+      { kind: 'finished', id: spec.id, part: 0, page: 0 },
+      finishedRecord.write(new Uint8Array([2 ** tasks - 1])),
+      version,
+    );
+  assert.deepEqual(zonesDealt(), []);
+  finish(1, 2);
+  assert.deepEqual(zonesDealt(), []);
+  finish(2, 3);
+  assert.deepEqual(zonesDealt(), ['b']);
+});
