Takeover times are vouched for; cancellations go to owners at once; three ways to wait for ever

The time now counts only once its owner has vouched for it. - With a slow state service the reading after a takeover was counted as part of it, so that none was ever in time. - Who tells a user that a job is cancelled tells the other controllers, and owners send stops to the workers directly: the gap (leader refused alone, then an outage) no longer rests on leases alone. It is a hint; all bounds stay. - A machine that came up deaf as its part changed hands was refused ever after. - A failed removal from the roster left a machine that had come back without work. - While all is read anew, a job dealt to a later owner could show before that owner's record.

--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -155,13 +155,14 @@
     this.#wakesSorted = false;
   }
 
-  /** Brings the slots of a job in line with its record. */
-  syncJob(id: string, now: number): void {
+  /** Brings the slots of a job in line with its record. Returns the claims that are to be stopped from now on. */
+  syncJob(id: string, now: number): readonly Slot[] {
     const job = this.#jobs.live.get(id);
     let slots = this.slots.get(id);
     const wanted = new Map<number, { zone: string | null; term: number }>();
     for (const r of job?.rounds ?? []) {
-      if (r.part !== this.part) continue;
+      // Dealt to an owner after this one: while all is read anew that may show before the owner's own record does.
+      if (r.part !== this.part || r.term > this.term) continue;
       for (let i = r.from; i < r.from + r.count; i++) {
         if (!job!.isFinished(i)) wanted.set(i, { zone: r.zone, term: r.term });
       }
@@ -204,14 +205,18 @@
       }
     }
     if (slots?.size === 0) this.slots.delete(id);
-    if (job?.cancelled === true) this.#cancel(job);
     this.changes++;
+    return job?.cancelled === true ? this.#cancel(job) : [];
   }
 
-  #cancel(job: Job): void {
+  #cancel(job: Job): Slot[] {
+    const stopped: Slot[] = [];
     for (const slot of this.slots.get(job.id)?.values() ?? []) {
-      if (slot.claim !== null) slot.claim.stopGraceS = 0;
+      if (slot.claim === null || slot.claim.stopGraceS === 0) continue;
+      slot.claim.stopGraceS = 0;
+      stopped.push(slot);
     }
+    return stopped;
   }
 
   slotOf(task: string): Slot | undefined {
@@ -373,8 +378,10 @@
     if (term < this.term) {
       m.settled = false;
       // A worker that goes on without our term does not get our answers. Answering it for ever would keep its lease
-      // in doubt for ever, and with it every uncertain task of this part.
-      if (++m.unsettledAnswers > 4) return { kind: 'refuse', why: 'does not take our token' };
+      // in doubt for ever, and with it every uncertain task of this part. A machine that can't hold any of those is answered:
+      // one that came up deaf while a part changed hands was once refused ever after.
+      if (this.unheard.has(m.name) && ++m.unsettledAnswers > 4)
+        return { kind: 'refuse', why: 'does not take our token' };
       m.answeredAt = now;
       return { kind: 'answer', token: this.token(m), commands: [] };
     }
--- a/packages/core/src/jobs.ts
+++ b/packages/core/src/jobs.ts
@@ -37,6 +37,8 @@
   spec!: JobSpec;
   acceptedAt = 0;
   cancelled = false;
+  /** Another controller has told us that it is cancelled: true for ever, though our copy of its record may not say so yet. */
+  calledOff = false;
   rounds: readonly Round[] = [];
   version = 0;
   /** Urgency as a number; 0 goes first. */
@@ -115,7 +117,7 @@
     job.spec = record.spec;
     job.rank = PRIORITIES.indexOf(record.spec.priority);
     job.acceptedAt = record.acceptedAt;
-    job.cancelled = record.cancelled;
+    job.cancelled = record.cancelled || job.calledOff;
     job.rounds = record.rounds;
     job.version = version;
     for (const p of this.#early.get(id) ?? []) job.setPage(p.part, p.page, p.bytes, p.version, this.pageTasks());
@@ -123,6 +125,14 @@
     return record;
   }
 
+  /** A controller that has told a user so says that the job is cancelled. */
+  callOff(id: string): void {
+    const job = this.live.get(id);
+    if (job === undefined) return;
+    job.calledOff = true;
+    job.cancelled = true;
+  }
+
   applyFinished(key: Extract<ParsedKey, { kind: 'finished' }>, value: unknown, version: number): void {
     // A page goes only together with its whole job, whose own change says the rest.
     if (value === undefined) {
--- a/packages/core/src/ownership.ts
+++ b/packages/core/src/ownership.ts
@@ -30,6 +30,8 @@
   readonly owner: Versioned<OwnerRecord> | null;
   readonly hold: Versioned<HoldRecord> | null;
   readonly term: Versioned<number> | null;
+  /** The last term whose owner has vouched for the time of its takeover; see `Holding.timing`. */
+  readonly timedTerm: number;
 }
 
 export interface Me {
@@ -56,6 +58,14 @@
   return Math.min(facts.reportMs * 2.5, facts.leaseMs / 4);
 }
 
+/**
+ * How long a takeover may be under way for the time written with it to bound when it happened. Rather longer than need be: a
+ * zone that was cut off may be heard by the time it is cleared, and its tasks begin again where their images are.
+ */
+export function takeMs(facts: Facts): number {
+  return Math.max(stateLeaseMs(facts), facts.reportMs);
+}
+
 /** What the controllers that come before this one for a slot are known to be, as intervals to leave to each. */
 export const TURN = {
   /** It will see the slot free within a read. */
@@ -76,6 +86,8 @@
   /** Since when the slot has been seen without a hold; null: it has one. */
   #absentSince: number | null = null;
   #movedAt = 0;
+  /** Whether the takeover on its way is one from an owner that may go on. */
+  #moving = false;
   /** The controller that the slot was taken from, if it may go on, and the time of the takeover before. */
   before: { readonly node: string; readonly movedAt: number } | null = null;
   #takeSentAt = 0;
@@ -137,8 +149,12 @@
     // The time of the last takeover between controllers outlives our own restarts. An earlier process of ours is dead,
     // and an owner that has released the slot answers nobody: either leaves leases that run out by themselves.
     const ownRestart = previous?.node === this.me.node && view.hold?.record.process !== this.me.process;
-    const moving = previous !== null && !ownRestart && !previous.released;
-    this.before = moving ? { node: previous.node, movedAt: previous.movedAt } : null;
+    // A takeover under way for long carries a time that is too early, and its taker can have ended before it took the slot
+    // once more: until the time is vouched for, whoever comes next counts from its own takeover.
+    const timed = previous === null || previous.movedAt === 0 || view.timedTerm === previous.term;
+    const moving = previous !== null && (!timed || (!ownRestart && !previous.released));
+    this.before = moving && timed ? { node: previous.node, movedAt: previous.movedAt } : null;
+    this.#moving = moving;
     this.#movedAt = moving ? wallNow : (previous?.movedAt ?? 0);
     this.#takeSentAt = now;
     this.term = term;
@@ -166,11 +182,13 @@
   }
 
   /**
-   * The takeover was carried out at `version`. False: it took so long that the time written with it is no bound any
-   * more, so it has to be taken once more.
+   * The takeover was carried out at `version`, and known to be at `doneAt`. False: that took so long that the time written
+   * with it is no bound any more, so it has to be taken once more.
    */
-  taken(version: number, hadOwner: boolean, now: number, wallNow: number): boolean {
-    if (this.#movedAt > 0 && now - this.#takeSentAt > this.facts.reportMs) {
+  taken(version: number, hadOwner: boolean, doneAt: number, now: number, wallNow: number): boolean {
+    // Only what was written now can be too old. With a slow state service a report interval, and the reading after it
+    // counted in, was once too short for any takeover.
+    if (this.#moving && doneAt - this.#takeSentAt > takeMs(this.facts)) {
       this.#move('away');
       return false;
     }
@@ -184,15 +202,23 @@
     return true;
   }
 
+  /** Vouches for the time that was written with the takeover; null: there is none. */
+  timing(): Txn | null {
+    if (this.state !== 'held' || this.#movedAt === 0) return null;
+    return {
+      conditions: [{ key: KEYS.owner(this.slot), version: this.version }],
+      changes: [{ put: KEYS.timed(this.slot), value: termRecord.write(this.term) }],
+    };
+  }
+
   /**
-   * When a takeover that was written down is cleared. The time of day stands in its record, up to a report interval before
-   * it was carried out.
+   * When a takeover that was written down is cleared. The time of day stands in its record, up to `takeMs` before it was
+   * carried out.
    */
   #movedClearAt(movedAt: number, now: number, wallNow: number): number {
     if (movedAt === 0) return now;
-    const { cancelMs, skewMs, reportMs } = this.facts;
-    // Rather longer than need be: a zone that was cut off may be heard by then, and its tasks begin again where their images are.
-    const slack = Math.max(stateLeaseMs(this.facts), reportMs) + 2 * marginMs(this.facts);
+    const { cancelMs, skewMs } = this.facts;
+    const slack = takeMs(this.facts) + 2 * marginMs(this.facts);
     return now + (movedAt - wallNow) + cancelMs + 2 * skewMs + slack;
   }
 
--- a/packages/core/test/claims.test.ts
+++ b/packages/core/test/claims.test.ts
@@ -95,3 +95,71 @@
   book.tick(book.clearAt);
   assert.equal(book.missing(book.clearAt).gpus, 0);
 });
+
+// A worker that never takes a token is not answered for ever, as its lease would stay in doubt. A machine that came up deaf just
+// as its part changed hands was counted among those, and refused long after it could hear again.
+test('a machine that can hold no earlier task is answered however often it has not taken the token', () => {
+  const book = taken();
+  const answers = (machine: string): string[] =>
+    Array.from({ length: 8 }, (_, i) => book.report(report(machine, i + 1, 0), 1000 + i, true).kind);
+  assert.deepEqual(new Set(answers('m-new')), new Set(['answer']));
+  assert.equal(answers('m-1').at(-1), 'refuse');
+});
+
+// While all is read anew, page by page, the record of a job may be seen before that of its part's next owner.
+test('what was dealt to a later owner of the part is not this one’s to start', () => {
+  const jobs = new JobTable(() => 64);
+  const book = new PartBook({
+    facts,
+    part: 0,
+    term: 2,
+    clearAt: 0,
+    openedAt: 0,
+    jobs,
+    types: () => new Map([[type.name, type]]),
+    roster: [],
+  });
+  book.tick(1);
+  assert.ok(book.cleared);
+  const deal = (term: number, version: number): void => {
+    const rounds = [{ from: 0, count: 4, part: 0, zone: null, term }];
+    jobs.applyJob(spec.id, jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, rounds }), version);
+    book.syncJob(spec.id, 2);
+  };
+  deal(3, 5);
+  assert.equal(book.slots.size, 0);
+  deal(2, 6);
+  assert.equal(book.slots.get(spec.id)?.size, 4);
+});
+
+test('a job that a peer says is called off starts nothing more, also when older records of it come in after that', () => {
+  const jobs = new JobTable(() => 64);
+  const rounds = [{ from: 0, count: 4, part: 0, zone: null, term: 2 }];
+  const record = jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, rounds });
+  jobs.applyJob(spec.id, record, 5);
+  const book = new PartBook({
+    facts,
+    part: 0,
+    term: 2,
+    clearAt: 0,
+    openedAt: 0,
+    jobs,
+    types: () => new Map([[type.name, type]]),
+    roster: [['m-1', 'm-1:1']],
+  });
+  book.syncJob(spec.id, 0);
+  const token = 2 * CALLS_PER_TERM;
+  const starts = (seq: number, tasks: WorkerReport['tasks'] = []): string[] => {
+    const outcome = book.report({ ...report('m-1', seq, token), tasks }, seq * 1000, true);
+    return outcome.kind === 'answer' ? outcome.commands.map((c) => c.op) : [];
+  };
+  assert.deepEqual(starts(1), ['start', 'start', 'start', 'start']);
+  jobs.callOff(spec.id);
+  assert.equal(book.syncJob(spec.id, 1500).length, 4);
+  assert.equal(book.syncJob(spec.id, 1500).length, 0);
+  jobs.applyJob(spec.id, record, 6);
+  book.syncJob(spec.id, 1600);
+  // The starts were lost on the way: nothing is there, and nothing is started again.
+  assert.deepEqual(starts(2), []);
+  assert.equal(book.giveBack([], 2500).get(spec.id)?.length, 4);
+});
--- a/packages/core/test/ownership.test.ts
+++ b/packages/core/test/ownership.test.ts
@@ -40,6 +40,7 @@
       owner: read<OwnerRecord>(KEYS.owner(slot), ownerRecord.read),
       hold: read<HoldRecord>(KEYS.hold(slot), holdRecord.read),
       term: read(KEYS.term, termRecord.read),
+      timedTerm: read(KEYS.timed(slot), termRecord.read)?.record ?? 0,
     };
   }
 }
@@ -107,7 +108,11 @@
           const version = store.run(decision.txn, valid);
           if (version === 0) node.holding.failed();
           else if (decision.kind === 'resume') node.holding.resumed();
-          else node.holding.taken(version, had, now, 1e12 + now);
+          else {
+            node.holding.taken(version, had, now, now, 1e12 + now);
+            const timing = node.holding.timing();
+            if (timing !== null) store.run(timing, valid);
+          }
         }
         const owner = store.view('0').owner;
         if (owner !== null) {
@@ -136,9 +141,12 @@
         store.run(decision.txn, () => true),
         had,
         now,
+        now,
         1e12 + now,
       ),
     );
+    const timing = holding.timing();
+    if (timing !== null) store.run(timing, () => true);
   };
   const first = new Holding('0', facts, { node: 'a', process: '1' }, () => 0);
   take(first, 0);
@@ -164,7 +172,9 @@
     const decision = holding.decide(store.view('0'), lease, now, 1e12 + now);
     assert.ok(decision.kind === 'take');
     const version = store.run(decision.txn, () => true);
-    assert.ok(holding.taken(version, had, now, 1e12 + now));
+    assert.ok(holding.taken(version, had, now, now, 1e12 + now));
+    const timing = holding.timing();
+    if (timing !== null) store.run(timing, () => true);
     return holding;
   };
   const giveBack = (holding: Holding): void => {
@@ -198,7 +208,9 @@
           const decision = holding.decide(store.view('0'), lease, now, 1e12 + now + wallOff);
           assert.ok(decision.kind === 'take');
           const version = store.run(decision.txn, () => true);
-          assert.ok(holding.taken(version, had, doneAt, 1e12 + doneAt + wallOff));
+          assert.ok(holding.taken(version, had, doneAt, doneAt, 1e12 + doneAt + wallOff));
+          const timing = holding.timing();
+          if (timing !== null) store.run(timing, () => true);
           return holding;
         };
         take('a', 1, 0, 0);
@@ -232,9 +244,12 @@
             store.run(decision.txn, () => true),
             had,
             now,
+            now,
             1e12 + now,
           ),
         );
+        const timing = holding.timing();
+        if (timing !== null) store.run(timing, () => true);
         return holding;
       };
       take('a', 1, 0);
@@ -255,3 +270,54 @@
     { seed: 391, numRuns: 1000 },
   );
 });
+
+// A takeover that was carried out long after it had been decided on, as after an outage, left a time that was too early; if its
+// process then ended before it had taken the slot once more, the next one counted from that time.
+test('a takeover under way for long leaves no time that a later owner counts from, whoever that is', () => {
+  const decided = 1000;
+  const carriedOut = decided + 60_000;
+  for (const next of [
+    { node: 'b', process: 'b2' },
+    { node: 'c', process: 'c1' },
+  ]) {
+    const store = new Store();
+    const decide = (holding: Holding, now: number): Txn => {
+      const decision = holding.decide(store.view('0'), 1, now, 1e12 + now);
+      assert.ok(decision.kind === 'take');
+      return decision.txn;
+    };
+    const first = new Holding('0', facts, { node: 'a', process: 'a1' }, () => 0);
+    assert.ok(
+      first.taken(
+        store.run(decide(first, 0), () => true),
+        false,
+        0,
+        0,
+        1e12,
+      ),
+    );
+    store.dropLease(1);
+    const slow = new Holding('0', facts, { node: 'b', process: 'b1' }, () => 0);
+    const version = store.run(decide(slow, decided), () => true);
+    assert.equal(slow.taken(version, true, carriedOut, carriedOut, 1e12 + carriedOut), false);
+    assert.equal(slow.timing(), null);
+    store.dropLease(1);
+    const now = carriedOut + 500;
+    const after = new Holding('0', facts, next, () => 0);
+    const had = true;
+    assert.ok(
+      after.taken(
+        store.run(decide(after, now), () => true),
+        had,
+        now,
+        now,
+        1e12 + now,
+      ),
+    );
+    // The first owner may have read for the last time just before the slot was taken from it.
+    const gone = carriedOut + answerBoundMs(facts) + facts.leaseMs;
+    assert.ok(after.clearAt >= gone, `${next.node}: may run until ${gone}, cleared at ${after.clearAt}`);
+    after.gaveUp('b', now + 100, 1e12 + now + 100);
+    assert.ok(after.clearAt >= gone, `${next.node}, asked: may run until ${gone}, cleared at ${after.clearAt}`);
+  }
+});
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -146,6 +146,7 @@
       this.#broadcast({ kind: 'Hint', revision });
       this.replica.hint(revision);
     };
+    this.shared.calledOff = (job) => this.#broadcast({ kind: 'CalledOff', job });
     this.shared.refuges = (exceptPart) => {
       const since = this.clock.now() - facts.reportMs * 2;
       return [...this.#seen.values()]
@@ -346,6 +347,7 @@
     const hadOwner = this.store.owners.has(slot);
     const { conditions, changes } = decision.txn;
     const revision = await this.shared.settle(URGENCY.renew, conditions, changes, () => !this.#stopped);
+    const doneAt = this.clock.now();
     if (revision === 0) {
       holding.failed();
       if (decision.kind === 'resume') this.#released(holding);
@@ -368,7 +370,7 @@
       holding.failed();
       return;
     }
-    if (!holding.taken(revision, hadOwner, this.clock.now(), this.clock.wall())) return;
+    if (!holding.taken(revision, hadOwner, doneAt, this.clock.now(), this.clock.wall())) return;
     this.log.info({ slot, term: holding.term, clearInMs: Math.round(holding.clearAt - this.clock.now()) }, 'taken');
     if (slot === LEAD) {
       this.#leader = new Leader(this.shared, holding, () => [...this.#seen.values()], this.#http);
@@ -376,6 +378,9 @@
       const before = this.#seen.get(Number(slot))?.summary.machines ?? [];
       const rooms = new Map(before.map((m) => [m.name, m] as const));
       this.#owners.set(Number(slot), new PartOwner(this.shared, Number(slot), holding, rooms));
+      const timing = holding.timing();
+      if (timing !== null)
+        void this.shared.settle(URGENCY.deal, timing.conditions, timing.changes, () => holding.owned);
     }
   }
 
@@ -552,6 +557,10 @@
       case 'Hint':
         this.replica.hint(message.revision);
         return;
+      case 'CalledOff':
+        // A stop is always safe, with or without the state service. It shortens no bound: the word may be lost.
+        this.store.callOff(message.job);
+        return;
       case 'Summary': {
         const { owner, part, term, revision, machines, missing } = message;
         if (this.#owners.has(part) || term < (this.#seen.get(part)?.summary.term ?? 0)) return;
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -81,8 +81,9 @@
     for (const id of store.jobs.live.keys()) this.book.syncJob(id, clock.now());
   }
 
+  /** Stops of a cancelled job go out at once: its room is wanted, and nobody has any use for what it does now. */
   jobChanged(id: string): void {
-    this.book.syncJob(id, this.shared.clock.now());
+    this.#pushAll(this.book.syncJob(id, this.shared.clock.now()));
   }
 
   tick(now: number): void {
@@ -108,17 +109,21 @@
       this.#rooms = rooms;
       this.#stuck = stuck;
       if (this.mayGrant(now)) stopped.push(...vacate(this.book, rooms, () => this.shared.refuges(this.part), now));
-      for (const machine of new Set(stopped.map((s) => s.claim!.machine))) {
-        this.#pushStops(
-          machine,
-          stopped.filter((s) => s.claim!.machine === machine),
-        );
-      }
+      this.#pushAll(stopped);
       if (this.mayGrant(now)) for (const machine of toCall(this.book, now)) this.#callForReport(machine, now);
     }
     void this.#write();
   }
 
+  #pushAll(stopped: readonly Slot[]): void {
+    for (const machine of new Set(stopped.map((s) => s.claim!.machine))) {
+      this.#pushStops(
+        machine,
+        stopped.filter((s) => s.claim!.machine === machine),
+      );
+    }
+  }
+
   /**
    * Sends stops straight to the worker, to win the wait for its next report. Only stops ever go this way: a start that
    * was held back on the way could be carried out minutes later.
@@ -253,6 +258,8 @@
           conditions: [{ key, version: replica.version(key) }],
           change: { remove: key },
           prepare: () => this.book.setRostered(name, false),
+          // Still there: a machine that has come back meanwhile was never given work again.
+          failed: () => this.book.setRostered(name, roster.has(name)),
         });
       }
       return { writes, urgency: URGENCY.rest };
--- a/packages/daemon/src/shared.ts
+++ b/packages/daemon/src/shared.ts
@@ -16,6 +16,8 @@
   leaseUntil = -Infinity;
   /** Tells the other controllers that something has changed. */
   announce: (revision: number) => void = () => undefined;
+  /** Tells the other controllers that a user is being told that the job is cancelled. */
+  calledOff: (job: string) => void = () => undefined;
   /** Free room on ordinary machines of all other parts, as their owners told of it last. */
   refuges: (exceptPart: number) => Refuge[] = () => [];
 
--- a/packages/daemon/src/store.ts
+++ b/packages/daemon/src/store.ts
@@ -23,6 +23,8 @@
   readonly jobs = new JobTable(() => this.meta?.pageTasks ?? 8);
   readonly owners = new Map<string, Versioned<OwnerRecord>>();
   readonly holds = new Map<string, Versioned<HoldRecord>>();
+  /** By slot: the last term of which the time of the takeover is known to be right. */
+  readonly timed = new Map<string, number>();
   /** By part: the machines that may hold a claim there, with their addresses. */
   readonly rosters = new Map<number, Map<string, string>>();
   /** Finished sets whose job has been closed: nothing needs them any more. */
@@ -30,8 +32,19 @@
   onJob: (id: string) => void = () => undefined;
   onRoster: (part: number, machine: string, present: boolean) => void = () => undefined;
 
+  /** See `JobTable.callOff`. */
+  callOff(id: string): void {
+    this.jobs.callOff(id);
+    this.onJob(id);
+  }
+
   view(slot: string): SlotView {
-    return { owner: this.owners.get(slot) ?? null, hold: this.holds.get(slot) ?? null, term: this.term };
+    return {
+      owner: this.owners.get(slot) ?? null,
+      hold: this.holds.get(slot) ?? null,
+      term: this.term,
+      timedTerm: this.timed.get(slot) ?? 0,
+    };
   }
 
   roster(part: number): Map<string, string> {
@@ -66,6 +79,9 @@
         if (value === undefined) this.holds.delete(k.slot);
         else this.holds.set(k.slot, { record: holdRecord.read(value), version });
         return;
+      case 'timed':
+        if (value !== undefined) this.timed.set(k.slot, termRecord.read(value));
+        return;
       case 'roster':
         if (value === undefined) this.roster(k.part).delete(k.machine);
         else this.roster(k.part).set(k.machine, rosterRecord.read(value));
--- a/packages/daemon/src/users.ts
+++ b/packages/daemon/src/users.ts
@@ -137,6 +137,7 @@
         return this.#unavailable();
       }
     }
+    if (this.shared.store.jobs.live.get(id)?.cancelled === true) this.shared.calledOff(id);
     return this.#reply(id, 200);
   }
 }
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -3,7 +3,7 @@
 import avro from 'avsc';
 
 /** Raised with every change of the schema; controllers of different versions do not talk. */
-export const PEER_VERSION = 6;
+export const PEER_VERSION = 7;
 
 const record = (name: string, fields: Record<string, unknown>): object => ({
   type: 'record',
@@ -45,6 +45,8 @@
   }),
   /** The state service stands at this revision at least. */
   record('Hint', { revision: 'long' }),
+  /** The sender tells a user that this job is cancelled. A hint to stop its tasks, also without the state service. */
+  record('CalledOff', { job: 'string' }),
   /** From the leader: which machines get no more work, and which are surely gone. */
   record('FleetOrders', {
     term: 'long',
@@ -100,6 +102,7 @@
     running: { job: string; tasks: number }[];
   };
   Hint: { revision: number };
+  CalledOff: { job: string };
   FleetOrders: { term: number; drain: string[]; gone: string[] };
   Ask: { id: string; revision: number };
   Vouch: { id: string; vouches: boolean; contactAgeMs: number };
--- a/packages/peer/test/link.test.ts
+++ b/packages/peer/test/link.test.ts
@@ -16,6 +16,7 @@
 const messages: PeerMessage[] = [
   { kind: 'Hello', version: 1, node: 'a' },
   { kind: 'Hint', revision: 2 ** 40 },
+  { kind: 'CalledOff', job: 'j-000007' },
   { kind: 'FleetOrders', term: 3, drain: ['m-1'], gone: [] },
   { kind: 'Ask', id: 'p-1', revision: 9 },
   { kind: 'Vouch', id: 'p-1', vouches: true, contactAgeMs: 12.5 },
--- a/packages/wire/src/records.ts
+++ b/packages/wire/src/records.ts
@@ -13,6 +13,7 @@
   types: 'g/types',
   owner: (slot: string) => `g/own/${slot}`,
   hold: (slot: string) => `g/hold/${slot}`,
+  timed: (slot: string) => `g/timed/${slot}`,
   job: (id: string) => `g/j/${id}`,
   finished: (id: string, part: number, page: number) => `g/f/${id}/${part}/${page}`,
   roster: (part: number, machine: string) => `g/r/${part}/${machine}`,
@@ -23,7 +24,7 @@
 
 export type ParsedKey =
   | { readonly kind: 'meta' | 'term' | 'types' | 'other' }
-  | { readonly kind: 'owner' | 'hold'; readonly slot: string }
+  | { readonly kind: 'owner' | 'hold' | 'timed'; readonly slot: string }
   | { readonly kind: 'job'; readonly id: string }
   | { readonly kind: 'finished'; readonly id: string; readonly part: number; readonly page: number }
   | { readonly kind: 'roster'; readonly part: number; readonly machine: string };
@@ -39,6 +40,8 @@
       return { kind: 'owner', slot: words[2] ?? '' };
     case 'hold':
       return { kind: 'hold', slot: words[2] ?? '' };
+    case 'timed':
+      return { kind: 'timed', slot: words[2] ?? '' };
     case 'j':
       return { kind: 'job', id: words[2] ?? '' };
     case 'f':
@@ -113,6 +116,8 @@
   },
 };
 
+// Under `KEYS.timed`, a term record: the owner of that term knows that the `movedAt` of its record bounds its takeover.
+
 export interface HoldRecord {
   readonly node: string;
   /** Differs between two processes of one controller. */
