--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,3 +1,4 @@
 export * from './controller';
 export * from './settings';
 export { SILENT, type Log } from './log';
+export { Shared } from './shared';
--- a/packages/testkit/src/faults.ts
+++ b/packages/testkit/src/faults.ts
@@ -80,6 +80,7 @@
     const names = [...world.workers.keys()];
     return names[i % Math.max(1, names.length)];
   };
+  world.came(fault.kind);
   const machines = (from: number, count: number): string[] =>
     [...new Set(Array.from({ length: count }, (_, i) => machine(from + i)))].filter((n) => n !== undefined);
   const during = (ways: readonly (readonly [string, string])[], how: 'hold' | 'lose', forMs: number): void => {
@@ -136,7 +137,7 @@
     case 'gap': {
       const name = node(fault.node);
       state.refused.add(name);
-      cancelSome(world, fault.cancels, fault.afterMs);
+      world.came('cancelled', cancelSome(world, fault.cancels, fault.afterMs).size);
       sim.after(fault.afterMs, () => state.setOutage(true));
       sim.after(fault.afterMs + fault.forMs, () => {
         state.refused.delete(name);
@@ -164,6 +165,7 @@
       return;
     case 'cancel now': {
       const jobs = cancelSome(world, fault.count, 200);
+      world.came('cancelled', jobs.size);
       const on = [...world.runningTasks()].filter(([task]) => jobs.has(parseTaskName(task)!.job)).map(([, m]) => m);
       if (fault.hangMs > 0) for (const name of [...new Set(on)].slice(0, 8)) network.freeze(name, fault.hangMs);
       return;
@@ -227,6 +229,12 @@
     }
     case 'mute machines': {
       const mute = machines(fault.machine, fault.count);
+      if (fault.how === 'lose') {
+        // Direct commands reach them, and are answered.
+        for (const name of mute) network.mute.add(name);
+        sim.after(fault.forMs, () => mute.forEach((name) => network.mute.delete(name)));
+        return;
+      }
       during(
         mute.flatMap((name) => world.nodes.map((n) => [name, n.name] as const)),
         fault.how,
@@ -366,6 +374,7 @@
     if (now !== term) {
       term = now;
       for (const [worker, body] of kept) {
+        world.came('old report');
         for (const n of world.nodes) {
           sim.after(sim.random() * 500, () => void n.controller?.checkin(body).catch(() => undefined));
         }
--- a/packages/testkit/src/network.ts
+++ b/packages/testkit/src/network.ts
@@ -28,6 +28,8 @@
   onSent: (from: string, addr: string, path: string, body: Buffer) => void = () => undefined;
   /** Share of answers that are lost. */
   lostAnswers = 0;
+  /** Hosts that can open no connections: what they ask is lost, what they answer is not. */
+  readonly mute = new Set<string>();
   /** Hosts that stand still, and until when: what comes to them is taken then. */
   readonly #still = new Map<string, number>();
 
@@ -149,7 +151,7 @@
           });
         };
         this.onSent(from, addr, path, body ?? Buffer.alloc(0));
-        this.pass(from, addr, () => arrive(true));
+        if (!this.mute.has(from)) this.pass(from, addr, () => arrive(true));
         const { copies } = this;
         if (copies !== null && copies.only(path) && this.sim.random() < copies.share) {
           this.sim.after(this.sim.random() * copies.withinMs, () => arrive(false));
--- a/packages/testkit/src/state-service.ts
+++ b/packages/testkit/src/state-service.ts
@@ -42,6 +42,8 @@
   /** All that was asked for, by anybody. */
   requests = 0;
   changes = 0;
+  /** Transactions that were carried out long after they had been given up. */
+  carriedOutLate = 0;
   #events: StateEvent[] = [];
   #dropped = 0;
   #leases = new Map<number, { ttlMs: number; until: number }>();
@@ -90,7 +92,11 @@
     if (unanswered !== null && method === 'POST' && path === STATE_PATHS.txn && this.sim.random() < unanswered.share) {
       if (unanswered.atOnce) this.#carryOut(method, path, body);
       // After newer ones of the same controller, too.
-      else this.sim.after(2000 + 10_000 * this.sim.random(), () => this.#carryOut(method, path, body));
+      else {
+        this.sim.after(2000 + 10_000 * this.sim.random(), () => {
+          if (this.#carryOut(method, path, body).status === 200) this.carriedOutLate++;
+        });
+      }
       return new Promise(() => undefined);
     }
     return this.#carryOut(method, path, body);
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -45,6 +45,10 @@
   readonly leaseS?: number;
   readonly cancelS?: number;
   readonly gpusMax?: number;
+  /** What all jobs have in common. */
+  readonly jobs?: Partial<JobSpec>;
+  /** Falsifies what controllers tell each other; null: it is lost. */
+  readonly falsify?: (message: PeerMessage) => PeerMessage | null;
 }
 
 export const ZONES: readonly string[] = ['north', 'south', 'east'];
@@ -88,7 +92,10 @@
     return this.world.sim.now - heard.at < this.world.reportMs * 2;
   }
 
-  send(node: string, message: PeerMessage): boolean {
+  send(node: string, told: PeerMessage): boolean {
+    const { falsify } = this.world.options;
+    const message = falsify === undefined ? told : falsify(told);
+    if (message === null) return true;
     const bytes = encodePeer(message);
     const to = this.world.nodes.find((n) => n.name === node)!;
     const { link } = to;
@@ -129,6 +136,11 @@
   fastBoots = false;
   readonly users = new SimUsers(this);
   readonly liveness = new Liveness(this);
+  /** How long after its user was told that it is cancelled any job had a task on a machine. */
+  longestCancelledMs = 0;
+  /** The most that a team has ever used. */
+  peakGpus = 0;
+  readonly happened = new Map<string, number>();
   /** When the last trouble of the day is over. */
   quietAt = Infinity;
   /** By task: the machine that it is on. */
@@ -329,6 +341,11 @@
 
   // --- the rules ---------------------------------------------------------------------------------------------------
 
+  /** Notes that something came about, so that a test can show that it brought about what it is for. */
+  came(what: string, times = 1): void {
+    this.happened.set(what, (this.happened.get(what) ?? 0) + times);
+  }
+
   breach(rule: Rule, detail: string): void {
     this.breaches.push({ rule, at: this.sim.now, detail });
   }
@@ -355,6 +372,7 @@
       const s = this.job(parseTaskName(t)!.job)!;
       if (s.team === spec.team) gpus += s.gpus;
     }
+    this.peakGpus = Math.max(this.peakGpus, gpus);
     if (gpus > this.gpusMax + 1e-9) this.breach('quota', `team ${spec.team} uses ${gpus}`);
     this.#checkCancelled(task);
   }
@@ -365,13 +383,17 @@
 
   #checkCancelled(task: string): void {
     const { cancelledAt } = this.users.told.get(parseTaskName(task)!.job)!;
-    if (cancelledAt !== null && this.sim.now - cancelledAt > this.cancelMs) this.breach('ran_cancelled', task);
+    if (cancelledAt === null) return;
+    const since = this.sim.now - cancelledAt;
+    this.longestCancelledMs = Math.max(this.longestCancelledMs, since);
+    if (since > this.cancelMs) this.breach('ran_cancelled', task);
   }
 
   /** A start command has come to a worker. */
   onCommanded(task: string): void {
     const { cancelledAt } = this.users.told.get(parseTaskName(task)?.job ?? '') ?? { cancelledAt: null };
     if (cancelledAt === null) return;
+    this.came('started though cancelled');
     // An owner starts tasks for a tenth of `cancel_s` after its last look at the jobs; its answer counts for 4 s.
     if (this.sim.now - cancelledAt > this.cancelMs / 10 + 4000) this.breach('start_cancelled', task);
   }
@@ -410,6 +432,7 @@
       checkpointS: 0,
       saveS: 0,
       deadlineS: null,
+      ...this.options.jobs,
     };
   }
 
--- /dev/null
+++ b/packages/testkit/test/roster.test.ts
@@ -0,0 +1,40 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Shared } from '@gingerlock/daemon';
+import { KEYS } from '@gingerlock/wire';
+import { World } from '../src/index';
+
+// A machine that was silent for a lease leaves the roster; one that comes back while that change is under way is in it still if
+// the change fails. Its owner went by what it had wanted to write, and gave the machine nothing ever after.
+test('a machine that comes back while its removal from the roster fails is given work again', async () => {
+  const world = new World({ seed: 3, controllers: 3, machines: 6, jobs: { kind: 'service', spot: false } });
+  // Empty machines would be returned.
+  for (let i = 0; i < 6; i++) void world.users.live(world.randomJob(), null);
+  await world.sim.run(10_000);
+  const name = [...world.runningTasks().values()][0]!;
+  const machine = (): { rostered: boolean } | undefined =>
+    world.nodes
+      .flatMap((n) => n.controller?.owned() ?? [])
+      .map((o) => o.book.machines.get(name))
+      .find((m) => m !== undefined);
+  assert.equal(machine()?.rostered, true);
+  const { settle } = Shared.prototype;
+  let failed = 0;
+  Shared.prototype.settle = async function (this: Shared, urgency, conditions, changes, wanted) {
+    const removal = changes.some((c) => 'remove' in c && [0, 1, 2].some((p) => c.remove === KEYS.roster(p, name)));
+    if (!removal) return settle.call(this, urgency, conditions, changes, wanted);
+    failed++;
+    world.network.mute.delete(name);
+    await new Promise<void>((resolve) => world.sim.after(8000, resolve));
+    return 0;
+  };
+  try {
+    world.network.mute.add(name);
+    while (failed === 0) await world.sim.run(world.sim.now + 100);
+    // It comes back, and then the change fails.
+    await world.sim.run(world.sim.now + 8300);
+  } finally {
+    Shared.prototype.settle = settle;
+  }
+  assert.equal(machine()?.rostered, true);
+});
