--- a/packages/testkit/test/roster.test.ts
+++ b/packages/testkit/test/roster.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import type { Machine } from '@gingerlock/core';
 import { Shared } from '@gingerlock/daemon';
 import { KEYS } from '@gingerlock/wire';
 import { World } from '../src/index';
@@ -12,27 +13,26 @@
   for (let i = 0; i < 6; i++) void world.users.live(world.randomJob(), null);
   await world.sim.run(10_000);
   const name = [...world.runningTasks().values()][0]!;
-  const machine = (): { rostered: boolean } | undefined =>
+  const machine = (): Machine | undefined =>
     world.nodes
       .flatMap((n) => n.controller?.owned() ?? [])
       .map((o) => o.book.machines.get(name))
       .find((m) => m !== undefined);
   assert.equal(machine()?.rostered, true);
   const { settle } = Shared.prototype;
-  let failed = 0;
+  let back = false;
   Shared.prototype.settle = async function (this: Shared, urgency, conditions, changes, wanted) {
     const removal = changes.some((c) => 'remove' in c && [0, 1, 2].some((p) => c.remove === KEYS.roster(p, name)));
     if (!removal) return settle.call(this, urgency, conditions, changes, wanted);
-    failed++;
     world.network.mute.delete(name);
-    await new Promise<void>((resolve) => world.sim.after(8000, resolve));
+    while (machine()?.answeredAt === null) await new Promise<void>((resolve) => world.sim.after(50, resolve));
+    back = true;
     return 0;
   };
   try {
     world.network.mute.add(name);
-    while (failed === 0) await world.sim.run(world.sim.now + 100);
-    // It comes back, and then the change fails.
-    await world.sim.run(world.sim.now + 8300);
+    while (!back) await world.sim.run(world.sim.now + 100);
+    await world.sim.run(world.sim.now + 100);
   } finally {
     Shared.prototype.settle = settle;
   }
