A transaction that conflicts counts as not done only once that has been read

Cause: when its first try was carried out and only the answer lost, the second conflicted with it; if the read after that failed too, it was taken for not done all the same.

--- a/packages/daemon/src/shared.ts
+++ b/packages/daemon/src/shared.ts
@@ -43,6 +43,15 @@
     return loaded && contactAt !== null && this.clock.now() - contactAt < this.facts.reportMs * 2;
   }
 
+  async #caughtUp(): Promise<boolean> {
+    try {
+      await this.replica.barrier();
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
   /**
    * Carries out a transaction until its outcome is known, repeating the very same one: its conditions can hold only
    * once. Returns the revision it was done at, or 0 if it was not; the replica is at or past the outcome then.
@@ -61,10 +70,11 @@
         return result.revision;
       }
       if (result.kind === 'conflict' || result.kind === 'no lease') {
-        try {
-          await this.replica.barrier();
-        } catch {
+        // An earlier try whose answer was lost may be what it conflicts with: nothing is decided anew before that is seen. A
+        // task that had been given back so, and its part had not read it, was once started there and by its next part.
+        while (!(await this.#caughtUp())) {
           await sleep(this.clock, pause);
+          if (!wanted()) return 0;
         }
         return 0;
       }
--- /dev/null
+++ b/packages/daemon/test/settle.test.ts
@@ -0,0 +1,57 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { type Http, NoAnswer } from '@gingerlock/clients';
+import { KEYS, rosterRecord, STATE_PATHS } from '@gingerlock/wire';
+import { Sim, SimStateService } from '@gingerlock/testkit';
+import { Controller } from '../src/controller';
+import { SILENT } from '../src/log';
+import { settingsOf } from '../src/settings';
+import { platform } from './platform';
+
+// The first try is carried out and its answer lost, the second conflicts with it, and for a while nothing can be read: taken for
+// not done, a task that had been given back was granted here and dealt to another part.
+test('a transaction that conflicts counts as not done only once what it conflicts with has been read', async () => {
+  const sim = new Sim(5);
+  const service = new SimStateService(sim);
+  let lose = false;
+  let unreadable = false;
+  let txns = 0;
+  const http: Http = (_addr, method, path, body) =>
+    new Promise((resolve, reject) => {
+      sim.after(5, () => {
+        const isTxn = path === STATE_PATHS.txn;
+        if (isTxn) txns++;
+        if (!isTxn && unreadable) return reject(new NoAnswer('lost'));
+        const answer = service.handle(method, path, body ?? Buffer.alloc(0), 'n0');
+        if (isTxn && lose) {
+          lose = false;
+          unreadable = true;
+          return reject(new NoAnswer('lost'));
+        }
+        resolve(answer);
+      });
+    });
+  const link = { nodes: ['n1'], alive: () => true, send: () => true, onMessage: () => undefined };
+  const settings = settingsOf(platform, {});
+  const clock = sim.clock(0, 0, () => true);
+  const controller = new Controller({ settings, clock, http, link, log: SILENT });
+  controller.start();
+  await sim.run(2000);
+  lose = true;
+  const key = KEYS.roster(0, 'm-1');
+  const before = txns;
+  let settled: number | null = null;
+  void controller.shared
+    .settle(0, [{ key, version: 0 }], [{ put: key, value: rosterRecord.write('a:1') }], () => true)
+    .then((revision) => {
+      settled = revision;
+    });
+  await sim.run(6000);
+  assert.ok(txns >= before + 2, 'it was tried again');
+  assert.equal(settled, null, 'decided before anything could be read');
+  unreadable = false;
+  await sim.run(8000);
+  assert.equal(settled, 0);
+  assert.ok(controller.replica.version(key) > 0, 'what was carried out is seen');
+  controller.stop();
+});
