A machine that is heard only after its part was cleared gets work; one that is never heard leaves the roster

Cause: the book forgot the roster at the clearing, so a machine heard later counted as unwritten for grants and as written for the roster: it stayed empty until the part had another owner. Machines gone before their new owner could hear them stayed in the roster for ever, and each later owner kept its waiting tasks back for them until its clearing time. Found by reading along the meetings of cut zones and of machines that can't be reached while the leader ends; both tests fail without the change.

--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -79,6 +79,8 @@
   #wakesSorted = true;
   #counter = 0;
   #cleared = false;
+  /** Machines that were not heard until the clearing. */
+  readonly #departed: string[] = [];
   /** Goes up with every change that alters rooms or waiting tasks. */
   changes = 0;
 
@@ -560,6 +562,8 @@
       }
     }
     this.#cleared = true;
+    // They hold nothing any more: left in the roster, each later owner would wait for them once more.
+    for (const name of this.unheard.keys()) if (!this.#heard(name)) this.#departed.push(name);
     this.unheard.clear();
     for (const slots of this.slots.values()) {
       for (const slot of slots.values()) if (slot.state === 'uncertain') this.#move(slot, 'waiting', now);
@@ -567,7 +571,11 @@
     this.log('part cleared', { part: this.part, term: this.term });
   }
 
-  /** Ends what time alone ends; returns the machines whose lease has run out. */
+  #heard(name: string): boolean {
+    return (this.machines.get(name)?.answeredAt ?? null) !== null;
+  }
+
+  /** Ends what time alone ends; returns the machines whose lease has run out, or that surely hold nothing since the clearing. */
   tick(now: number): string[] {
     const lapsed: string[] = [];
     const bound = workerLeaseBoundMs(this.facts);
@@ -582,7 +590,7 @@
       }
     }
     this.#clear(now);
-    return lapsed;
+    return [...lapsed, ...this.#departed.splice(0)];
   }
 
   /**
--- a/packages/core/test/claims.test.ts
+++ b/packages/core/test/claims.test.ts
@@ -163,3 +163,13 @@
   assert.deepEqual(starts(2), []);
   assert.equal(book.giveBack([], 2500).get(spec.id)?.length, 4);
 });
+
+// A machine that was gone before its new owner could hear it stayed in the roster: each later owner of the part kept all waiting
+// tasks back for it until its clearing time.
+test('machines that were not heard until the clearing leave the roster, and those that were heard stay', () => {
+  const book = taken();
+  book.report(report('m-1', 1, 2 * CALLS_PER_TERM), book.clearAt - 1000, true);
+  assert.deepEqual(book.tick(book.clearAt - 1), []);
+  assert.deepEqual(book.tick(book.clearAt), ['m-2', 'm-3']);
+  assert.deepEqual(book.tick(book.clearAt + 1), []);
+});
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -212,7 +212,12 @@
     const writes: Write[] = [];
     const roster = store.roster(this.part);
     for (const m of this.book.machines.values()) {
-      if (!m.settled || m.answeredAt === null || roster.has(m.name) || this.#rosterRemovals.has(m.name)) continue;
+      if (!m.settled || m.answeredAt === null || m.rostered || this.#rosterRemovals.has(m.name)) continue;
+      if (roster.has(m.name)) {
+        // Heard only after the clearing, or again before its removal: no change of that is under way here.
+        this.book.setRostered(m.name, true);
+        continue;
+      }
       // A name goes into the roster before its first grant, so that a new owner knows to ask for it.
       const key = KEYS.roster(this.part, m.name);
       writes.push({
--- a/packages/testkit/test/roster.test.ts
+++ b/packages/testkit/test/roster.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { Machine } from '@gingerlock/core';
+import type { Machine, PartBook } from '@gingerlock/core';
 import { Shared } from '@gingerlock/daemon';
 import { KEYS } from '@gingerlock/wire';
 import { World } from '../src/index';
@@ -38,3 +38,23 @@
   }
   assert.equal(machine()?.rostered, true);
 });
+
+// What the book knew of the roster ended with the clearing, while the roster itself went on: a machine that was heard only after
+// that was taken for one that had yet to be written down, and for one that was written down already, and never given work.
+test('a machine of the roster that is heard only after its part was cleared is given work again', async () => {
+  const world = new World({ seed: 4, controllers: 1, machines: 4, jobs: { kind: 'service', spot: false } });
+  for (let i = 0; i < 6; i++) void world.users.live(world.randomJob(), null);
+  await world.sim.run(10_000);
+  const name = [...world.runningTasks().values()][0]!;
+  world.network.mute.add(name);
+  world.crash('node-0');
+  await world.sim.run(world.sim.now + 500);
+  world.startNode('node-0');
+  const book = (): PartBook | undefined => world.nodes[0]!.controller!.owned()[0]?.book;
+  while (book()?.cleared !== true) await world.sim.run(world.sim.now + 100);
+  assert.equal(book()!.machines.has(name), false);
+  world.network.mute.delete(name);
+  while (!book()!.machines.has(name)) await world.sim.run(world.sim.now + 100);
+  await world.sim.run(world.sim.now + 3 * world.reportMs);
+  assert.equal(book()!.machines.get(name)?.rostered, true);
+});
