A controller with a new state lease starts nothing before it has read that its parts are still its own

Cause: the lease was renewed in vain, another was granted, and until the next read its owner started tasks though the holds had gone with the first; a new owner could be answering the same machines, whose leases the old one then took for run out. Needs a refused renewal and a view younger than a tenth of cancel_s. Found by reading; the test fails without the change.

--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -226,8 +226,10 @@
     while (!this.#stopped) {
       const sent = this.clock.now();
       try {
-        if (this.#lease === null) this.#lease = await this.state.grantLease(ttl);
-        else if (!(await this.state.renewLease(this.#lease))) {
+        if (this.#lease === null) {
+          this.#lease = await this.state.grantLease(ttl);
+          this.shared.leaseSince = this.clock.now();
+        } else if (!(await this.state.renewLease(this.#lease))) {
           this.log.info({ lease: this.#lease }, 'state lease ended');
           this.#lease = null;
           this.shared.leaseUntil = -Infinity;
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -163,6 +163,8 @@
       this.holding.state === 'held' &&
       this.shared.leaseValid() &&
       replica.contactAt !== null &&
+      // A new lease says nothing of holds that were attached to the one before: somebody else may have them.
+      replica.contactAt >= this.shared.leaseSince &&
       now < replica.contactAt + grantViewMs(facts)
     );
   }
--- a/packages/daemon/src/shared.ts
+++ b/packages/daemon/src/shared.ts
@@ -14,6 +14,8 @@
   readonly scanMs = SCAN_MS;
   /** Until when our state lease surely lasts, by our own clock. */
   leaseUntil = -Infinity;
+  /** Since when we have it. What is read later shows whether our holds ended with the one before. */
+  leaseSince = -Infinity;
   /** Tells the other controllers that something has changed. */
   announce: (revision: number) => void = () => undefined;
   /** Tells the other controllers that a user is being told that the job is cancelled. */
--- a/packages/testkit/test/takeover.test.ts
+++ b/packages/testkit/test/takeover.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import { settingsOf } from '@gingerlock/daemon';
 import { stateLeaseMs } from '@gingerlock/core';
+import { parseStateRequest, STATE_PATHS } from '@gingerlock/wire';
 import { playDay, World } from '../src/index';
 
 /** Which controllers own each part now. */
@@ -89,3 +90,32 @@
   assert.ok(sessions.size > 0);
   assert.deepEqual(world.breaches, []);
 });
+
+// Its lease had ended and it had a new one, but it had not read since: it went on starting tasks of a part that another
+// controller could own by then, which answers the same workers.
+test('a controller with a new state lease starts nothing before it has read that its parts are still its own', async () => {
+  const world = new World({ seed: 6, controllers: 3, machines: 6 });
+  await world.sim.run(8000);
+  const node = world.nodes[0]!.controller!;
+  const mayStart = (): boolean => node.owned().some((o) => o.mayGrant(node.clock.now()));
+  assert.ok(mayStart());
+  let renewals = 0;
+  let grants = 0;
+  world.network.hosts.set('state:1', (method, path, body, from) => {
+    if (from === 'node-0') {
+      const request = parseStateRequest(method, path);
+      if (request?.kind === 'follow') return { status: 503, body: Buffer.alloc(0) };
+      if (request?.kind === 'renew' && renewals++ === 0) {
+        void world.state.handle('DELETE', STATE_PATHS.release(request.lease), Buffer.alloc(0), from);
+      }
+      if (request?.kind === 'grant') grants++;
+    }
+    return world.state.handle(method, path, body, from);
+  });
+  const until = world.sim.now + world.cancelMs / 10;
+  while (grants === 0) await world.sim.run(world.sim.now + 10);
+  await world.sim.run(world.sim.now + 100);
+  assert.ok(world.sim.now < until, 'its view is not too old yet');
+  assert.ok(node.shared.leaseValid());
+  assert.equal(mayStart(), false);
+});
