--- a/packages/testkit/src/faults.ts
+++ b/packages/testkit/src/faults.ts
@@ -26,6 +26,8 @@
       readonly afterMs: number;
       readonly forMs: number;
     }
+  /** Answers of the state service are lost, to reads and transactions alike. */
+  | { readonly kind: 'state answers lost'; readonly share: number; readonly forMs: number }
   /** Transactions get no answer, and are carried out at once or seconds later, after newer ones. */
   | { readonly kind: 'late writes'; readonly share: number; readonly atOnce: boolean; readonly forMs: number }
   /** Copies of reports are kept until a new leader or owner begins, and then come to every controller. */
@@ -145,6 +147,10 @@
       });
       return;
     }
+    case 'state answers lost':
+      network.lostAnswersOf.set('state:1', fault.share);
+      sim.after(fault.forMs, () => network.lostAnswersOf.delete('state:1'));
+      return;
     case 'late writes':
       state.unanswered = fault;
       sim.after(fault.forMs, () => {
--- a/packages/testkit/src/network.ts
+++ b/packages/testkit/src/network.ts
@@ -28,6 +28,8 @@
   onSent: (from: string, addr: string, path: string, body: Buffer) => void = () => undefined;
   /** Share of answers that are lost. */
   lostAnswers = 0;
+  /** The same for the answers of one host. */
+  readonly lostAnswersOf = new Map<string, number>();
   /** Hosts that can open no connections: what they ask is lost, what they answer is not. */
   readonly mute = new Set<string>();
   /** Hosts that stand still, and until when: what comes to them is taken then. */
@@ -139,6 +141,7 @@
           this.on(addr, () => {
             void Promise.resolve(handler(method, path, body ?? Buffer.alloc(0), from)).then((answer) => {
               if (!answering || this.sim.random() < this.lostAnswers) return;
+              if (this.sim.random() < (this.lostAnswersOf.get(addr) ?? 0)) return;
               this.pass(addr, from, () =>
                 this.on(from, () => {
                   if (over || !alive()) return;
--- a/packages/testkit/test/rules.test.ts
+++ b/packages/testkit/test/rules.test.ts
@@ -51,6 +51,11 @@
     afterMs: seconds(0.3, 3),
     forMs: seconds(5, 30),
   }),
+  fc.record({
+    kind: fc.constant('state answers lost' as const),
+    share: fc.constantFrom(0.1, 0.3, 0.6),
+    forMs: seconds(5, 40),
+  }),
   fc.record({
     kind: fc.constant('late writes' as const),
     share: fc.constantFrom(0.1, 0.4, 1),
@@ -156,6 +161,12 @@
     machines: fc.integer({ min: 3, max: 24 }),
     capacity: fc.integer({ min: 3, max: 12 }),
     load: fc.constantFrom(1, 2),
+    // The stand-ins' own times, and those of deployments: what is a ratio to them should hold at any.
+    times: fc.constantFrom(
+      { reportS: 1, leaseS: 6, cancelS: 20 },
+      { reportS: 1.5, leaseS: 10, cancelS: 30 },
+      { reportS: 5, leaseS: 27, cancelS: 57 },
+    ),
   },
   { noNullPrototype: true },
 );
@@ -176,8 +187,10 @@
       size,
       fc.array(meeting, { minLength: 1, maxLength: 4 }),
       async (seed, size, meetings) => {
-        const world = new World({ seed, ...size });
-        await playDay(world, { seed, forMs: 200_000, faults: meetings.flat() });
+        const world = new World({ seed, ...size, ...size.times });
+        // Users come in its first half; what is left then has three times the longest wait to get done.
+        const forMs = Math.max(200_000, size.times.cancelS * 6000);
+        await playDay(world, { seed, forMs, faults: meetings.flat() });
         assert.deepEqual(world.breaches, []);
         assert.deepEqual(world.users.open(), []);
       },
