--- a/packages/core/test/claims.test.ts
+++ b/packages/core/test/claims.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { jobRecord, type JobSpec, type MachineType, type WorkerReport } from '@gingerlock/wire';
+import { jobRecord, type MachineType, type WorkerReport } from '@gingerlock/wire';
 import { CALLS_PER_TERM, JobTable, PartBook } from '../src/index';
-import { FACTS } from './fixtures';
+import { FACTS, specOf } from './fixtures';
 
 const facts = { ...FACTS, controllers: 1 };
 const type: MachineType = {
@@ -17,44 +17,33 @@
   bootS: 5,
   zones: ['a'],
 };
-const spec: JobSpec = {
-  id: 'j-000001',
-  jobClass: 'service',
-  team: 'red',
-  kind: 'service',
-  priority: 'high',
-  tasks: 4,
-  cpus: 2,
-  gpus: 1,
-  memoryGb: 8,
-  image: 'img',
-  imageGb: 30,
-  types: null,
-  zone: null,
-  oneZone: false,
-  spread: false,
-  spot: false,
-  estimateS: 0,
-  checkpointS: 0,
-  saveS: 0,
-  deadlineS: null,
-};
+const spec = specOf('j-000001', { kind: 'service', priority: 'high' });
 
-/** The book of a new owner: four tasks were dealt before its time, and three machines may hold them. */
-function taken(): PartBook {
-  const jobs = new JobTable(() => 64);
-  const rounds = [{ from: 0, count: 4, part: 0, zone: null, term: 1 }];
-  jobs.applyJob(spec.id, jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, rounds }), 5);
-  const book = new PartBook({
+/** The book of an owner with term 2 of the part. */
+function bookOf(jobs: JobTable, clearAt: number, roster: readonly string[]): PartBook {
+  return new PartBook({
     facts,
     part: 0,
     term: 2,
-    clearAt: 20_000,
+    clearAt,
     openedAt: 0,
     jobs,
     types: () => new Map([[type.name, type]]),
-    roster: ['m-1', 'm-2', 'm-3'].map((name) => [name, `${name}:1`] as const),
+    roster: roster.map((name) => [name, `${name}:1`] as const),
   });
+}
+
+/** The job with its four tasks dealt to the part. */
+function dealt(jobs: JobTable, term: number, version: number): void {
+  const rounds = [{ from: 0, count: 4, part: 0, zone: null, term }];
+  jobs.applyJob(spec.id, jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, rounds }), version);
+}
+
+/** The book of a new owner: four tasks were dealt before its time, and three machines may hold them. */
+function taken(): PartBook {
+  const jobs = new JobTable(() => 64);
+  dealt(jobs, 1, 5);
+  const book = bookOf(jobs, 20_000, ['m-1', 'm-2', 'm-3']);
   book.syncJob(spec.id, 0);
   return book;
 }
@@ -109,21 +98,11 @@
 // While all is read anew, page by page, the record of a job may be seen before that of its part's next owner.
 test('what was dealt to a later owner of the part is not this one’s to start', () => {
   const jobs = new JobTable(() => 64);
-  const book = new PartBook({
-    facts,
-    part: 0,
-    term: 2,
-    clearAt: 0,
-    openedAt: 0,
-    jobs,
-    types: () => new Map([[type.name, type]]),
-    roster: [],
-  });
+  const book = bookOf(jobs, 0, []);
   book.tick(1);
   assert.ok(book.cleared);
   const deal = (term: number, version: number): void => {
-    const rounds = [{ from: 0, count: 4, part: 0, zone: null, term }];
-    jobs.applyJob(spec.id, jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, rounds }), version);
+    dealt(jobs, term, version);
     book.syncJob(spec.id, 2);
   };
   deal(3, 5);
@@ -134,19 +113,8 @@
 
 test('a job that a peer says is called off starts nothing more, also when older records of it come in after that', () => {
   const jobs = new JobTable(() => 64);
-  const rounds = [{ from: 0, count: 4, part: 0, zone: null, term: 2 }];
-  const record = jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, rounds });
-  jobs.applyJob(spec.id, record, 5);
-  const book = new PartBook({
-    facts,
-    part: 0,
-    term: 2,
-    clearAt: 0,
-    openedAt: 0,
-    jobs,
-    types: () => new Map([[type.name, type]]),
-    roster: [['m-1', 'm-1:1']],
-  });
+  dealt(jobs, 2, 5);
+  const book = bookOf(jobs, 0, ['m-1']);
   book.syncJob(spec.id, 0);
   const token = 2 * CALLS_PER_TERM;
   const starts = (seq: number, tasks: WorkerReport['tasks'] = []): string[] => {
@@ -157,7 +125,7 @@
   jobs.callOff(spec.id);
   assert.equal(book.syncJob(spec.id, 1500).length, 4);
   assert.equal(book.syncJob(spec.id, 1500).length, 0);
-  jobs.applyJob(spec.id, record, 6);
+  dealt(jobs, 2, 6);
   book.syncJob(spec.id, 1600);
   // The starts were lost on the way: nothing is there, and nothing is started again.
   assert.deepEqual(starts(2), []);
--- a/packages/core/test/cost.test.ts
+++ b/packages/core/test/cost.test.ts
@@ -1,9 +1,9 @@
 // What a report and a packing cost, counted in looks at machines: each look asks for the machine's type.
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { jobRecord, type JobSpec, type MachineType, type WorkerReport } from '@gingerlock/wire';
+import { jobRecord, type MachineType, type WorkerReport } from '@gingerlock/wire';
 import { CALLS_PER_TERM, JobTable, pack, PartBook } from '../src/index';
-import { FACTS } from './fixtures';
+import { FACTS, specOf } from './fixtures';
 
 const facts = FACTS;
 const type: MachineType = {
@@ -26,28 +26,7 @@
   const types = new Map([[type.name, type]]);
   const jobs = new JobTable(() => 64);
   const job = (id: string, tasks: number): void => {
-    const spec: JobSpec = {
-      id,
-      jobClass: 'mid',
-      team: 'red',
-      kind: 'service',
-      priority: 'production',
-      tasks,
-      cpus: 4,
-      gpus: 1,
-      memoryGb: 12,
-      image: 'img-1',
-      imageGb: 34,
-      types: null,
-      zone: null,
-      oneZone: false,
-      spread: false,
-      spot: false,
-      estimateS: 0,
-      checkpointS: 0,
-      saveS: 0,
-      deadlineS: null,
-    };
+    const spec = specOf(id, { kind: 'service', priority: 'production', tasks, cpus: 4, memoryGb: 12 });
     const rounds = [{ from: 0, count: tasks, part: 0, zone: null, term: 2 }];
     jobs.applyJob(id, jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, rounds }), 5);
   };
--- a/packages/core/test/division.test.ts
+++ b/packages/core/test/division.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { finishedRecord, jobRecord, type JobSpec, type MachineType } from '@gingerlock/wire';
+import { finishedRecord, jobRecord, type MachineType } from '@gingerlock/wire';
 import { divide, JobTable, type MachineRoom, NOTHING, type PartSummary } from '../src/index';
-import { FACTS } from './fixtures';
+import { FACTS, roomOf, specOf } from './fixtures';
 
 const ZONES = ['a', 'b', 'c'];
 const team = { name: 'red', cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 };
@@ -21,48 +21,7 @@
 };
 
 function roomIn(name: string, zone: string, freeGpus: number): MachineRoom {
-  return {
-    name,
-    type: type.name,
-    zone,
-    spot: false,
-    session: 1,
-    free: { cpus: 48, gpus: freeGpus, memoryGb: 192 },
-    byRank: [NOTHING, NOTHING, NOTHING, NOTHING],
-    images: [],
-    takesWork: true,
-    draining: false,
-    noticed: false,
-    sick: false,
-    empty: false,
-    emptyMs: 0,
-    silentMs: 0,
-  };
-}
-
-function jobOf(id: string, image: string): JobSpec {
-  return {
-    id,
-    jobClass: 'batch',
-    team: team.name,
-    kind: 'array',
-    priority: 'normal',
-    tasks: 4,
-    cpus: 2,
-    gpus: 1,
-    memoryGb: 8,
-    image,
-    imageGb: 30,
-    types: null,
-    zone: null,
-    oneZone: false,
-    spread: false,
-    spot: false,
-    estimateS: 1,
-    checkpointS: 0,
-    saveS: 0,
-    deadlineS: null,
-  };
+  return roomOf(name, { zone, free: { cpus: 48, gpus: freeGpus, memoryGb: 192 } });
 }
 
 /** A division of so many waiting jobs among so many machines; how often a machine was looked at. */
@@ -79,7 +38,7 @@
   });
   const table = new JobTable(() => 64);
   for (let i = 0; i < jobs; i++) {
-    const spec = jobOf(`j-${i}`, `img-${i % 7}`);
+    const spec = specOf(`j-${i}`, { image: `img-${i % 7}` });
     const record = { final: null, spec, acceptedAt: i, cancelled: false, rounds: [] };
     table.applyJob(spec.id, jobRecord.write(record), i + 1);
   }
@@ -115,7 +74,7 @@
 // for a zone that had lost its machines.
 test('a job of one zone goes on in another once all its tasks there are finished, and not while one may run', () => {
   const table = new JobTable(() => 64);
-  const spec = { ...jobOf('j-1', 'img'), oneZone: true };
+  const spec = specOf('j-1', { oneZone: true });
   const rounds = [{ from: 0, count: 2, part: 0, zone: 'a', term: 1 }];
   table.applyJob(spec.id, jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, rounds }), 1);
   const zonesDealt = (): (string | null)[] => {
--- a/packages/core/test/fixtures.ts
+++ b/packages/core/test/fixtures.ts
@@ -1,4 +1,5 @@
-import type { Facts } from '../src/index';
+import type { JobSpec } from '@gingerlock/wire';
+import { type Facts, type MachineRoom, NOTHING } from '../src/index';
 
 /** Settings of a small deployment; a test says what it needs otherwise. */
 export const FACTS: Facts = {
@@ -11,3 +12,52 @@
   skewMs: 100,
   listLagMs: 2000,
 };
+
+/** A machine that is free, as its owner tells of it. */
+export function roomOf(name: string, over: Partial<MachineRoom> = {}): MachineRoom {
+  return {
+    name,
+    type: 'box',
+    zone: 'a',
+    spot: false,
+    session: 1,
+    free: { cpus: 8, gpus: 4, memoryGb: 32 },
+    byRank: [NOTHING, NOTHING, NOTHING, NOTHING],
+    images: [],
+    takesWork: true,
+    draining: false,
+    noticed: false,
+    sick: false,
+    empty: false,
+    emptyMs: 0,
+    silentMs: 0,
+    ...over,
+  };
+}
+
+/** A job of four small tasks. */
+export function specOf(id: string, over: Partial<JobSpec> = {}): JobSpec {
+  return {
+    id,
+    jobClass: 'batch',
+    team: 'red',
+    kind: 'array',
+    priority: 'normal',
+    tasks: 4,
+    cpus: 2,
+    gpus: 1,
+    memoryGb: 8,
+    image: 'img',
+    imageGb: 30,
+    types: null,
+    zone: null,
+    oneZone: false,
+    spread: false,
+    spot: false,
+    estimateS: 1,
+    checkpointS: 0,
+    saveS: 0,
+    deadlineS: null,
+    ...over,
+  };
+}
--- a/packages/core/test/fleet.test.ts
+++ b/packages/core/test/fleet.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import type { CloudMachine, MachineType } from '@gingerlock/wire';
 import { Fleet, type MachineRoom, NOTHING, Partition, type PartSummary } from '../src/index';
-import { FACTS } from './fixtures';
+import { FACTS, roomOf } from './fixtures';
 
 const facts = { ...FACTS, controllers: 2, zones: ['a', 'b'] };
 const type: MachineType = {
@@ -24,31 +24,10 @@
   return { name, addr: '', type: 'box', zone: 'a', spot: false, state: 'running', ageS };
 }
 
-function room(name: string, over: Partial<MachineRoom> = {}): MachineRoom {
-  return {
-    name,
-    type: 'box',
-    zone: 'a',
-    spot: false,
-    session: 1,
-    free: { cpus: 8, gpus: 4, memoryGb: 32 },
-    byRank: [NOTHING, NOTHING, NOTHING, NOTHING],
-    images: [],
-    takesWork: true,
-    draining: false,
-    noticed: false,
-    sick: false,
-    empty: false,
-    emptyMs: 0,
-    silentMs: 0,
-    ...over,
-  };
-}
-
 /** A machine on which replicas hold so many accelerators. */
 function used(name: string, gpus: number, over: Partial<MachineRoom> = {}): MachineRoom {
   const taken = { cpus: gpus * 2, gpus, memoryGb: gpus * 8 };
-  return room(name, {
+  return roomOf(name, {
     free: { cpus: 8 - taken.cpus, gpus: 4 - gpus, memoryGb: 32 - taken.memoryGb },
     byRank: [taken, NOTHING, NOTHING, NOTHING],
     ...over,
@@ -74,17 +53,17 @@
   const plan = (now: number, machines: readonly MachineRoom[], term: number): readonly string[] =>
     fleet.plan({ now, types, summaries: summaries(term, machines), unmet: [], parts: PARTS }).giveBack;
   assert.deepEqual(plan(100, [], 1), []);
-  assert.deepEqual(plan(10_000, [room('m-1')], 1), []);
+  assert.deepEqual(plan(10_000, [roomOf('m-1')], 1), []);
   // Its part has a new owner: that one, too, is given the time.
-  assert.deepEqual(plan(13_000, [room('m-1')], 2), []);
-  assert.deepEqual(plan(20_000, [room('m-1')], 2), []);
-  assert.deepEqual(plan(26_000, [room('m-1')], 2), ['m-2']);
+  assert.deepEqual(plan(13_000, [roomOf('m-1')], 2), []);
+  assert.deepEqual(plan(20_000, [roomOf('m-1')], 2), []);
+  assert.deepEqual(plan(26_000, [roomOf('m-1')], 2), ['m-2']);
 });
 
 test('machines that boot at once are kept until work can be dealt to them', () => {
   const fleet = new Fleet(facts, 1, limits);
   const quick = new Map([['box', { ...type, bootS: 0.1 }]]);
-  const empty = [room('m-1', { empty: true, emptyMs: 1500 }), used('m-2', 3), used('m-3', 3)];
+  const empty = [roomOf('m-1', { empty: true, emptyMs: 1500 }), used('m-2', 3), used('m-3', 3)];
   fleet.listed([listed('m-1', 5), listed('m-2', 5), listed('m-3', 5)], 0);
   const plan = fleet.plan({ now: 100, types: quick, summaries: summaries(1, empty), unmet: [], parts: PARTS });
   assert.deepEqual(plan.drain, []);
@@ -97,7 +76,7 @@
     ['m-1', 'm-2', 'm-3'].map((n) => listed(n, 100)),
     0,
   );
-  const idle = room('m-1', { empty: true, emptyMs: 60_000 });
+  const idle = roomOf('m-1', { empty: true, emptyMs: 60_000 });
   const first = fleet.plan({ now: 100, types, summaries: summaries(1, [idle, ...others]), unmet: [], parts: PARTS });
   assert.deepEqual(first.drain, ['m-1']);
   assert.deepEqual(first.giveBack, []);
@@ -185,12 +164,12 @@
   assert.equal(plan(well), 0);
   assert.equal(plan([...well, used('m-4', 4, { silentMs: 4000 })]), 1);
   // An empty one is not missed, and silence from most machines is trouble of ours.
-  assert.equal(plan([...well, room('m-4', { silentMs: 4000, empty: true })]), 0);
+  assert.equal(plan([...well, roomOf('m-4', { silentMs: 4000, empty: true })]), 0);
   assert.equal(plan([well[0]!, ...['m-2', 'm-3', 'm-4'].map((n) => used(n, 4, { silentMs: 4000 }))]), 0);
   const missing = { cpus: 12, gpus: 6, memoryGb: 48 };
   assert.equal(plan(well, missing), 2);
   // What is free already need not be rented.
-  assert.equal(plan([...well, room('m-4')], missing), 1);
+  assert.equal(plan([...well, roomOf('m-4')], missing), 1);
 });
 
 test('a nearly empty machine is emptied only while what is there fits elsewhere and room enough is left', () => {
--- a/packages/daemon/src/shared.ts
+++ b/packages/daemon/src/shared.ts
@@ -72,8 +72,8 @@
         return result.revision;
       }
       if (result.kind === 'conflict' || result.kind === 'no lease') {
-        // An earlier try whose answer was lost may be what it conflicts with: nothing is decided anew before that is seen. A
-        // task that had been given back so, and its part had not read it, was once started there and by its next part.
+        // It may conflict with its own first try, whose answer was lost: nothing is decided anew before that is seen. A task
+        // that was given back without its part's knowing could be started there and by the next part.
         while (!(await this.#caughtUp())) {
           await sleep(this.clock, pause);
           if (!wanted()) return 0;
--- a/packages/wire/src/records.ts
+++ b/packages/wire/src/records.ts
@@ -13,6 +13,7 @@
   types: 'g/types',
   owner: (slot: string) => `g/own/${slot}`,
   hold: (slot: string) => `g/hold/${slot}`,
+  /** A term record: the owner of that term knows that the `movedAt` of its record bounds its takeover. */
   timed: (slot: string) => `g/timed/${slot}`,
   job: (id: string) => `g/j/${id}`,
   finished: (id: string, part: number, page: number) => `g/f/${id}/${part}/${page}`,
@@ -116,8 +117,6 @@
   },
 };
 
-// Under `KEYS.timed`, a term record: the owner of that term knows that the `movedAt` of its record bounds its takeover.
-
 export interface HoldRecord {
   readonly node: string;
   /** Differs between two processes of one controller. */
