--- a/packages/testkit/src/network.ts
+++ b/packages/testkit/src/network.ts
@@ -42,6 +42,11 @@
     this.#still.set(host, Math.max(this.#still.get(host) ?? 0, this.sim.now + forMs));
   }
 
+  /** Whether a host stands still now. */
+  standsStill(host: string): boolean {
+    return (this.#still.get(host) ?? 0) > this.sim.now;
+  }
+
   /** A host that was started anew does not stand still. */
   thaw(host: string): void {
     this.#still.delete(host);
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -386,7 +386,9 @@
     if (cancelledAt === null) return;
     const since = this.sim.now - cancelledAt;
     this.longestCancelledMs = Math.max(this.longestCancelledMs, since);
-    if (since > this.cancelMs) this.breach('ran_cancelled', task);
+    if (since <= this.cancelMs) return;
+    const machine = this.#on.get(task)!;
+    this.breach('ran_cancelled', `${task} on ${machine}${this.network.standsStill(machine) ? ', which hangs' : ''}`);
   }
 
   /** A start command has come to a worker. */
