--- a/packages/testkit/src/network.ts
+++ b/packages/testkit/src/network.ts
@@ -146,7 +146,8 @@
           this.on(addr, () => {
             void Promise.resolve(handler(method, path, body ?? Buffer.alloc(0), from)).then((answer) => {
               if (!answering || this.sim.random() < this.lostAnswers) return;
-              if (this.sim.random() < (this.lostAnswersOf.get(addr) ?? 0)) return;
+              const share = this.lostAnswersOf.get(addr);
+              if (share !== undefined && this.sim.random() < share) return;
               this.pass(addr, from, () =>
                 this.on(from, () => {
                   if (over || !alive()) return;
