--- a/packages/core/test/ownership.test.ts
+++ b/packages/core/test/ownership.test.ts
@@ -321,3 +321,21 @@
     assert.ok(after.clearAt >= gone, `${next.node}, asked: may run until ${gone}, cleared at ${after.clearAt}`);
   }
 });
+
+test('a takeover that was carried out in time stands, however long the reading after it takes', () => {
+  const store = new Store();
+  const take = (node: string, now: number): Holding => {
+    const holding = new Holding('0', facts, { node, process: node }, () => 0);
+    const had = store.view('0').owner !== null;
+    const decision = holding.decide(store.view('0'), 1, now, 1e12 + now);
+    assert.ok(decision.kind === 'take');
+    const readAt = now + 10 * facts.reportMs;
+    const version = store.run(decision.txn, () => true);
+    assert.ok(holding.taken(version, had, now + 100, readAt, 1e12 + readAt), node);
+    return holding;
+  };
+  take('a', 0);
+  store.dropLease(1);
+  const second = take('b', 1000);
+  assert.ok(second.clearAt >= 1000 + 100 + answerBoundMs(facts) + facts.leaseMs);
+});
