Jobs that await others: dependencies in the records, derived readiness, cancellation and urgency; smaller limits of state.next

A submission may name jobs that have to be done first. Whether a job waits, is ready or is cancelled with one that it needs is derived by every controller from the records it has read, so nothing new is written and no message is new. Dependencies that are done are not stored. Values, transactions and rates keep to the smaller of state and state.next from the start: tasks of one partition are assigned in one round, rounds are joined across finished tasks, what is handed back is cut to what fits, and finished tasks beyond a page that may still be written go into pages of their own. Finished pages read before meta were placed by a wrong page size; they now wait for it.

--- a/packages/clients/src/state.ts
+++ b/packages/clients/src/state.ts
@@ -21,6 +21,8 @@
   /** A condition did not hold: nothing was changed. */
   | { readonly kind: 'conflict'; readonly revision: number }
   | { readonly kind: 'no lease' }
+  /** Never carried out, and refused again however often it is sent: it is malformed or beyond a limit. */
+  | { readonly kind: 'invalid' }
   /** Surely not carried out: refused, or never sent. */
   | { readonly kind: 'refused'; readonly why: string }
   /** It may have been carried out, or may be yet. */
@@ -123,9 +125,7 @@
         case 409:
           return { kind: 'conflict', revision: this.#saw(revisionOf(decode(answer.body))) };
         case 400:
-          return changes.some((c) => 'put' in c && c.lease !== undefined)
-            ? { kind: 'no lease' }
-            : { kind: 'refused', why: 'malformed' };
+          return changes.some((c) => 'put' in c && c.lease !== undefined) ? { kind: 'no lease' } : { kind: 'invalid' };
         case 429:
         case 503:
           return { kind: 'refused', why: `status ${answer.status}` };
--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -13,7 +13,7 @@
   type WorkerReport,
 } from '@gingerlock/wire';
 import { type Amounts, type Facts, fits, NOTHING, plus, typeAllows, workerLeaseBoundMs } from './facts';
-import type { Job, JobTable } from './jobs';
+import { type Job, jobOrder, type JobTable } from './jobs';
 import { betterElsewhere } from './placement';
 import { type Claim, type Machine, type Slot, SLOT_MOVES, type SlotState } from './slots';
 
@@ -131,7 +131,7 @@
   /** The wakes in order; those without a waiting task are dropped. */
   wakes(): readonly Job[] {
     if (!this.#wakesSorted) {
-      this.#wakes.sort((a, b) => a.rank - b.rank || a.acceptedAt - b.acceptedAt || (a.id < b.id ? -1 : 1));
+      this.#wakes.sort(jobOrder);
       this.#wakesSorted = true;
     }
     return this.#wakes;
@@ -207,6 +207,8 @@
       }
     }
     if (slots?.size === 0) this.slots.delete(id);
+    // Its urgency may be another one now: that of a job that needs it.
+    this.#wakesSorted = false;
     this.changes++;
     return job?.cancelled === true ? this.#cancel(job) : [];
   }
--- a/packages/core/src/division.ts
+++ b/packages/core/src/division.ts
@@ -1,7 +1,8 @@
 // The leader's division of waiting tasks among the parts by free room, with the arithmetic of team limits and zones.
 import { type MachineType, PRIORITIES, type Round } from '@gingerlock/wire';
 import { type Amounts, type Facts, fits, limitAllows, NOTHING, plus, typeAllows } from './facts';
-import { type Job, joinRounds } from './jobs';
+import { type Job, jobOrder } from './jobs';
+import { joinRounds } from './rounds';
 import { fetchMs, SERVICE_VICTIM_MS, STOP_MS } from './placement';
 
 /** What a part's owner says of one machine. */
@@ -41,7 +42,8 @@
 
 export interface Deal {
   readonly job: Job;
-  readonly rounds: Round[];
+  /** What is added to the rounds of its record. */
+  readonly added: readonly Round[];
   /** Which machine each task was meant for: counted against its room until the owner's summary shows it. */
   readonly meant: readonly { machine: string; need: Amounts }[];
 }
@@ -72,10 +74,6 @@
   byRank: Amounts[];
 }
 
-export function jobOrder(a: Job, b: Job): number {
-  return a.rank - b.rank || a.acceptedAt - b.acceptedAt || (a.id < b.id ? -1 : 1);
-}
-
 /** What the dealt and unfinished tasks of every team add up to. */
 export function teamUse(jobs: Iterable<Job>): Map<string, Amounts> {
   const use = new Map<string, Amounts>();
@@ -133,7 +131,7 @@
   const unmet: Unmet[] = [];
   // Shapes of tasks for which there is no room left: rooms only shrink from here on, so nobody looks for them again.
   const full = new Set<string>();
-  for (const job of jobs.filter((j) => !j.cancelled).sort(jobOrder)) {
+  for (const job of jobs.filter((j) => j.ready && !j.cancelled).sort(jobOrder)) {
     const gaps = job.undealt();
     if (gaps.length === 0) continue;
     const team = input.facts.teams.get(job.spec.team);
@@ -144,7 +142,8 @@
     const zones = zoneCounts(job);
     let oneZone = job.spec.oneZone ? ([...zones.keys()][0] ?? bestZone(job, bins)) : null;
     const cap = spreadCap(job);
-    const rounds: Round[] = [];
+    const indices: number[] = [];
+    const places: Place[] = [];
     const meant: { machine: string; need: Amounts }[] = [];
     const shape = shapeOf(job);
     let missing = 0;
@@ -173,12 +172,13 @@
         // With no free room anywhere no zone was the best: the first task that gets room by preemption binds the rest.
         if (job.spec.oneZone) oneZone = zone;
         if (zone !== null) zones.set(zone, (zones.get(zone) ?? 0) + 1);
-        rounds.push({ from: index, count: 1, part: bin.part, zone, term: bin.term });
+        indices.push(index);
+        places.push({ part: bin.part, zone, term: bin.term });
         meant.push({ machine: bin.room.name, need: job.spec });
       }
     }
-    use.set(team.name, plus(use.get(team.name) ?? NOTHING, job.spec, rounds.length + missing));
-    if (rounds.length > 0) deals.push({ job, rounds: joinRounds([...job.rounds, ...rounds]), meant });
+    use.set(team.name, plus(use.get(team.name) ?? NOTHING, job.spec, places.length + missing));
+    if (places.length > 0) deals.push({ job, added: roundsOf(indices, places), meant });
     if (missing > 0) {
       const open = job.spec.spread ? input.facts.zones.filter((z) => (zones.get(z) ?? 0) < cap) : null;
       unmet.push({
@@ -191,6 +191,18 @@
   return { deals, unmet };
 }
 
+/** Where one more task of a job is to run. */
+type Place = Omit<Round, 'from' | 'count'>;
+
+/**
+ * Shares out the tasks, which are all alike, so that those of one place follow each other: one round for each place
+ * instead of one for each task keeps the record of a large job within the limit on values.
+ */
+function roundsOf(indices: readonly number[], places: readonly Place[]): Round[] {
+  const sorted = [...places].sort((a, b) => a.part - b.part || (a.zone ?? '').localeCompare(b.zone ?? ''));
+  return joinRounds(sorted.map((place, i) => ({ from: indices[i]!, count: 1, ...place })));
+}
+
 function shapeOf({ rank, spec }: Job): string {
   return [rank, spec.cpus, spec.gpus, spec.memoryGb, spec.zone, spec.spot, ...(spec.types ?? [])].join();
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,7 @@
 export * from './facts';
+export * from './dependencies';
 export * from './jobs';
+export * from './rounds';
 export * from './claims';
 export { fetchMs } from './placement';
 export * from './division';
--- a/packages/core/src/jobs.ts
+++ b/packages/core/src/jobs.ts
@@ -1,14 +1,17 @@
+// The jobs of this controller's replica of the state service: what their records say, and what follows from them.
 import {
   finishedRecord,
   jobRecord,
   type JobRecord,
   type JobSpec,
-  PRIORITIES,
+  KEYS,
   type ParsedKey,
   type Round,
 } from '@gingerlock/wire';
+import { DependencyGraph, type Outcome } from './dependencies';
+import { unassignedRanges } from './rounds';
 
-/** The finished tasks of one job at one part, one page. */
+/** A set of tasks as the state service keeps it: a bit for each, the lowest bit of a byte first. */
 export class Bits {
   constructor(public bytes: Uint8Array = new Uint8Array(0)) {}
 
@@ -25,9 +28,11 @@
   }
 }
 
-interface Page {
-  readonly part: number;
-  readonly page: number;
+/** One stored value of finished tasks of one job at one partition. */
+export interface FinishedPage {
+  readonly key: string;
+  /** The task of the first bit. */
+  readonly first: number;
   readonly bits: Bits;
   readonly version: number;
 }
@@ -36,15 +41,21 @@
 export class Job {
   spec!: JobSpec;
   acceptedAt = 0;
+  /** Cancelled itself, or with a job that it needs. */
   cancelled = false;
   /** Another controller has told us that it is cancelled: true for ever, though our copy of its record may not say so yet. */
   calledOff = false;
+  /** Whether all jobs that it needs are done; until then it waits and nothing of it is assigned. */
+  ready = true;
   rounds: readonly Round[] = [];
   version = 0;
-  /** Urgency as a number; 0 goes first. */
-  rank = 0;
-  readonly pages = new Map<string, Page>();
-  #finished = new Set<number>();
+  /** Urgency as a number, 0 goes first: its own or that of the most urgent job that needs it. */
+  rank = Infinity;
+  /** Latest start (time of day, ms) by which the pipeline that it is part of keeps its deadline; Infinity: none. */
+  startBy = Infinity;
+  /** By key. */
+  readonly pages = new Map<string, FinishedPage>();
+  readonly #finished = new Set<number>();
 
   constructor(readonly id: string) {}
 
@@ -60,53 +71,57 @@
     return this.#finished.size >= this.spec.tasks;
   }
 
-  setPage(part: number, page: number, bytes: Uint8Array, version: number, pageTasks: number): void {
-    this.pages.set(`${part}/${page}`, { part, page, bits: new Bits(bytes), version });
-    const first = page * pageTasks;
-    for (let i = 0; i < bytes.length * 8; i++) {
-      if (((bytes[i >> 3]! >> (i & 7)) & 1) === 1) this.#finished.add(first + i);
-    }
-  }
-
-  page(part: number, page: number): Page | undefined {
-    return this.pages.get(`${part}/${page}`);
+  setPage(page: FinishedPage): void {
+    this.pages.set(page.key, page);
+    const { bits, first } = page;
+    for (let i = 0; i < bits.bytes.length * 8; i++) if (bits.has(i)) this.#finished.add(first + i);
   }
 
   /** Ranges of tasks that are in no round, as [from, count]. */
   undealt(): [number, number][] {
-    const rounds = [...this.rounds].sort((a, b) => a.from - b.from);
-    const gaps: [number, number][] = [];
-    let next = 0;
-    for (const r of rounds) {
-      if (r.from > next) gaps.push([next, r.from - next]);
-      next = Math.max(next, r.from + r.count);
-    }
-    if (next < this.spec.tasks) gaps.push([next, this.spec.tasks - next]);
-    return gaps;
+    return unassignedRanges(this.rounds, this.spec.tasks);
   }
 }
 
+/** The most urgent first; of these the ones of pipelines by the time that is left to them, all others as they came. */
+export function jobOrder(a: Job, b: Job): number {
+  return a.rank - b.rank || orderTime(a) - orderTime(b) || (a.id < b.id ? -1 : 1);
+}
+
+function orderTime(job: Job): number {
+  return job.startBy === Infinity ? job.acceptedAt : job.startBy;
+}
+
 /** The jobs of this controller's replica of the state service. */
 export class JobTable {
   readonly live = new Map<string, Job>();
-  readonly finals = new Map<string, 'done' | 'cancelled'>();
+  readonly finals = new Map<string, Outcome>();
+  readonly dependencies: DependencyGraph;
+  /** Hears of each job for which something has changed because of another job. */
+  onDerived: (id: string) => void = () => undefined;
   /** Finished pages that were seen before their job. */
-  readonly #early = new Map<string, { part: number; page: number; bytes: Uint8Array; version: number }[]>();
+  readonly #early = new Map<string, FinishedPage[]>();
 
-  constructor(readonly pageTasks: () => number) {}
+  constructor(readonly pageTasks: () => number) {
+    this.dependencies = new DependencyGraph(this, (id) => this.onDerived(id));
+  }
+
+  isKnown(id: string): boolean {
+    return this.live.has(id) || this.finals.has(id);
+  }
 
   /** Takes one change of a job's key; returns the record, or null if the key was removed. */
   applyJob(id: string, value: unknown, version: number): JobRecord | null {
     if (value === undefined) {
-      this.live.delete(id);
+      this.#drop(id, null);
       this.finals.delete(id);
       return null;
     }
     const record = jobRecord.read(value);
     if (record.final !== null) {
-      this.live.delete(id);
       this.#early.delete(id);
       this.finals.set(id, record.final);
+      this.#drop(id, record.final);
       return record;
     }
     let job = this.live.get(id);
@@ -115,74 +130,85 @@
       this.live.set(id, job);
     }
     job.spec = record.spec;
-    job.rank = PRIORITIES.indexOf(record.spec.priority);
     job.acceptedAt = record.acceptedAt;
     job.cancelled = record.cancelled || job.calledOff;
     job.rounds = record.rounds;
     job.version = version;
-    for (const p of this.#early.get(id) ?? []) job.setPage(p.part, p.page, p.bytes, p.version, this.pageTasks());
+    this.dependencies.update(job);
+    for (const page of this.#early.get(id) ?? []) job.setPage(page);
     this.#early.delete(id);
     return record;
   }
 
+  #drop(id: string, outcome: Outcome | null): void {
+    const job = this.live.get(id);
+    this.live.delete(id);
+    if (job !== undefined) this.dependencies.remove(job, outcome);
+    else if (outcome !== null) this.dependencies.ended(id, outcome);
+  }
+
   /** A controller that has told a user so says that the job is cancelled. */
   callOff(id: string): void {
     const job = this.live.get(id);
     if (job === undefined) return;
     job.calledOff = true;
     job.cancelled = true;
+    this.dependencies.update(job);
   }
 
-  applyFinished(key: Extract<ParsedKey, { kind: 'finished' }>, value: unknown, version: number): void {
+  applyFinished(key: Extract<ParsedKey, { kind: 'finished' | 'finishedFrom' }>, value: unknown, version: number): void {
     // A page goes only together with its whole job, whose own change says the rest.
     if (value === undefined) {
       this.#early.delete(key.id);
       return;
     }
-    const bytes = finishedRecord.read(value);
+    const page: FinishedPage = {
+      key:
+        key.kind === 'finished'
+          ? KEYS.finished(key.id, key.part, key.page)
+          : KEYS.finishedFrom(key.id, key.part, key.first),
+      first: key.kind === 'finished' ? key.page * this.pageTasks() : key.first,
+      bits: new Bits(finishedRecord.read(value)),
+      version,
+    };
     const job = this.live.get(key.id);
     if (job !== undefined) {
-      job.setPage(key.part, key.page, bytes, version, this.pageTasks());
+      job.setPage(page);
     } else if (!this.finals.has(key.id)) {
       const list = this.#early.get(key.id) ?? [];
-      list.push({ part: key.part, page: key.page, bytes, version });
+      list.push(page);
       this.#early.set(key.id, list);
     }
   }
 }
 
-/** Cuts the given tasks out of the rounds; what is left keeps its part, zone and term. */
-export function withoutTasks(rounds: readonly Round[], gone: ReadonlySet<number>): Round[] {
-  const left: Round[] = [];
-  for (const r of rounds) {
-    let from = r.from;
-    for (let i = r.from; i <= r.from + r.count; i++) {
-      if (i === r.from + r.count || gone.has(i)) {
-        if (i > from) left.push({ ...r, from, count: i - from });
-        from = i + 1;
-      }
-    }
-  }
-  return left;
+/** What a page's value takes beside its base64 text. */
+const PAGE_OVERHEAD_BYTES = 16;
+
+/** How many tasks fit into one page of at most `valueBytes`: six bits in each character of base64. */
+export function pageCapacity(valueBytes: number): number {
+  const tasks = Math.max(64, Math.floor(valueBytes - PAGE_OVERHEAD_BYTES - 4) * 6);
+  return tasks - (tasks % 8);
 }
 
-/** Adds rounds, joining neighbours that were dealt alike, so that a record stays small. */
-export function joinRounds(rounds: readonly Round[]): Round[] {
-  const sorted = [...rounds].sort((a, b) => a.from - b.from);
-  const joined: Round[] = [];
-  for (const r of sorted) {
-    const last = joined.at(-1);
-    if (
-      last !== undefined &&
-      last.from + last.count === r.from &&
-      last.part === r.part &&
-      last.zone === r.zone &&
-      last.term === r.term
-    ) {
-      joined[joined.length - 1] = { ...last, count: last.count + r.count };
-    } else {
-      joined.push(r);
-    }
-  }
-  return joined;
+/**
+ * The page into which a finished task is written. Pages are as long as the first controller of the deployment fixed
+ * them in `meta`, maybe by a larger limit on values than there is now. Tasks of a page that lie beyond what fits now,
+ * and all further tasks of a page that was stored larger, go into pages that begin at any task.
+ */
+export function finishedPageFor(
+  job: Job,
+  part: number,
+  task: number,
+  limits: { readonly pageTasks: number; readonly valueBytes: number },
+): { readonly key: string; readonly first: number; readonly bits: Bits } {
+  const capacity = pageCapacity(limits.valueBytes);
+  const page = Math.floor(task / limits.pageTasks);
+  const key = KEYS.finished(job.id, part, page);
+  const stored = job.pages.get(key)?.bits ?? new Bits();
+  const first = page * limits.pageTasks;
+  if (task - first < capacity && stored.bytes.length * 8 <= capacity) return { key, first, bits: stored };
+  const start = task - (task % capacity);
+  const overflowKey = KEYS.finishedFrom(job.id, part, start);
+  return { key: overflowKey, first: start, bits: job.pages.get(overflowKey)?.bits ?? new Bits() };
 }
--- a/packages/core/test/division.test.ts
+++ b/packages/core/test/division.test.ts
@@ -86,7 +86,7 @@
       types: new Map([[type.name, type]]),
       most: 12,
     });
-    return deals.flatMap((d) => d.rounds.filter((r) => r.from >= 2).map((r) => r.zone));
+    return deals.flatMap((d) => d.added.filter((r) => r.from >= 2).map((r) => r.zone));
   };
   const finish = (tasks: number, version: number): void =>
     table.applyFinished(
--- a/packages/core/test/fixtures.ts
+++ b/packages/core/test/fixtures.ts
@@ -58,6 +58,7 @@
     checkpointS: 0,
     saveS: 0,
     deadlineS: null,
+    awaits: [],
     ...over,
   };
 }
--- a/packages/daemon/src/leader.ts
+++ b/packages/daemon/src/leader.ts
@@ -1,5 +1,14 @@
 import { Cloud, sleep, URGENCY } from '@gingerlock/clients';
-import { divide, Fleet, type Holding, type PartSummary, type Unmet } from '@gingerlock/core';
+import {
+  type Deal,
+  dealtUnfinished,
+  divide,
+  Fleet,
+  type Holding,
+  joinRounds,
+  type PartSummary,
+  type Unmet,
+} from '@gingerlock/core';
 import {
   type Change,
   type Condition,
@@ -9,6 +18,7 @@
   machineTypesMap,
   type RentRequest,
   RETURN_MOST,
+  type Round,
 } from '@gingerlock/wire';
 import type { Shared } from './shared';
 
@@ -25,6 +35,16 @@
   readonly need: { cpus: number; gpus: number; memoryGb: number };
 }
 
+function recordWith({ job }: Deal, added: readonly Round[]): unknown {
+  return jobRecord.write({
+    final: null,
+    spec: job.spec,
+    acceptedAt: job.acceptedAt,
+    cancelled: false,
+    rounds: joinRounds([...job.rounds, ...added], (task) => job.isFinished(task)),
+  });
+}
+
 /** The leader: divides waiting tasks among the parts, closes jobs, and deals with the cloud. It commands no worker. */
 export class Leader {
   readonly fleet: Fleet;
@@ -100,7 +120,7 @@
     for (const job of store.jobs.live.values()) {
       if (changes.length >= settings.txnOps) break;
       const final = job.cancelled
-        ? job.rounds.length === 0 && 'cancelled'
+        ? dealtUnfinished(job) === 0 && 'cancelled'
         : job.spec.kind === 'array' && job.complete && 'done';
       if (final === false) continue;
       conditions.push({ key: KEYS.job(job.id), version: job.version });
@@ -122,20 +142,15 @@
     for (const deal of deals) {
       const { job } = deal;
       if (closing.includes(job.id)) continue;
-      const value = jobRecord.write({
-        final: null,
-        spec: job.spec,
-        acceptedAt: job.acceptedAt,
-        cancelled: false,
-        rounds: deal.rounds,
-      });
-      if (JSON.stringify(value).length > settings.valueBytes) {
-        shared.log.error({ job: job.id, rounds: deal.rounds.length }, 'record too large, not dealt');
+      const added = this.#fittingRounds(deal);
+      if (added.length === 0) {
+        shared.log.error({ job: job.id, rounds: job.rounds.length }, 'record too large, not dealt');
         continue;
       }
+      const value = recordWith(deal, added);
       conditions.push({ key: KEYS.job(job.id), version: job.version });
       changes.push({ put: KEYS.job(job.id), value });
-      for (const r of deal.rounds) parts.add(r.part);
+      for (const r of added) parts.add(r.part);
       for (const m of deal.meant) {
         const part = current.find((s) => s.machines.some((x) => x.name === m.machine))!.part;
         meant.push({ part, machine: m.machine, need: m.need });
@@ -157,6 +172,13 @@
     return revision > 0;
   }
 
+  /** As many of the new rounds as the job's record has room for; the other tasks are assigned when it has shrunk. */
+  #fittingRounds(deal: Deal): Round[] {
+    const added = [...deal.added];
+    while (added.length > 0 && !this.shared.fitsValue(recordWith(deal, added))) added.pop();
+    return added;
+  }
+
   // --- cloud -------------------------------------------------------------------------------------------------------
 
   async #cloudLoop(): Promise<void> {
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -1,12 +1,14 @@
 import {
   type Amounts,
-  Bits,
+  type Bits,
+  finishedPageFor,
   grantViewMs,
   type Holding,
   type Job,
   type Machine,
   type MachineRoom,
   NOTHING,
+  joinRounds,
   pack,
   PartBook,
   type PartSummary,
@@ -235,22 +237,8 @@
     }
     for (const [id, slots] of this.book.giveBack(this.#stuck, now)) {
       if (touched.has(id)) continue;
-      const job = slots[0]!.job;
-      const version = job.version;
-      const rounds = withoutTasks(job.rounds, new Set(slots.map((s) => s.index)));
-      const value = jobRecord.write(
-        job.cancelled && rounds.length === 0
-          ? { final: 'cancelled' }
-          : { final: null, spec: job.spec, acceptedAt: job.acceptedAt, cancelled: job.cancelled, rounds },
-      );
-      if (JSON.stringify(value).length > this.shared.settings.valueBytes) continue;
-      const key = KEYS.job(id);
-      writes.push({
-        conditions: [{ key, version }],
-        change: { put: key, value },
-        prepare: () => this.book.leaving(slots, this.shared.clock.now()),
-        failed: () => this.book.stayed(slots, this.shared.clock.now()),
-      });
+      const write = this.#handBack(slots[0]!.job, slots);
+      if (write !== null) writes.push(write);
     }
     if (writes.length === 0) {
       for (const name of this.#rosterRemovals) {
@@ -274,9 +262,36 @@
     return { writes, urgency: URGENCY.finish };
   }
 
+  /** Gives back as many of the tasks as the record without them fits into a value; null: it fits with none. */
+  #handBack(job: Job, slots: readonly Slot[]): Write | null {
+    const byIndex = [...slots].sort((a, b) => a.index - b.index);
+    for (let count = byIndex.length; count > 0; count = Math.floor(count / 2)) {
+      const returned = byIndex.slice(0, count);
+      const value = this.#recordWithout(job, returned);
+      if (!this.shared.fitsValue(value)) continue;
+      const key = KEYS.job(job.id);
+      return {
+        conditions: [{ key, version: job.version }],
+        change: { put: key, value },
+        prepare: () => this.book.leaving(returned, this.shared.clock.now()),
+        failed: () => this.book.stayed(returned, this.shared.clock.now()),
+      };
+    }
+    return null;
+  }
+
+  #recordWithout(job: Job, slots: readonly Slot[]): unknown {
+    const { spec, acceptedAt, cancelled } = job;
+    const left = withoutTasks(job.rounds, this.part, new Set(slots.map((s) => s.index)));
+    // Finished tasks are off their machines: of a cancelled job nothing is left to wait for when only they remain.
+    const rounds = joinRounds(left, (task) => job.isFinished(task));
+    return jobRecord.write(
+      cancelled && rounds.length === 0 ? { final: 'cancelled' } : { final: null, spec, acceptedAt, cancelled, rounds },
+    );
+  }
+
   /** Writes the finished tasks of one job; the last ones close it. */
   #finish(job: Job, slots: readonly Slot[]): Write[] {
-    const pageTasks = this.shared.store.meta!.pageTasks;
     if (job.finishedCount + slots.length >= job.spec.tasks) {
       const key = KEYS.job(job.id);
       // Against this version: a cancellation and the end exclude each other.
@@ -287,14 +302,13 @@
         },
       ];
     }
-    const pages = new Map<number, Bits>();
+    const limits = { pageTasks: this.shared.store.meta!.pageTasks, valueBytes: this.shared.settings.valueBytes };
+    const pages = new Map<string, Bits>();
     for (const slot of slots) {
-      const page = Math.floor(slot.index / pageTasks);
-      const bits = pages.get(page) ?? job.page(this.part, page)?.bits ?? new Bits();
-      pages.set(page, bits.with(slot.index % pageTasks));
+      const { key, first, bits } = finishedPageFor(job, this.part, slot.index, limits);
+      pages.set(key, (pages.get(key) ?? bits).with(slot.index - first));
     }
-    return [...pages].map(([page, bits]) => {
-      const key = KEYS.finished(job.id, this.part, page);
+    return [...pages].map(([key, bits]) => {
       return {
         conditions: [{ key, version: this.shared.replica.version(key) }],
         change: { put: key, value: finishedRecord.write(bits.bytes) },
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -17,6 +17,14 @@
 const Positive = Type.Number({ exclusiveMinimum: 0 });
 const Amount = Type.Number({ minimum: 0 });
 
+/** Limits of the state service. A takeover changes three keys at once. */
+const StateLimits = {
+  rps: Positive,
+  write_rps: Positive,
+  value_kb: Positive,
+  txn_ops: Type.Integer({ minimum: 3 }),
+};
+
 const PlatformFile = Type.Object({
   node: Type.String({ minLength: 1, maxLength: 64 }),
   area: Type.String(),
@@ -32,10 +40,8 @@
     ),
     workers: Type.Object({ report_s: Positive, lease_s: Positive, cancel_s: Positive }),
     state: Type.Object({
-      rps: Positive,
-      write_rps: Positive,
-      value_kb: Positive,
-      txn_ops: Type.Integer({ minimum: 4 }),
+      ...StateLimits,
+      next: Type.Optional(Type.Union([Type.Null(), Type.Partial(Type.Object(StateLimits))])),
     }),
     cloud: Type.Object({ rps: Positive, list_lag_s: Amount }),
     machine_limits: Type.Object({ sockets: Type.Integer({ minimum: 16 }) }),
@@ -74,6 +80,7 @@
   readonly peers: readonly (PeerAddress & { readonly zone: string })[];
   readonly cloud: string;
   readonly state: string;
+  /** Limits of the state service: the smaller of those that it has and those that it will have, which come unannounced. */
   readonly stateRps: number;
   readonly stateWriteRps: number;
   readonly valueBytes: number;
@@ -98,6 +105,8 @@
   if (f.workers.cancel_s <= f.workers.lease_s) {
     throw new SettingsError('settings: facts.workers.cancel_s: must be longer than lease_s');
   }
+  const smaller = (limit: keyof typeof StateLimits): number =>
+    Math.min(f.state[limit], f.state.next?.[limit] ?? Infinity);
   return {
     node: p.node,
     zone: p.area,
@@ -106,10 +115,10 @@
     peers: p.peers.map((peer) => ({ node: peer.node, zone: peer.area, address: peer.address })),
     cloud: p.services.cloud,
     state: p.services.state,
-    stateRps: f.state.rps,
-    stateWriteRps: f.state.write_rps,
-    valueBytes: f.state.value_kb * 1024,
-    txnOps: f.state.txn_ops,
+    stateRps: smaller('rps'),
+    stateWriteRps: smaller('write_rps'),
+    valueBytes: smaller('value_kb') * 1024,
+    txnOps: smaller('txn_ops'),
     cloudRps: f.cloud.rps,
     sockets: f.machine_limits.sockets,
     facts: {
--- a/packages/daemon/src/shared.ts
+++ b/packages/daemon/src/shared.ts
@@ -39,6 +39,11 @@
     return this.clock.now() < this.leaseUntil;
   }
 
+  /** Whether the state service will take a value, by the smallest limit that it may have. */
+  fitsValue(value: unknown): boolean {
+    return Buffer.byteLength(JSON.stringify(value)) <= this.settings.valueBytes;
+  }
+
   /** The replica is complete and was read lately. */
   fresh(): boolean {
     const { loaded, contactAt } = this.replica;
@@ -80,6 +85,10 @@
         }
         return 0;
       }
+      if (result.kind === 'invalid') {
+        this.log.error({ keys: changes.map((c) => ('put' in c ? c.put : c.remove)) }, 'transaction refused for good');
+        return 0;
+      }
       this.log.debug({ kind: result.kind, why: result.why }, 'transaction not settled');
       await sleep(this.clock, pause);
       if (!wanted()) return 0;
--- a/packages/daemon/src/store.ts
+++ b/packages/daemon/src/store.ts
@@ -29,9 +29,17 @@
   readonly rosters = new Map<number, Map<string, string>>();
   /** Finished sets whose job has been closed: nothing needs them any more. */
   readonly leftovers = new Set<string>();
+  /** Hears of each job that has changed, or for which something has changed because of another job. */
   onJob: (id: string) => void = () => undefined;
   onRoster: (part: number, machine: string, present: boolean) => void = () => undefined;
 
+  /** Finished pages read before `meta`, which says what they stand for: lists come in the order of the keys. */
+  #beforeMeta: { readonly key: string; readonly value: unknown; readonly version: number }[] = [];
+
+  constructor() {
+    this.jobs.onDerived = (id) => this.onJob(id);
+  }
+
   /** See `JobTable.callOff`. */
   callOff(id: string): void {
     this.jobs.callOff(id);
@@ -64,6 +72,7 @@
         if (value === undefined) return;
         this.meta = metaRecord.read(value);
         this.partition = new Partition(this.meta.parts, this.meta.zones);
+        for (const page of this.#beforeMeta.splice(0)) this.apply(page.key, page.value, page.version);
         return;
       case 'term':
         this.term = value === undefined ? null : { record: termRecord.read(value), version };
@@ -90,12 +99,16 @@
       case 'job': {
         const pages = [...(this.jobs.live.get(k.id)?.pages.keys() ?? [])];
         const record = this.jobs.applyJob(k.id, value, version);
-        if (record !== null && record.final !== null)
-          for (const page of pages) this.leftovers.add(`g/f/${k.id}/${page}`);
+        if (record !== null && record.final !== null) for (const page of pages) this.leftovers.add(page);
         this.onJob(k.id);
         return;
       }
       case 'finished':
+      case 'finishedFrom':
+        if (this.meta === null) {
+          this.#beforeMeta.push({ key, value, version });
+          return;
+        }
         this.jobs.applyFinished(k, value, version);
         if (value === undefined) this.leftovers.delete(key);
         else if (this.jobs.finals.has(k.id)) this.leftovers.add(key);
--- a/packages/daemon/src/users.ts
+++ b/packages/daemon/src/users.ts
@@ -1,11 +1,12 @@
 // What users ask for: submissions, polls and cancellations.
 import { type TxnResult, URGENCY } from '@gingerlock/clients';
-import { dealtUnfinished, type Job, neverRuns } from '@gingerlock/core';
+import { coverPerPartition, dealtUnfinished, type Job, neverRuns } from '@gingerlock/core';
 import {
   decodeSubmission,
   encodeJobState,
   isJobId,
   jobRecord,
+  type JobRecord,
   type JobSpec,
   type JobState,
   KEYS,
@@ -14,6 +15,16 @@
 import { refusal, type Reply } from './reply';
 import type { Shared } from './shared';
 
+/** Share of a value that the record of a new job leaves free for the rounds in which its tasks are assigned. */
+const ROUNDS_SHARE = 0.25;
+
+/** Why the jobs that a submission names are no jobs it can wait for. */
+function unfitDependency(spec: JobSpec, live: ReadonlyMap<string, Job>): string | null {
+  if (spec.awaits.includes(spec.id)) return 'awaits: the job itself';
+  const service = spec.awaits.find((id) => live.get(id)?.spec.kind === 'service');
+  return service === undefined ? null : `awaits: ${service} is a service, which is never done`;
+}
+
 export class Users {
   constructor(
     readonly shared: Shared,
@@ -77,11 +88,18 @@
       const known = await this.poll(id);
       return known.status === 404 ? refusal(422, never) : known;
     }
+    const refused = await this.#checkDependencies(spec);
+    if (refused !== null) return refused;
     const wait = this.shared.state.options.budget.waitMs(URGENCY.accept);
     if (wait > 2000) return refusal(429, 'too many requests', Math.ceil(wait / 1000));
     const key = KEYS.job(id);
-    const record = { final: null, spec, acceptedAt: this.shared.clock.wall(), cancelled: false, rounds: [] };
-    const changes = [{ put: key, value: jobRecord.write(record) }];
+    const value = jobRecord.write(this.#newRecord(spec));
+    const room = this.shared.settings.valueBytes * (1 - ROUNDS_SHARE);
+    if (Buffer.byteLength(JSON.stringify(value)) > room) {
+      const known = await this.poll(id);
+      return known.status === 404 ? refusal(422, 'the description is too long, or too many jobs to wait for') : known;
+    }
+    const changes = [{ put: key, value }];
     const result = await this.shared.state.txn(URGENCY.accept, [{ key, version: 0 }], changes, 2000);
     switch (result.kind) {
       case 'done':
@@ -96,17 +114,60 @@
     }
   }
 
+  /** The answer to a submission that names jobs which it can't wait for; null: it can. */
+  async #checkDependencies(spec: JobSpec): Promise<Reply | null> {
+    const { jobs } = this.shared.store;
+    if (!spec.awaits.every((id) => jobs.isKnown(id))) {
+      // They may have been accepted elsewhere a moment ago.
+      try {
+        await this.shared.replica.barrier();
+      } catch {
+        return this.#unavailable();
+      }
+    }
+    const unknown = spec.awaits.find((id) => !jobs.isKnown(id));
+    const why = unknown === undefined ? unfitDependency(spec, jobs.live) : `awaits: ${unknown} was never accepted`;
+    if (why === null) return null;
+    // Accepted before, the job is never refused now.
+    const known = await this.poll(spec.id);
+    return known.status === 404 ? refusal(422, why) : known;
+  }
+
+  /** Dependencies that are done need not be kept: they remain so. With a cancelled one the job is cancelled at once. */
+  #newRecord(spec: JobSpec): JobRecord {
+    const { finals } = this.shared.store.jobs;
+    if (spec.awaits.some((id) => finals.get(id) === 'cancelled')) return { final: 'cancelled' };
+    const awaits = spec.awaits.filter((id) => finals.get(id) !== 'done');
+    return {
+      final: null,
+      spec: { ...spec, awaits },
+      acceptedAt: this.shared.clock.wall(),
+      cancelled: false,
+      rounds: [],
+    };
+  }
+
   async #undecided(id: string, result: TxnResult): Promise<Reply> {
     this.shared.log.info({ job: id, result }, 'outcome not known');
-    if (result.kind === 'refused') return this.#unavailable();
+    if (result.kind === 'refused' || result.kind === 'invalid') return this.#unavailable();
     // Read back before answering: it may have been carried out.
     const reply = await this.poll(id);
     return reply.status === 200 ? reply : this.#unavailable();
   }
 
+  /** `outgrown`: the record was stored under a larger limit on values, and refused as it is. */
+  #cancelledRecord(job: Job, outgrown: boolean): unknown {
+    const { spec, acceptedAt } = job;
+    // With nothing dealt there is nothing to stop: the record closes at once.
+    if (job.rounds.length === 0) return jobRecord.write({ final: 'cancelled' });
+    const rounds = outgrown ? coverPerPartition(job.rounds) : job.rounds;
+    return jobRecord.write({ final: null, spec, acceptedAt, cancelled: true, rounds });
+  }
+
   async cancel(id: string): Promise<Reply> {
     if (!isJobId(id)) return refusal(404, 'no such job');
     const until = this.shared.clock.now() + 3000;
+    let outgrown = false;
     while (!this.#settled(id)) {
       let job: Job | undefined = this.shared.store.jobs.live.get(id);
       if (job === undefined) {
@@ -116,21 +177,20 @@
         if (job === undefined || job.cancelled) break;
       }
       const key = KEYS.job(id);
-      const { spec, acceptedAt, rounds } = job;
-      // With nothing dealt there is nothing to stop: the record closes at once.
-      const record =
-        rounds.length === 0
-          ? ({ final: 'cancelled' } as const)
-          : { final: null, spec, acceptedAt, cancelled: true, rounds };
-      const changes = [{ put: key, value: jobRecord.write(record) }];
+      const changes = [{ put: key, value: this.#cancelledRecord(job, outgrown) }];
       const result = await this.shared.state.txn(URGENCY.cancel, [{ key, version: job.version }], changes, 2000);
+      if (result.kind === 'invalid' && !outgrown) {
+        outgrown = true;
+        continue;
+      }
       if (result.kind === 'done') {
         this.shared.replica.applyOwn(changes, result.revision);
         this.shared.announce(result.revision);
         this.shared.log.debug({ job: id, dealt: dealtUnfinished(job) }, 'cancelled');
         break;
       }
-      if (result.kind === 'refused' || this.shared.clock.now() > until) return this.#unavailable();
+      if (result.kind === 'refused' || result.kind === 'invalid' || this.shared.clock.now() > until)
+        return this.#unavailable();
       try {
         await this.shared.replica.barrier();
       } catch {
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -434,6 +434,7 @@
       checkpointS: 0,
       saveS: 0,
       deadlineS: null,
+      awaits: [],
       ...this.options.jobs,
     };
   }
--- a/packages/wire/src/records.ts
+++ b/packages/wire/src/records.ts
@@ -17,6 +17,8 @@
   timed: (slot: string) => `g/timed/${slot}`,
   job: (id: string) => `g/j/${id}`,
   finished: (id: string, part: number, page: number) => `g/f/${id}/${part}/${page}`,
+  /** A page of finished tasks that begins at task `first`; see `finishedPageFor`. */
+  finishedFrom: (id: string, part: number, first: number) => `g/o/${id}/${part}/${first}`,
   roster: (part: number, machine: string) => `g/r/${part}/${machine}`,
 } as const;
 
@@ -28,6 +30,7 @@
   | { readonly kind: 'owner' | 'hold' | 'timed'; readonly slot: string }
   | { readonly kind: 'job'; readonly id: string }
   | { readonly kind: 'finished'; readonly id: string; readonly part: number; readonly page: number }
+  | { readonly kind: 'finishedFrom'; readonly id: string; readonly part: number; readonly first: number }
   | { readonly kind: 'roster'; readonly part: number; readonly machine: string };
 
 export function parseKey(key: string): ParsedKey {
@@ -47,6 +50,8 @@
       return { kind: 'job', id: words[2] ?? '' };
     case 'f':
       return { kind: 'finished', id: words[2] ?? '', part: Number(words[3]), page: Number(words[4]) };
+    case 'o':
+      return { kind: 'finishedFrom', id: words[2] ?? '', part: Number(words[3]), first: Number(words[4]) };
     case 'r':
       return { kind: 'roster', part: Number(words[2]), machine: words.slice(3).join('/') };
     default:
--- a/packages/wire/src/users.ts
+++ b/packages/wire/src/users.ts
@@ -31,6 +31,8 @@
   readonly checkpointS: number;
   readonly saveS: number;
   readonly deadlineS: number | null;
+  /** Jobs that have to be done before any task of this one starts; each is named once. */
+  readonly awaits: readonly string[];
 }
 
 const PRIORITY_NAMES: Record<string, Priority> = {
@@ -90,6 +92,7 @@
     stash_every_s: Amount,
     stash_s: Amount,
     due_s: Type.Optional(Type.Union([Type.Null(), Amount])),
+    awaits: Type.Optional(Type.Union([Type.Null(), Type.Array(Type.String({ pattern: JOB_ID.source }))])),
   }),
 );
 
@@ -117,6 +120,7 @@
     checkpointS: s.stash_every_s,
     saveS: s.stash_s,
     deadlineS: s.due_s ?? null,
+    awaits: [...new Set(s.awaits ?? [])],
   };
 }
 
@@ -142,6 +146,8 @@
     stash_every_s: job.checkpointS,
     stash_s: job.saveS,
     due_s: job.deadlineS,
+    // Left out when empty: the record of a job without dependencies stays as earlier versions write it.
+    ...(job.awaits.length > 0 ? { awaits: job.awaits } : {}),
   };
 }
 
--- a/packages/wire/test/formats.test.ts
+++ b/packages/wire/test/formats.test.ts
@@ -33,6 +33,7 @@
     checkpointS: amount,
     saveS: amount,
     deadlineS: fc.option(amount),
+    awaits: fc.uniqueArray(jobId, { maxLength: 5 }),
   },
   plain,
 );
@@ -153,6 +154,7 @@
     checkpointS: 0,
     saveS: 0,
     deadlineS: null,
+    awaits: [],
   });
   const nullable = ['breeds', 'yard', 'due_s'];
   for (const field of Object.keys(good)) {
