--- /dev/null
+++ b/packages/core/test/dependencies.test.ts
@@ -0,0 +1,194 @@
+// Generated graphs of jobs against a plain model that looks at everything anew each time.
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { jobRecord, type JobRecord, type JobSpec, PRIORITIES } from '@gingerlock/wire';
+import fc from 'fast-check';
+import { type Job, jobOrder, JobTable } from '../src/index';
+import { specOf } from './fixtures';
+
+type State = 'live' | 'done' | 'cancelled';
+
+interface ModelJob {
+  readonly spec: JobSpec;
+  readonly acceptedAt: number;
+  state: State;
+}
+
+/** What has happened to the jobs, with no regard to how it is worked out. */
+class Model {
+  readonly jobs = new Map<string, ModelJob>();
+
+  get(id: string): ModelJob {
+    return this.jobs.get(id)!;
+  }
+
+  isReady(id: string): boolean {
+    return this.get(id).spec.awaits.every((need) => this.get(need).state === 'done');
+  }
+
+  isCancelled(id: string): boolean {
+    const { state, spec } = this.get(id);
+    return state === 'cancelled' || (state === 'live' && spec.awaits.some((need) => this.isCancelled(need)));
+  }
+
+  /** Unfinished jobs that need this one directly. */
+  needing(id: string): string[] {
+    return [...this.jobs.keys()].filter(
+      (other) =>
+        this.get(other).spec.awaits.includes(id) && this.get(other).state === 'live' && !this.isCancelled(other),
+    );
+  }
+
+  rank(id: string): number {
+    const own = PRIORITIES.indexOf(this.get(id).spec.priority);
+    return Math.min(own, ...this.needing(id).map((other) => this.rank(other)));
+  }
+
+  startBy(id: string): number {
+    const { spec, acceptedAt } = this.get(id);
+    const needing = this.needing(id);
+    if (spec.awaits.length === 0 && needing.length === 0) return Infinity;
+    const own = spec.deadlineS === null ? Infinity : acceptedAt + spec.deadlineS * 1000;
+    return Math.min(own, ...needing.map((other) => this.startBy(other))) - spec.estimateS * 1000;
+  }
+
+  recordOf(id: string): JobRecord {
+    const { spec, acceptedAt, state } = this.get(id);
+    if (state !== 'live') return { final: state };
+    return { final: null, spec, acceptedAt, cancelled: false, rounds: [] };
+  }
+}
+
+/** One step of a day: a job comes that needs some of those before it, or something happens to one of them. */
+const step = fc.record({
+  what: fc.constantFrom('accept' as const, 'accept' as const, 'finish' as const, 'cancel' as const),
+  which: fc.nat(),
+  needs: fc.array(fc.nat(), { maxLength: 3 }),
+  priority: fc.constantFrom(...PRIORITIES),
+  deadlineS: fc.option(fc.integer({ min: 1, max: 100 })),
+  estimateS: fc.integer({ min: 1, max: 30 }),
+});
+
+function check(table: JobTable, model: Model): void {
+  for (const [id, { state }] of model.jobs) {
+    assert.equal(table.finals.get(id), state === 'live' ? undefined : state);
+    const job = table.live.get(id);
+    assert.equal(job !== undefined, state === 'live');
+    if (job === undefined) continue;
+    assert.equal(job.cancelled, model.isCancelled(id), `${id} cancelled`);
+    assert.equal(job.ready, model.isReady(id), `${id} ready`);
+    if (job.cancelled) continue;
+    assert.equal(job.rank, model.rank(id), `${id} rank`);
+    assert.equal(job.startBy, model.startBy(id), `${id} latest start`);
+  }
+}
+
+/** Every job that looks different afterwards; the job itself whose record is applied is told by the caller. */
+function derivedBy(table: JobTable, apply: () => void): { told: Set<string>; changed: Set<string> } {
+  const look = (): Map<string, string> =>
+    new Map([...table.live.values()].map((j) => [j.id, [j.ready, j.cancelled, j.rank, j.startBy].join()]));
+  const before = look();
+  const told = new Set<string>();
+  table.onDerived = (id) => told.add(id);
+  apply();
+  const changed = new Set(
+    [...look()].filter(([id, now]) => before.has(id) && before.get(id) !== now).map(([id]) => id),
+  );
+  return { told, changed };
+}
+
+function play(steps: readonly (typeof step extends fc.Arbitrary<infer S> ? S : never)[]): {
+  model: Model;
+  table: JobTable;
+} {
+  const model = new Model();
+  const table = new JobTable(() => 64);
+  let version = 0;
+  const apply = (id: string): void => {
+    const { told, changed } = derivedBy(table, () => {
+      table.applyJob(id, jobRecord.write(model.recordOf(id)), ++version);
+    });
+    changed.delete(id);
+    for (const other of changed) assert.ok(told.has(other), `nobody was told that ${other} has changed`);
+    check(table, model);
+  };
+  for (const s of steps) {
+    const ids = [...model.jobs.keys()];
+    const picked = ids[s.which % Math.max(1, ids.length)];
+    if (s.what === 'accept' || picked === undefined) {
+      const id = `j-${ids.length}`;
+      const awaits = [...new Set(s.needs.map((n) => ids[n % Math.max(1, ids.length)]).filter((n) => n !== undefined))];
+      const { priority, deadlineS, estimateS } = s;
+      const spec = specOf(id, { awaits, priority, deadlineS, estimateS });
+      model.jobs.set(id, { spec, acceptedAt: 1000 * ids.length, state: 'live' });
+      apply(id);
+    } else if (model.get(picked).state === 'live' && !model.isCancelled(picked)) {
+      if (s.what === 'finish' && !model.isReady(picked)) continue;
+      model.get(picked).state = s.what === 'finish' ? 'done' : 'cancelled';
+      apply(picked);
+    }
+  }
+  return { model, table };
+}
+
+const days = fc.array(step, { minLength: 1, maxLength: 30 });
+
+test('readiness, cancellation and urgency follow every change, and whoever depends on it is told', () => {
+  fc.assert(
+    fc.property(days, (steps) => void play(steps)),
+    { seed: 391, numRuns: 300 },
+  );
+});
+
+test('records read in any order, as after a restart, give the same', () => {
+  fc.assert(
+    fc.property(days, fc.infiniteStream(fc.nat()), (steps, order) => {
+      const { model } = play(steps);
+      const table = new JobTable(() => 64);
+      const left = [...model.jobs.keys()];
+      for (let version = 1; left.length > 0; version++) {
+        const [id] = left.splice(order.next().value % left.length, 1);
+        table.applyJob(id!, jobRecord.write(model.recordOf(id!)), version);
+      }
+      check(table, model);
+    }),
+    { seed: 391, numRuns: 200 },
+  );
+});
+
+test('a controller that another has told of a cancellation passes it on to the jobs after it', () => {
+  const { model, table } = play([]);
+  assert.equal(model.jobs.size, 0);
+  const accept = (id: string, awaits: string[]): void => {
+    const record = { final: null, spec: specOf(id, { awaits }), acceptedAt: 0, cancelled: false, rounds: [] } as const;
+    table.applyJob(id, jobRecord.write(record), 1);
+  };
+  accept('j-1', []);
+  accept('j-2', ['j-1']);
+  accept('j-3', ['j-2']);
+  table.callOff('j-1');
+  accept('j-4', ['j-3']);
+  for (const job of table.live.values()) assert.ok(job.cancelled, job.id);
+});
+
+test('a long chain of jobs is cancelled without exhausting the stack', () => {
+  const table = new JobTable(() => 64);
+  const length = 20_000;
+  for (let i = 0; i < length; i++) {
+    const spec = specOf(`j-${i}`, { awaits: i === 0 ? [] : [`j-${i - 1}`] });
+    const record = { final: null, spec, acceptedAt: 0, cancelled: false, rounds: [] } as const;
+    table.applyJob(spec.id, jobRecord.write(record), i + 1);
+  }
+  table.applyJob('j-0', jobRecord.write({ final: 'cancelled' }), length + 1);
+  assert.equal([...table.live.values()].filter((job) => job.cancelled).length, length - 1);
+});
+
+test('in one urgency the pipeline with the least time left goes first, and other jobs as they came', () => {
+  const job = (id: string, acceptedAt: number, startBy: number): Job =>
+    ({ id, rank: 1, acceptedAt, startBy }) as unknown as Job;
+  const jobs = [job('j-1', 5, Infinity), job('j-2', 1, 30), job('j-3', 2, 20), job('j-4', 25, Infinity)];
+  assert.deepEqual(
+    jobs.sort(jobOrder).map((j) => j.id),
+    ['j-1', 'j-3', 'j-4', 'j-2'],
+  );
+});
--- /dev/null
+++ b/packages/core/test/finished-pages.test.ts
@@ -0,0 +1,62 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { finishedRecord, jobRecord, KEYS, parseKey } from '@gingerlock/wire';
+import fc from 'fast-check';
+import { Bits, finishedPageFor, type Job, JobTable } from '../src/index';
+import { specOf } from './fixtures';
+
+/** Pages as fixed by a first controller under a limit of 16 KiB, and the limit that holds now. */
+const PAGE_TASKS = 49_152;
+const VALUE_BYTES = 2048;
+const PART = 3;
+
+function tableWith(tasks: number): { table: JobTable; job: Job } {
+  const table = new JobTable(() => PAGE_TASKS);
+  const spec = specOf('j-1', { tasks });
+  table.applyJob(spec.id, jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, rounds: [] }), 1);
+  return { table, job: table.live.get(spec.id)! };
+}
+
+function store(table: JobTable, key: string, bits: Bits, version: number): number {
+  const parsed = parseKey(key);
+  assert.ok(parsed.kind === 'finished' || parsed.kind === 'finishedFrom');
+  const value = finishedRecord.write(bits.bytes);
+  table.applyFinished(parsed, value, version);
+  return JSON.stringify(value).length;
+}
+
+const task = fc.integer({ min: 0, max: 99_999 });
+
+test('finished tasks are kept under a smaller limit on values, beside pages that were stored under a larger one', () => {
+  fc.assert(
+    fc.property(fc.array(task, { maxLength: 30 }), fc.array(task, { maxLength: 60 }), (before, after) => {
+      const { table, job } = tableWith(100_000);
+      let version = 1;
+      const large = new Map<string, Bits>();
+      for (const t of before) {
+        const page = Math.floor(t / PAGE_TASKS);
+        const key = KEYS.finished(job.id, PART, page);
+        large.set(key, (large.get(key) ?? new Bits()).with(t - page * PAGE_TASKS));
+      }
+      for (const [key, bits] of large) store(table, key, bits, ++version);
+      for (const t of after) {
+        const limits = { pageTasks: PAGE_TASKS, valueBytes: VALUE_BYTES };
+        const { key, first, bits } = finishedPageFor(job, PART, t, limits);
+        const written = store(table, key, bits.with(t - first), ++version);
+        assert.ok(written <= VALUE_BYTES, `${key} takes ${written} characters`);
+      }
+      const finished = new Set([...before, ...after]);
+      assert.equal(job.finishedCount, finished.size);
+      for (const t of finished) assert.ok(job.isFinished(t), `task ${t}`);
+    }),
+    { seed: 391, numRuns: 200 },
+  );
+});
+
+test('tasks that fit into the page of the format of before go there, so that the version before reads them', () => {
+  const { job } = tableWith(90);
+  for (const t of [0, 41, 89]) {
+    const { key, first } = finishedPageFor(job, PART, t, { pageTasks: PAGE_TASKS, valueBytes: VALUE_BYTES });
+    assert.deepEqual({ key, first }, { key: KEYS.finished(job.id, PART, 0), first: 0 });
+  }
+});
--- a/packages/testkit/src/faults.ts
+++ b/packages/testkit/src/faults.ts
@@ -1,5 +1,6 @@
 // Troubles as data, so that a generator can draw them and a shrinker can take them away one by one.
 import { KEYS, parseTaskName } from '@gingerlock/wire';
+import { PipelineUser } from './pipelines';
 import { type World, ZONES } from './world';
 
 export type Fault =
@@ -43,6 +44,10 @@
   | { readonly kind: 'fast boots'; readonly forMs: number }
   /** Jobs of one task, so many a second, a quarter of them called off. */
   | { readonly kind: 'small jobs'; readonly perS: number; readonly forMs: number }
+  /** Users submit pipelines of jobs that await each other, one every so often. */
+  | { readonly kind: 'pipelines'; readonly everyMs: number; readonly forMs: number; readonly seed: number }
+  /** The state service lowers its limits to those that the settings announce, for good. */
+  | { readonly kind: 'state limits' }
   | {
       readonly kind: 'node cut';
       readonly node: number;
@@ -333,6 +338,14 @@
       sim.after(fault.forMs, network.wall(apart, fault.how));
       return;
     }
+    case 'pipelines':
+      for (let i = 0; i * fault.everyMs < fault.forMs; i++) {
+        sim.after(i * fault.everyMs, () => new PipelineUser(world, fault.seed + i).start());
+      }
+      return;
+    case 'state limits':
+      state.limits = world.options.nextLimits ?? null;
+      return;
     case 'spot wave':
       for (const [name, worker] of world.workers) {
         if (!worker.spot || sim.random() > fault.share) continue;
@@ -412,6 +425,7 @@
       return fault.noticeMs * 1.5;
     case 'machine dies':
     case 'events forgotten':
+    case 'state limits':
       return 0;
     case 'late copies':
     case 'late peer copies':
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -4,6 +4,7 @@
 export * from './worker';
 export * from './rules';
 export * from './users';
+export * from './pipelines';
 export * from './liveness';
 export * from './world';
 export * from './faults';
--- a/packages/testkit/src/liveness.ts
+++ b/packages/testkit/src/liveness.ts
@@ -31,7 +31,10 @@
       const started = this.starts.get(team) ?? 0;
       const known = this.#waiting.get(id);
       const waits =
-        this.#on(id).length + world.doneOf(id) < tasks && now < told.cancelAt && this.#couldStart(told.spec);
+        this.#on(id).length + world.doneOf(id) < tasks &&
+        !world.users.isUnwanted(told) &&
+        world.users.isReady(told) &&
+        this.#couldStart(told.spec);
       if (!waits) this.#waiting.delete(id);
       else if (known?.started !== started) this.#waiting.set(id, { since: now, started });
       else if (now - known.since > world.cancelMs * WAIT_CANCELS) {
--- a/packages/testkit/src/rules.ts
+++ b/packages/testkit/src/rules.ts
@@ -3,6 +3,9 @@
  * accepted_bad:    a job was accepted though it can never run or lacks a field.
  * start_cancelled: a start command came to a worker long after its user was told that the job is cancelled.
  * left_waiting:    once all troubles are over, a task waits while a machine that fits has room and its team is under its limit.
+ * too_early:       a task starts before all jobs that its job needs are done.
+ * orphaned:        a job is called queued or running long after its user was told that one before it is cancelled.
+ * refused:         the state service refused a change as malformed or beyond its limits.
  * unanswered:      once all troubles are over, no question about an accepted job is answered.
  */
 export type Rule =
@@ -15,6 +18,9 @@
   | 'not_done'
   | 'went_back'
   | 'accepted_bad'
+  | 'too_early'
+  | 'orphaned'
+  | 'refused'
   | 'start_cancelled'
   | 'left_waiting'
   | 'unanswered';
--- a/packages/testkit/src/state-service.ts
+++ b/packages/testkit/src/state-service.ts
@@ -1,5 +1,7 @@
 import type { HttpAnswer } from '@gingerlock/clients';
 import {
+  type Change,
+  type Condition,
   decode,
   encode,
   eventsMap,
@@ -26,6 +28,15 @@
 
 const KEPT_EVENTS = 10_000;
 
+export interface StateLimits {
+  readonly valueKb: number;
+  readonly txnOps: number;
+  readonly writesPerS: number;
+}
+
+/** Conditions of one transaction, as a multiple of the changes that it may have. */
+const CONDITIONS_PER_CHANGE = 4;
+
 /** A stand-in of the state service. */
 export class SimStateService {
   readonly data = new Map<string, Entry>();
@@ -36,7 +47,14 @@
   readonly refused = new Set<string>();
   /** Share of transactions that get no answer, and whether they are carried out at once or later. */
   unanswered: { readonly share: number; readonly atOnce: boolean } | null = null;
-  /** Limits that a request breaks are counted, not enforced. */
+  /** Enforced from the moment when they are set; until then what breaks a limit is only counted. */
+  limits: StateLimits | null = null;
+  /** Hears of each request that is refused for good. */
+  onInvalid: (why: string) => void = () => undefined;
+  /** Requests refused for their rate. */
+  tooMany = 0;
+  #writeTokens = 0;
+  #filledAt = 0;
   largestTxn = 0;
   largestValue = 0;
   /** All that was asked for, by anybody. */
@@ -102,6 +120,33 @@
     return this.#carryOut(method, path, body);
   }
 
+  /** The answer to a transaction that the limits do not allow; null: they allow it. */
+  #refusalOf(conditions: readonly Condition[], changes: readonly Change[]): HttpAnswer | null {
+    const { limits } = this;
+    if (limits === null) return null;
+    const large = changes.find((c) => 'put' in c && JSON.stringify(c.value).length > limits.valueKb * 1024);
+    if (
+      large !== undefined ||
+      changes.length > limits.txnOps ||
+      conditions.length > limits.txnOps * CONDITIONS_PER_CHANGE
+    ) {
+      this.onInvalid(
+        large === undefined ? `${changes.length} changes` : `value of ${JSON.stringify(large).slice(0, 40)}`,
+      );
+      return answer(400, { error: 'too large' });
+    }
+    const { now } = this.sim;
+    const filled = this.#writeTokens + ((now - this.#filledAt) / 1000) * limits.writesPerS;
+    this.#writeTokens = Math.min(limits.writesPerS, filled);
+    this.#filledAt = now;
+    if (this.#writeTokens < changes.length) {
+      this.tooMany++;
+      return answer(429, { error: 'too many changes' });
+    }
+    this.#writeTokens -= changes.length;
+    return null;
+  }
+
   #carryOut(method: string, path: string, body: Buffer): HttpAnswer {
     const request = parseStateRequest(method, path);
     switch (request?.kind) {
@@ -110,6 +155,8 @@
       case 'txn': {
         const { conditions, changes } = txnRequestOf(decode(body));
         this.changes += changes.length;
+        const refusal = this.#refusalOf(conditions, changes);
+        if (refusal !== null) return refusal;
         this.largestTxn = Math.max(this.largestTxn, changes.length);
         for (const c of changes) {
           if ('put' in c && c.lease !== undefined && !this.#leases.has(c.lease))
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -25,7 +25,7 @@
 import { Network } from './network';
 import type { Breach, Rule } from './rules';
 import { Sim } from './sim';
-import { SimStateService } from './state-service';
+import { SimStateService, type StateLimits } from './state-service';
 import { SimUsers } from './users';
 import { SimWorker, type WorkerWorld } from './worker';
 
@@ -45,6 +45,8 @@
   readonly leaseS?: number;
   readonly cancelS?: number;
   readonly gpusMax?: number;
+  /** Limits that the state service may get during the day: `facts.state.next` of the settings. */
+  readonly nextLimits?: StateLimits;
   /** What all jobs have in common. */
   readonly jobs?: Partial<JobSpec>;
   /** Falsifies what controllers tell each other; null: it is lost. */
@@ -155,6 +157,7 @@
     this.sim = new Sim(options.seed);
     this.network = new Network(this.sim);
     this.state = new SimStateService(this.sim);
+    this.state.onInvalid = (why) => this.breach('refused', why);
     this.reportMs = (options.reportS ?? 1) * 1000;
     this.leaseMs = (options.leaseS ?? 6) * 1000;
     this.cancelMs = (options.cancelS ?? 20) * 1000;
@@ -217,7 +220,7 @@
         zones: ZONES,
         teams: TEAMS.map((name) => ({ name, cpus: 0, cpus_max: 0, gpus: 4, gpus_max: this.gpusMax })),
         workers: { report_s: this.reportMs / 1000, lease_s: this.leaseMs / 1000, cancel_s: this.cancelMs / 1000 },
-        state: { rps: 200, write_rps: 100, value_kb: 8, txn_ops: 12 },
+        state: { rps: 200, write_rps: 100, value_kb: 8, txn_ops: 12, ...this.#nextLimits() },
         cloud: { rps: 8, list_lag_s: 2 },
         machine_limits: { sockets: 600 },
         skew_ms: 100,
@@ -225,6 +228,12 @@
     };
   }
 
+  #nextLimits(): { next?: unknown } {
+    const { nextLimits: next } = this.options;
+    if (next === undefined) return {};
+    return { next: { write_rps: next.writesPerS, value_kb: next.valueKb, txn_ops: next.txnOps } };
+  }
+
   startNode(name: string): void {
     const node = this.nodes.find((n) => n.name === name)!;
     if (node.controller !== null) return;
@@ -374,6 +383,8 @@
     }
     this.peakGpus = Math.max(this.peakGpus, gpus);
     if (gpus > this.gpusMax + 1e-9) this.breach('quota', `team ${spec.team} uses ${gpus}`);
+    const told = this.users.told.get(job)!;
+    if (!this.users.isReady(told)) this.breach('too_early', `${task} before one of ${spec.awaits.join()}`);
     this.#checkCancelled(task);
   }
 
--- a/packages/testkit/test/rules.test.ts
+++ b/packages/testkit/test/rules.test.ts
@@ -144,6 +144,13 @@
     factor: fc.constantFrom(2, 6),
     forMs: seconds(5, 40),
   }),
+  fc.record({
+    kind: fc.constant('pipelines' as const),
+    everyMs: seconds(2, 10),
+    forMs: seconds(10, 40),
+    seed: fc.integer({ min: 1, max: 1_000_000 }),
+  }),
+  fc.record({ kind: fc.constant('state limits' as const) }),
 );
 
 /** Most rules that broke in operation broke when a second trouble came within moments of the first. */
@@ -161,6 +168,7 @@
     machines: fc.integer({ min: 3, max: 24 }),
     capacity: fc.integer({ min: 3, max: 12 }),
     load: fc.constantFrom(1, 2),
+    nextLimits: fc.constantFrom({ valueKb: 2, txnOps: 4, writesPerS: 70 }, { valueKb: 8, txnOps: 12, writesPerS: 100 }),
     // The stand-ins' own times, and those of deployments: what is a ratio to them should hold at any.
     times: fc.constantFrom(
       { reportS: 1, leaseS: 6, cancelS: 20 },
--- /dev/null
+++ b/packages/testkit/test/state-limits.test.ts
@@ -0,0 +1,84 @@
+// The state service lowers its limits while the service runs, and some records were stored under the larger ones.
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { type JobSpec, encode, jobRecord, KEYS, ownerRecord, type Round, STATE_PATHS, txnMap } from '@gingerlock/wire';
+import { playDay, World } from '../src/index';
+
+const NEXT = { valueKb: 2, txnOps: 4, writesPerS: 70 };
+
+/** A job of many small tasks, scattered over the partitions as earlier versions assigned them: a round for each task. */
+function storeScattered(world: World, over: Partial<JobSpec>): string {
+  const spec: JobSpec = {
+    ...world.randomJob(),
+    kind: 'array',
+    tasks: 240,
+    cpus: 0.5,
+    gpus: 0,
+    memoryGb: 0.5,
+    types: null,
+    zone: null,
+    oneZone: false,
+    spread: false,
+    spot: true,
+    estimateS: 5,
+    ...over,
+  };
+  const rounds = Array.from({ length: spec.tasks }, (_, from): Round => {
+    const part = from % world.nodes.length;
+    const { term } = ownerRecord.read(world.state.data.get(KEYS.owner(String(part)))!.value);
+    return { from, count: 1, part, zone: null, term };
+  });
+  const value = jobRecord.write({ final: null, spec, acceptedAt: world.sim.now, cancelled: false, rounds });
+  assert.ok(JSON.stringify(value).length > NEXT.valueKb * 1024);
+  world.users.adopt(spec);
+  void world.state.handle('POST', STATE_PATHS.txn, encode(txnMap([], [{ put: KEYS.job(spec.id), value }])), 'test');
+  return spec.id;
+}
+
+async function startedWorld(seed: number): Promise<World> {
+  const world = new World({ seed, machines: 9, capacity: 6, nextLimits: NEXT });
+  await world.sim.run(8000);
+  return world;
+}
+
+test('a job whose stored record outgrows the new limit is cancelled, at one refusal, and nothing of it is left', async () => {
+  const world = await startedWorld(21);
+  const id = storeScattered(world, { estimateS: 300 });
+  await world.sim.run(world.sim.now + 8000);
+  assert.ok([...world.runningTasks().keys()].some((task) => task.startsWith(`${id}/`)));
+  world.state.limits = NEXT;
+  void world.users.cancel(id);
+  await world.sim.run(world.sim.now + world.cancelMs);
+  assert.equal(world.users.told.get(id)!.final, 'cancelled');
+  assert.ok(![...world.runningTasks().keys()].some((task) => task.startsWith(`${id}/`)));
+  await world.sim.run(world.sim.now + world.cancelMs);
+  assert.deepEqual(world.state.data.get(KEYS.job(id))?.value, jobRecord.write({ final: 'cancelled' }));
+  assert.deepEqual(
+    world.breaches.map((b) => b.rule),
+    ['refused'],
+  );
+});
+
+test('a job whose stored record outgrows the new limit is worked off under it', async () => {
+  const world = await startedWorld(22);
+  const id = storeScattered(world, {});
+  world.state.limits = NEXT;
+  void world.users.follow(id);
+  await world.sim.run(world.sim.now + 120_000);
+  assert.equal(world.users.told.get(id)!.final, 'done');
+  assert.deepEqual(world.breaches, []);
+});
+
+test('under lowered limits nothing is refused for good, and all work of a busy day gets done', async () => {
+  const world = new World({ seed: 23, controllers: 5, machines: 15, capacity: 8, load: 2, nextLimits: NEXT });
+  const faults = [
+    { at: 1000, fault: { kind: 'pipelines' as const, everyMs: 3000, forMs: 60_000, seed: 5 } },
+    { at: 20_000, fault: { kind: 'state limits' as const } },
+    { at: 30_000, fault: { kind: 'rolling restarts' as const, everyMs: 3000, backMs: 1000 } },
+  ];
+  await playDay(world, { seed: 23, forMs: 200_000, faults });
+  assert.deepEqual(world.breaches, []);
+  assert.deepEqual(world.users.open(), []);
+  assert.ok(world.state.largestTxn <= NEXT.txnOps, `transaction of ${world.state.largestTxn} changes`);
+  assert.ok(world.state.largestValue <= NEXT.valueKb * 1024, `value of ${world.state.largestValue} characters`);
+});
