--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -643,11 +643,19 @@
       if (slot.state === 'leaving' && this.slotOf(slot.name) === slot) this.#move(slot, 'waiting', now);
   }
 
-  finishing(): Map<string, Slot[]> {
+  /**
+   * Completed tasks that are to be written now, by job. Those of a job are written together: at once when no other task
+   * of the job is here, for then somebody may wait for its end, and otherwise once a report interval. Written as
+   * they came, the tasks of large arrays used up the changes that users' submissions waited for.
+   */
+  finishing(now: number): Map<string, Slot[]> {
     const byJob = new Map<string, Slot[]>();
     for (const [id, slots] of this.slots) {
-      const list = [...slots.values()].filter((s) => s.state === 'finishing' && !s.job.cancelled);
-      if (list.length > 0) byJob.set(id, list);
+      const all = [...slots.values()];
+      const finished = all.filter((s) => s.state === 'finishing' && !s.job.cancelled);
+      if (finished.length === 0) continue;
+      const oldest = Math.min(...finished.map((s) => s.since));
+      if (finished.length === all.length || now - oldest >= this.facts.reportMs) byJob.set(id, finished);
     }
     return byJob;
   }
--- a/packages/core/src/dependencies.ts
+++ b/packages/core/src/dependencies.ts
@@ -1,6 +1,5 @@
 // Which jobs wait for which others, what follows from the end or the cancellation of one for those after it, and what the
 // deadline at the end of a pipeline means for those before it. Pure: kept up by each job that comes, changes or ends.
-import { PRIORITIES } from '@gingerlock/wire';
 import type { Job } from './jobs';
 
 export type Outcome = 'done' | 'cancelled';
@@ -107,7 +106,7 @@
   #deriveUrgency(job: Job): boolean {
     const { spec } = job;
     const estimateMs = spec.estimateS * 1000;
-    let rank = PRIORITIES.indexOf(spec.priority);
+    let rank = job.ownRank;
     let endBy = spec.deadlineS === null ? Infinity : job.acceptedAt + spec.deadlineS * 1000;
     let inPipeline = spec.awaits.length > 0;
     for (const id of this.dependentsOf(job.id)) {
--- a/packages/core/src/division.ts
+++ b/packages/core/src/division.ts
@@ -203,8 +203,8 @@
   return joinRounds(sorted.map((place, i) => ({ from: indices[i]!, count: 1, ...place })));
 }
 
-function shapeOf({ rank, spec }: Job): string {
-  return [rank, spec.cpus, spec.gpus, spec.memoryGb, spec.zone, spec.spot, ...(spec.types ?? [])].join();
+function shapeOf({ ownRank, spec }: Job): string {
+  return [ownRank, spec.cpus, spec.gpus, spec.memoryGb, spec.zone, spec.spot, ...(spec.types ?? [])].join();
 }
 
 function suits(job: Job, bin: Bin): boolean {
@@ -251,7 +251,7 @@
     if (!fits(job.spec, bin.free)) {
       let room = bin.free;
       let rank = bin.byRank.length - 1;
-      for (; rank > job.rank && !fits(job.spec, room); rank--) room = plus(room, bin.byRank[rank]!);
+      for (; rank > job.ownRank && !fits(job.spec, room); rank--) room = plus(room, bin.byRank[rank]!);
       if (!fits(job.spec, room)) continue;
       // By preemption: as an owner reckons it.
       c += STOP_MS + input.facts.reportMs / 2;
@@ -268,7 +268,7 @@
 
 /** Takes the task's room from the bin, by preemption of the least urgent work where it is not free. */
 function take(bin: Bin, job: Job): void {
-  for (let rank = bin.byRank.length - 1; rank > job.rank && !fits(job.spec, bin.free); rank--) {
+  for (let rank = bin.byRank.length - 1; rank > job.ownRank && !fits(job.spec, bin.free); rank--) {
     bin.free = plus(bin.free, bin.byRank[rank]!);
     bin.byRank[rank] = NOTHING;
   }
--- a/packages/core/src/jobs.ts
+++ b/packages/core/src/jobs.ts
@@ -5,6 +5,7 @@
   type JobRecord,
   type JobSpec,
   KEYS,
+  PRIORITIES,
   type ParsedKey,
   type Round,
 } from '@gingerlock/wire';
@@ -59,6 +60,11 @@
 
   constructor(readonly id: string) {}
 
+  /** Urgency by its own priority alone: what it may stop others for. */
+  get ownRank(): number {
+    return PRIORITIES.indexOf(this.spec.priority);
+  }
+
   isFinished(task: number): boolean {
     return this.#finished.has(task);
   }
--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -82,10 +82,14 @@
   return best;
 }
 
-/** The least that has to stop on a machine so that the task fits: the least urgent and latest started first. */
+/**
+ * The least that has to stop on a machine so that the task fits: the least urgent and latest started first. What a job is
+ * needed for protects it, but lets it stop nobody: else pipelines whose last job has come stop the early jobs of
+ * others, whose last job comes a moment later, and all of them begin again and again.
+ */
 function leastVictims(machine: Machine, slot: Slot, free: Amounts, doomed: ReadonlySet<Slot>): Slot[] | null {
   const candidates = [...machine.claims.values()]
-    .filter((s) => s.job.rank > slot.job.rank && s.claim!.stopGraceS === null && !doomed.has(s))
+    .filter((s) => s.job.rank > slot.job.ownRank && s.claim!.stopGraceS === null && !doomed.has(s))
     .sort((a, b) => b.job.rank - a.job.rank || b.claim!.grantedAt - a.claim!.grantedAt);
   const victims: Slot[] = [];
   let room = free;
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -231,7 +231,7 @@
     }
     if (writes.length > 0) return { writes, urgency: URGENCY.accept };
     const touched = new Set<string>();
-    for (const [id, slots] of this.book.finishing()) {
+    for (const [id, slots] of this.book.finishing(now)) {
       touched.add(id);
       writes.push(...this.#finish(slots[0]!.job, slots));
     }
@@ -328,6 +328,7 @@
       ...batch.flatMap((w) => w.conditions),
     ];
     const changes = batch.map((w) => w.change);
+    shared.log.debug({ part: this.part, urgency, keys: changes.map((c) => ('put' in c ? c.put : c.remove)) }, 'writing');
     const done = await shared.settle(urgency, conditions, changes, () => this.holding.owned);
     // A conflict over one job fails the whole batch: the others' tasks, too, are still here.
     if (done === 0) for (const w of batch) w.failed?.();
