--- a/packages/clients/src/budget.ts
+++ b/packages/clients/src/budget.ts
@@ -79,6 +79,12 @@
     }
   }
 
+  /** Share of the changes that may go at once which is still unused; 0 while others wait for their turn. */
+  spareWrites(): number {
+    this.#fill();
+    return this.#queue.length > 0 ? 0 : Math.max(0, this.#writes / this.writesPerS);
+  }
+
   /** How many changes wait for their turn beyond what may go now. */
   shortOfWrites(): number {
     if (this.#queue.length === 0) return 0;
--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -12,7 +12,7 @@
   type WorkerCommand,
   type WorkerReport,
 } from '@gingerlock/wire';
-import { type Amounts, type Facts, fits, NOTHING, plus, typeAllows, workerLeaseBoundMs } from './facts';
+import { type Amounts, type Facts, fits, limitAllows, NOTHING, plus, typeAllows, workerLeaseBoundMs } from './facts';
 import { type Job, jobOrder, type JobTable } from './jobs';
 import { betterElsewhere } from './placement';
 import { type Claim, type Machine, type Slot, SLOT_MOVES, type SlotState } from './slots';
@@ -645,21 +645,29 @@
 
   /**
    * Completed tasks that are to be written now, by job. Those of a job are written together: at once when no other task
-   * of the job is here, for then somebody may wait for its end, and otherwise once a report interval. Written as
-   * they came, the tasks of large arrays used up the changes that users' submissions waited for.
+   * of the job is here, for then somebody may wait for its end, or if its team has a limit, of which a completed task
+   * holds a part until it is written; otherwise after `patienceMs`. Written as they came, the tasks of large arrays
+   * used up the changes that users' submissions waited for.
    */
-  finishing(now: number): Map<string, Slot[]> {
+  finishing(now: number, patienceMs: number): Map<string, Slot[]> {
     const byJob = new Map<string, Slot[]>();
     for (const [id, slots] of this.slots) {
       const all = [...slots.values()];
       const finished = all.filter((s) => s.state === 'finishing' && !s.job.cancelled);
       if (finished.length === 0) continue;
       const oldest = Math.min(...finished.map((s) => s.since));
-      if (finished.length === all.length || now - oldest >= this.facts.reportMs) byJob.set(id, finished);
+      const mayWait = finished.length < all.length && this.#isUnlimited(finished[0]!.job);
+      if (!mayWait || now - oldest >= patienceMs) byJob.set(id, finished);
     }
     return byJob;
   }
 
+  /** Whether no limit is set on anything that the job's tasks take. */
+  #isUnlimited({ spec }: Job): boolean {
+    const team = this.facts.teams.get(spec.team);
+    return team !== undefined && limitAllows(team, NOTHING, spec) === Infinity;
+  }
+
   /**
    * What the services' tasks add up to that no machine has reported though it should have. While most machines of the
    * part have yet to find their new owner, that says nothing of any of them: a new leader once asked for 44 machines. If
--- a/packages/core/src/division.ts
+++ b/packages/core/src/division.ts
@@ -159,6 +159,7 @@
                 bins,
                 input,
                 (zone) => (oneZone === null || zone === oneZone) && (!job.spec.spread || (zones.get(zone) ?? 0) < cap),
+                places.at(-1)?.part ?? job.rounds.at(-1)?.part,
               );
         allowed--;
         if (bin === undefined) {
@@ -223,14 +224,22 @@
   return best;
 }
 
+/**
+ * Tasks of an array that go to another partition than the one before them count as this part of a report interval later:
+ * each partition writes its finished tasks itself, and its last ones are a step more until the job is done.
+ */
+const APART = 4;
+
 /** How soon the task would run there, in milliseconds, with ties broken towards what is fuller already. */
-function cost(job: Job, bin: Bin, input: DivisionInput): number {
+function cost(job: Job, bin: Bin, input: DivisionInput, lastPart: number | undefined): number {
   const type = input.types.get(bin.room.type);
   const fetch = fetchMs(job.spec.imageGb, bin.room.images.includes(job.spec.image), type);
   // Ordinary machines are dear: work that may run on spot goes there unless it would wait for longer than this.
   const kind = job.spec.spot && !bin.room.spot ? input.facts.reportMs * 2 : 0;
   const tight = type === undefined || type.gpus <= 0 ? 0 : bin.free.gpus / type.gpus;
-  return fetch + kind + (input.facts.reportMs / 10) * tight;
+  const apart =
+    job.spec.kind === 'array' && lastPart !== undefined && lastPart !== bin.part ? input.facts.reportMs / APART : 0;
+  return fetch + kind + apart + (input.facts.reportMs / 10) * tight;
 }
 
 /** Ranks above this one are of batch work. */
@@ -241,12 +250,13 @@
   bins: readonly Bin[],
   input: DivisionInput,
   zoneAllowed: (zone: string) => boolean,
+  lastPart: number | undefined,
 ): Bin | undefined {
   let best: Bin | undefined;
   let bestCost = Infinity;
   for (const bin of bins) {
     if (!zoneAllowed(bin.room.zone) || !suits(job, bin)) continue;
-    let c = cost(job, bin, input);
+    let c = cost(job, bin, input, lastPart);
     if (c >= bestCost) continue;
     if (!fits(job.spec, bin.free)) {
       let room = bin.free;
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -30,7 +30,7 @@
   PRIORITIES,
   rosterRecord,
 } from '@gingerlock/wire';
-import type { Shared } from './shared';
+import { DISPLAY_LAG_MS, type Shared } from './shared';
 
 /** A change of one key with the conditions it needs, and what to do before it is sent. */
 interface Write {
@@ -41,6 +41,12 @@
   readonly failed?: () => void;
 }
 
+/** While less than this share of the changes that may go at once is left, completed tasks wait for others to join them. */
+const SPARE_WRITES = 0.5;
+
+/** How long at the most they then wait, in report intervals. */
+const SHORT_FINISH_INTERVALS = 3;
+
 /** How many machines are shown a new owner's term at each tick: all at once would hold up everything else. */
 const CALLS_PER_TICK = 8;
 
@@ -211,6 +217,13 @@
     }
   }
 
+  /** How long a completed task may wait for others of its job before it is written. */
+  #finishPatienceMs(): number {
+    const { state, facts } = this.shared;
+    const isShort = state.options.budget.spareWrites() < SPARE_WRITES;
+    return isShort ? facts.reportMs * SHORT_FINISH_INTERVALS : DISPLAY_LAG_MS / 2;
+  }
+
   #writes(now: number): { writes: Write[]; urgency: (typeof URGENCY)[keyof typeof URGENCY] } {
     const { store, replica } = this.shared;
     const writes: Write[] = [];
@@ -231,7 +244,7 @@
     }
     if (writes.length > 0) return { writes, urgency: URGENCY.accept };
     const touched = new Set<string>();
-    for (const [id, slots] of this.book.finishing(now)) {
+    for (const [id, slots] of this.book.finishing(now, this.#finishPatienceMs())) {
       touched.add(id);
       writes.push(...this.#finish(slots[0]!.job, slots));
     }
@@ -328,7 +341,10 @@
       ...batch.flatMap((w) => w.conditions),
     ];
     const changes = batch.map((w) => w.change);
-    shared.log.debug({ part: this.part, urgency, keys: changes.map((c) => ('put' in c ? c.put : c.remove)) }, 'writing');
+    shared.log.debug(
+      { part: this.part, urgency, keys: changes.map((c) => ('put' in c ? c.put : c.remove)) },
+      'writing',
+    );
     const done = await shared.settle(urgency, conditions, changes, () => this.holding.owned);
     // A conflict over one job fails the whole batch: the others' tasks, too, are still here.
     if (done === 0) for (const w of batch) w.failed?.();
--- a/packages/daemon/src/shared.ts
+++ b/packages/daemon/src/shared.ts
@@ -8,6 +8,9 @@
 /** DESIGN's recovery scan: every 5 seconds. */
 const SCAN_MS = 5000;
 
+/** What users are shown of a job that is not over may lag by this much, says the protocol. */
+export const DISPLAY_LAG_MS = 3000;
+
 /** What the parts of one controller have in common. */
 export class Shared {
   readonly facts: Facts;
--- a/packages/daemon/src/users.ts
+++ b/packages/daemon/src/users.ts
@@ -105,7 +105,10 @@
       case 'done':
         this.shared.replica.applyOwn(changes, result.revision);
         this.shared.announce(result.revision);
-        this.shared.log.debug({ job: id, class: spec.jobClass, team: spec.team, tasks: spec.tasks }, 'accepted');
+        this.shared.log.debug(
+          { job: id, class: spec.jobClass, team: spec.team, tasks: spec.tasks, awaits: spec.awaits },
+          'accepted',
+        );
         return this.#reply(id, 201);
       case 'conflict':
         return this.poll(id);
