--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -1,17 +1,7 @@
 // One controller: its view of the state service, the parts it owns, the lead if it has it, and the answers to users,
 // workers and peers. Everything it needs of the world comes in through ports.
 import { Budget, type Clock, type Http, Replica, sleep, StateService, URGENCY } from '@gingerlock/clients';
-import {
-  answerBoundMs,
-  type Decision,
-  DRIFT,
-  Holding,
-  marginMs,
-  type PartSummary,
-  stateLeaseMs,
-  TURN,
-  type Txn,
-} from '@gingerlock/core';
+import { answerBoundMs, type Decision, DRIFT, Holding, marginMs, stateLeaseMs, TURN, type Txn } from '@gingerlock/core';
 import type { PeerLink, PeerMessage } from '@gingerlock/peer';
 import {
   decodeReport,
@@ -25,13 +15,19 @@
   PREFIX,
   type WorkerReport,
 } from '@gingerlock/wire';
-import { Leader, type SeenSummary } from './leader';
+import { BudgetSharing } from './budget-sharing';
+import { FormerOwnerQueries } from './former-owners';
+import { Leader } from './leader';
 import type { Log } from './log';
 import { PartOwner } from './owner';
+import { PeerChannel } from './peer-channel';
+import { PeerConfirmation } from './peer-confirmation';
 import { refusal, type Reply } from './reply';
+import { ReportRelay } from './report-relay';
 import type { Settings } from './settings';
-import { Shared } from './shared';
+import { DISPLAY_LAG_MS, Shared } from './shared';
 import { Store } from './store';
+import { Summaries } from './summaries';
 import { Users } from './users';
 
 export interface ControllerPorts {
@@ -42,26 +38,6 @@
   readonly log: Log;
 }
 
-/** What users are shown of a job that is not over may lag by this much, says the protocol. */
-const SHOWN_MS = 3000;
-
-/** A worker waits this long for an answer, says the protocol. */
-const WORKER_PATIENCE_MS = 4000;
-
-/** Of that, how much a report may wait for its part to get an owner: the answer has to get there in time. */
-const HOLD_SHARE = 0.7;
-
-interface Relaying {
-  readonly resolve: (reply: Reply) => void;
-}
-
-interface Redirected {
-  readonly owner: string;
-  readonly at: number;
-  /** Since when its reports are relayed. */
-  relayedSince: number | null;
-}
-
 export class Controller {
   readonly settings: Settings;
   readonly clock: Clock;
@@ -77,29 +53,22 @@
   readonly #users: Users;
   readonly #owners = new Map<number, PartOwner>();
   readonly #holdings = new Map<string, Holding>();
-  readonly #seen = new Map<number, SeenSummary>();
-  readonly #redirected = new Map<string, Redirected>();
-  readonly #relays = new Map<string, Relaying>();
+  readonly #peers: PeerChannel;
+  readonly #summaries = new Summaries();
+  readonly #relay: ReportRelay;
+  readonly #confirmation: PeerConfirmation;
+  readonly #budgetSharing: BudgetSharing;
+  readonly #formerOwners: FormerOwnerQueries;
   /** Controllers that this process has heard of, and since when without a gap; null: silent now. */
   readonly #met = new Map<string, number | null>();
   #releasedAt = -Infinity;
   readonly #peerContact = new Map<string, { ageMs: number; at: number }>();
   #leader: Leader | null = null;
   #lease: number | null = null;
-  #questions = 0;
-  /** Calls for room to write that may still be answered, and who has lent for each: a copy of an answer lends nothing. */
-  /** Questions to the controllers that parts of ours were taken from. */
-  readonly #askedOwners = new Map<string, { readonly part: number; readonly term: number; readonly at: number }>();
-  #ownersAskedAt = -Infinity;
-  readonly #needs = new Map<string, { readonly at: number; readonly lenders: Set<string> }>();
   #stopped = false;
   #summarySentAt = -Infinity;
   #summaryToAllAt = -Infinity;
   #summaryChanges = -1;
-  /** Asked of the peers while the state service is out of reach. */
-  #asked: { id: string; at: number; vouched: Set<string> } | null = null;
-  /** Up to when all peers have vouched that nothing has happened that we have not seen. */
-  #vouchedAt = -Infinity;
 
   constructor(ports: ControllerPorts) {
     this.settings = ports.settings;
@@ -109,6 +78,7 @@
     this.#http = ports.http;
     const { facts } = ports.settings;
     this.process = Math.floor(ports.clock.random() * 2 ** 48).toString(36);
+    this.#peers = new PeerChannel(ports.link, this.process);
     const share = 0.95 / facts.controllers;
     this.#budget = new Budget(ports.clock, this.settings.stateRps * share, this.settings.stateWriteRps * share);
     this.state = new StateService({
@@ -135,26 +105,23 @@
       onError: (error) => this.log.info({ error: String(error) }, 'state service can not be read'),
     });
     this.shared = new Shared(this.settings, ports.clock, ports.log, this.state, this.replica, this.store, ports.http);
-    this.#users = new Users(this.shared, (id) => {
-      let running = 0;
-      for (const { summary } of this.#seen.values()) {
-        for (const [name, tasks] of summary.running) if (name === id) running += tasks;
-      }
-      return running;
+    this.#users = new Users(this.shared, (id) => this.#summaries.runningTasks(id));
+    this.#budgetSharing = new BudgetSharing(this.#budget, this.#peers, ports.clock, facts.reportMs);
+    this.#confirmation = new PeerConfirmation(this.state, this.replica, this.#peers, facts.reportMs);
+    this.#formerOwners = new FormerOwnerQueries(this.#owners, this.#peers, facts.reportMs);
+    this.#relay = new ReportRelay(this.settings, ports.clock, this.#peers, {
+      partitionOf: (report) => this.store.partition?.of(report.machine, report.zone),
+      ownerOf: (part) => this.#ownerOf(part),
+      owns: (part) => this.#owners.has(part),
+      answer: (part, report) => this.#answer(part, report),
+      missedByOwner: (part, machine) => this.#missedByOwner(part, machine),
     });
     this.shared.announce = (revision) => {
-      this.#broadcast({ kind: 'Hint', revision });
+      this.#peers.broadcast({ kind: 'Hint', revision });
       this.replica.hint(revision);
     };
-    this.shared.calledOff = (job) => this.#broadcast({ kind: 'CalledOff', job });
-    this.shared.refuges = (exceptPart) => {
-      const since = this.clock.now() - facts.reportMs * 2;
-      return [...this.#seen.values()]
-        .filter((seen) => seen.summary.part !== exceptPart && seen.at > since)
-        .flatMap((seen) =>
-          seen.summary.machines.filter((m) => m.takesWork && !m.spot && m.free.gpus + m.free.cpus > 0),
-        );
-    };
+    this.shared.calledOff = (job) => this.#peers.broadcast({ kind: 'CalledOff', job });
+    this.shared.refuges = (exceptPart) => this.#summaries.refuges(exceptPart, this.clock.now() - facts.reportMs * 2);
     this.store.onJob = (id) => {
       for (const owner of this.#owners.values()) owner.jobChanged(id);
     };
@@ -177,6 +144,7 @@
   stop(): void {
     this.#stopped = true;
     this.#leader?.stop();
+    this.#relay.stop();
     this.replica.stop();
   }
 
@@ -203,21 +171,13 @@
     const now = this.clock.now();
     for (const node of this.#met.keys()) if (!this.link.alive(node)) this.#met.set(node, null);
     for (const owner of this.#owners.values()) owner.tick(now);
-    this.#askOwners(now);
+    this.#formerOwners.tick(now);
     this.#releaseOne(now);
     this.#summarise(now);
     this.#leader?.tick();
-    this.#askPeers(now);
-    const writes = this.#budget.shortOfWrites();
-    if (writes > 0) {
-      const id = this.#question();
-      this.#needs.set(id, { at: now, lenders: new Set() });
-      this.#broadcast({ kind: 'Need', id, writes });
-    }
-    for (const [id, need] of this.#needs) if (now - need.at > this.settings.facts.reportMs) this.#needs.delete(id);
-    for (const [machine, r] of this.#redirected) {
-      if (now - r.at > this.settings.facts.leaseMs * 4) this.#redirected.delete(machine);
-    }
+    this.#confirmation.tick(now, this.#owners.size > 0);
+    this.#budgetSharing.tick(now);
+    this.#relay.tick(now);
   }
 
   async #leaseLoop(): Promise<void> {
@@ -375,9 +335,9 @@
     if (!holding.taken(revision, hadOwner, doneAt, this.clock.now(), this.clock.wall())) return;
     this.log.info({ slot, term: holding.term, clearInMs: Math.round(holding.clearAt - this.clock.now()) }, 'taken');
     if (slot === LEAD) {
-      this.#leader = new Leader(this.shared, holding, () => [...this.#seen.values()], this.#http);
+      this.#leader = new Leader(this.shared, holding, () => this.#summaries.all(), this.#http);
     } else {
-      const before = this.#seen.get(Number(slot))?.summary.machines ?? [];
+      const before = this.#summaries.of(Number(slot))?.summary.machines ?? [];
       const rooms = new Map(before.map((m) => [m.name, m] as const));
       this.#owners.set(Number(slot), new PartOwner(this.shared, Number(slot), holding, rooms));
       const timing = holding.timing();
@@ -400,7 +360,7 @@
 
   /** Up to when nothing can have been accepted, cancelled or taken that we have not seen. */
   #contactAt(): number {
-    return Math.max(this.replica.contactAt ?? -Infinity, this.#vouchedAt);
+    return Math.max(this.replica.contactAt ?? -Infinity, this.#confirmation.confirmedAt);
   }
 
   async checkin(body: Buffer): Promise<Reply> {
@@ -414,7 +374,7 @@
     if (partition === null) return refusal(503, 'starting');
     const part = partition.of(report.machine, report.zone);
     if (this.#owners.has(part)) return this.#answer(part, report);
-    return this.#sendOn(part, report, body);
+    return this.#relay.forward(part, report, body);
   }
 
   #answer(part: number, report: WorkerReport): Reply {
@@ -438,124 +398,45 @@
     }
   }
 
-  /**
-   * The worker belongs to a part of another controller, or of none now. Sent away without an owner's name it would try
-   * the next controller, which may be dead or cut off too: that costs it seconds of its lease at each. So its report waits
-   * here for as long as it waits itself, until the part has an owner that it can be sent to.
-   */
-  async #sendOn(part: number, report: WorkerReport, body: Buffer): Promise<Reply> {
-    const until = this.clock.now() + WORKER_PATIENCE_MS * HOLD_SHARE;
-    for (;;) {
-      const before = this.#ownerOf(part);
-      const reply = await this.#pointTo(before, part, report, body);
-      if (reply.status !== 503) return reply;
-      do {
-        if (this.clock.now() >= until || this.#stopped) return reply;
-        await sleep(this.clock, this.settings.facts.reportMs / 10);
-        if (this.#owners.has(part)) return this.#answer(part, report);
-      } while (this.#ownerOf(part) === before);
-    }
-  }
-
   /**
    * Who owns the part, as far as we know; null: nobody now. What an owner says of itself may be newer than our replica:
    * a controller without the state service still sends workers the right way.
    */
   #ownerOf(part: number): string | null {
     const owner = this.store.owners.get(String(part));
-    const seen = this.#seen.get(part);
+    const seen = this.#summaries.of(part);
     if (seen !== undefined && seen.summary.term > (owner?.record.term ?? 0)) return seen.owner;
     return this.store.holds.has(String(part)) ? (owner?.record.node ?? null) : null;
   }
 
-  async #pointTo(owner: string | null, part: number, report: WorkerReport, body: Buffer): Promise<Reply> {
-    const { facts, node } = this.settings;
-    if (owner === null || owner === node) return refusal(503, 'part has no owner now');
-    const now = this.clock.now();
-    const last = this.#redirected.get(report.machine);
-    // Back within its lease after it was sent there, or the owner says that it has not heard it for a while: it can not
-    // reach the owner, but we may.
-    // The same when we ourselves hear nothing of the owner though others are there: sent to a dead owner, a worker would
-    // lose several seconds of its lease.
-    const dead = !this.link.alive(owner) && this.link.nodes.some((n) => this.link.alive(n));
-    const cut =
-      (last?.owner === owner && now - last.at < facts.leaseMs) || dead || this.#missedByOwner(part, report.machine);
-    const relayed = last?.relayedSince ?? null;
-    if (cut && (relayed === null || now - relayed < facts.leaseMs * 2)) {
-      this.#redirected.set(report.machine, { owner, at: now, relayedSince: relayed ?? now });
-      return this.#relay(owner, body);
-    }
-    this.#redirected.set(report.machine, { owner, at: now, relayedSince: null });
-    return { status: 421, body: encodeReportTo(owner) };
-  }
-
   #missedByOwner(part: number, machine: string): boolean {
-    const seen = this.#seen.get(part);
+    const seen = this.#summaries.of(part);
     const room = seen?.summary.machines.find((m) => m.name === machine);
     if (room === undefined) return false;
     const { reportMs, leaseMs } = this.settings.facts;
     return room.silentMs > reportMs * 2 && room.silentMs < leaseMs && this.clock.now() - seen!.at < reportMs;
   }
 
-  #relay(owner: string, body: Buffer): Promise<Reply> {
-    const id = this.#question();
-    const message: PeerMessage = { kind: 'Relay', id, from: this.settings.node, to: owner, body };
-    const via = this.link.alive(owner) ? owner : this.link.nodes.find((n) => n !== owner && this.link.alive(n));
-    if (via === undefined || !this.link.send(via, message))
-      return Promise.resolve(refusal(503, 'owner is out of reach'));
-    return new Promise((resolve) => {
-      const cancel = this.clock.after(Math.min(this.settings.facts.reportMs, WORKER_PATIENCE_MS / 2), () => {
-        this.#relays.delete(id);
-        resolve(refusal(503, 'owner did not answer'));
-      });
-      this.#relays.set(id, {
-        resolve: (reply) => {
-          cancel();
-          this.#relays.delete(id);
-          resolve(reply);
-        },
-      });
-    });
-  }
-
   // --- peers -------------------------------------------------------------------------------------------------------
 
-  /**
-   * The id of a question to other controllers. Counted from one in every process, a late answer to the process before
-   * could match: one worker would get another's orders, or a peer would vouch for what nobody had asked it.
-   */
-  #question(): string {
-    return `${this.process}-${++this.#questions}`;
-  }
-
-  #broadcast(message: PeerMessage): void {
-    for (const node of this.link.nodes) this.link.send(node, message);
-  }
-
   #fromPeer(from: string, message: PeerMessage): void {
     const now = this.clock.now();
     if ((this.#met.get(from) ?? null) === null) this.#met.set(from, now);
     switch (message.kind) {
       case 'Hello':
         // It may have just started: what we saw last of the parts tells it which images its machines have.
-        for (const { summary, owner } of this.#seen.values()) this.link.send(from, summaryMessage(summary, owner));
+        this.#summaries.sendAll(this.#peers, from);
         return;
       case 'Alive':
         this.#peerContact.set(from, { ageMs: message.contactAgeMs, at: now });
         this.replica.hint(message.revision);
         return;
-      case 'Need': {
-        const writes = this.#budget.lend(message.writes);
-        if (writes > 0) this.link.send(from, { kind: 'Lend', id: message.id, writes });
+      case 'Need':
+        this.#budgetSharing.onRequest(from, message);
         return;
-      }
-      case 'Lend': {
-        const lenders = this.#needs.get(message.id)?.lenders;
-        if (lenders === undefined || lenders.has(from)) return;
-        lenders.add(from);
-        this.#budget.borrow(message.writes);
+      case 'Lend':
+        this.#budgetSharing.onGrant(from, message);
         return;
-      }
       case 'Hint':
         this.replica.hint(message.revision);
         return;
@@ -563,31 +444,18 @@
         // A stop is always safe, with or without the state service. It shortens no bound: the word may be lost.
         this.store.callOff(message.job);
         return;
-      case 'Summary': {
-        const { owner, part, term, revision, machines, missing } = message;
-        if (this.#owners.has(part) || term < (this.#seen.get(part)?.summary.term ?? 0)) return;
-        const running = message.running.map((r) => [r.job, r.tasks] as const);
-        this.#seen.set(part, { summary: { part, term, revision, machines, missing, running }, at: now, owner });
+      case 'Summary':
+        if (!this.#owners.has(message.part)) this.#summaries.onSummary(message, now);
         return;
-      }
       case 'FleetOrders':
         if (this.store.owners.get(LEAD)?.record.term === message.term) this.#obey(message.drain, message.gone);
         return;
       case 'Ask':
-        this.link.send(from, {
-          kind: 'Vouch',
-          id: message.id,
-          vouches: this.#canVouch(message.revision),
-          contactAgeMs: this.#contactAgeMs(now),
-        });
+        this.#confirmation.onRequest(from, message, this.#contactAgeMs(now));
         return;
-      case 'Vouch': {
-        const asked = this.#asked;
-        if (asked === null || asked.id !== message.id || !message.vouches) return;
-        asked.vouched.add(from);
-        if (this.link.nodes.every((n) => asked.vouched.has(n))) this.#vouchedAt = Math.max(this.#vouchedAt, asked.at);
+      case 'Vouch':
+        this.#confirmation.onAnswer(from, message);
         return;
-      }
       case 'AskOwner': {
         // Without the state service we may be the last to learn that the part was taken from us.
         const holding = this.#owners.get(message.part)?.holding;
@@ -598,52 +466,18 @@
         this.link.send(from, { kind: 'TellOwner', id: message.id, owns: this.#owners.has(message.part) });
         return;
       }
-      case 'TellOwner': {
-        const asked = this.#askedOwners.get(message.id);
-        const owner = asked === undefined ? undefined : this.#owners.get(asked.part);
-        if (asked === undefined || message.owns || owner?.holding.term !== asked.term) return;
-        owner.holding.gaveUp(from, now, this.clock.wall());
-        owner.book.clearAt = owner.holding.clearAt;
+      case 'TellOwner':
+        this.#formerOwners.onAnswer(from, message, now, this.clock.wall());
         return;
-      }
       case 'Relay':
-        if (message.to === this.settings.node) {
-          void this.#relayed(from, message);
-        } else if (from === message.from && this.link.nodes.includes(message.to)) {
-          if (this.link.alive(message.to) && this.link.send(message.to, message)) return;
-          const reply = refusal(503, 'owner is out of reach');
-          this.#relayAnswer(from, message, reply);
-        }
+        this.#relay.onRelay(from, message);
         return;
       case 'RelayAnswer':
-        if (message.to !== this.settings.node) this.link.send(message.to, message);
-        else this.#relays.get(message.id)?.resolve({ status: message.status, body: Buffer.from(message.body) });
+        this.#relay.onAnswer(message);
         return;
     }
   }
 
-  async #relayed(via: string, message: Extract<PeerMessage, { kind: 'Relay' }>): Promise<void> {
-    let reply: Reply;
-    try {
-      const report = decodeReport(message.body);
-      const part = this.store.partition?.of(report.machine, report.zone);
-      reply = part !== undefined && this.#owners.has(part) ? this.#answer(part, report) : refusal(503, 'not the owner');
-    } catch {
-      reply = refusal(400, 'malformed');
-    }
-    this.#relayAnswer(via, message, reply);
-  }
-
-  #relayAnswer(via: string, message: Extract<PeerMessage, { kind: 'Relay' }>, reply: Reply): void {
-    this.link.send(via, {
-      kind: 'RelayAnswer',
-      id: message.id,
-      to: message.from,
-      status: reply.status,
-      body: reply.body ?? Buffer.alloc(0),
-    });
-  }
-
   #obey(drain: readonly string[], gone: readonly string[]): void {
     const draining = new Set(drain);
     for (const owner of this.#owners.values()) {
@@ -668,20 +502,18 @@
     // the part over.
     const lead = this.store.owners.get(LEAD)?.record.node;
     // Small and wanted soonest: before the summaries, which may fill the way.
-    this.#broadcast({ kind: 'Alive', contactAgeMs: this.#contactAgeMs(now), revision: this.replica.revision });
-    const forAll = now - this.#summaryToAllAt > Math.min(facts.reportMs, SHOWN_MS / 2);
+    this.#peers.broadcast({ kind: 'Alive', contactAgeMs: this.#contactAgeMs(now), revision: this.replica.revision });
+    const forAll = now - this.#summaryToAllAt > Math.min(facts.reportMs, DISPLAY_LAG_MS / 2);
     if (forAll) this.#summaryToAllAt = now;
+    const to = this.link.nodes.filter((node) => forAll || node === lead);
     for (const owner of this.#owners.values()) {
-      const summary = owner.summary(now);
-      this.#seen.set(owner.part, { summary, at: now, owner: this.settings.node });
-      const message = summaryMessage(summary, this.settings.node);
-      for (const node of this.link.nodes) if (forAll || node === lead) this.link.send(node, message);
+      this.#summaries.publish(owner, this.settings.node, now, this.#peers, to);
     }
     const leader = this.#leader;
     if (leader !== null && leader.holding.owned) {
       const { drain, gone } = leader.orders();
       this.#obey(drain, gone);
-      this.#broadcast({ kind: 'FleetOrders', term: leader.holding.term, drain: [...drain], gone: [...gone] });
+      this.#peers.broadcast({ kind: 'FleetOrders', term: leader.holding.term, drain: [...drain], gone: [...gone] });
     }
   }
 
@@ -689,44 +521,6 @@
     return this.replica.contactAt === null ? 1e9 : now - this.replica.contactAt;
   }
 
-  /** Asks those that had parts of ours before whether they have given them up: if so, the parts are clear sooner. */
-  #askOwners(now: number): void {
-    const { reportMs } = this.settings.facts;
-    if (now - this.#ownersAskedAt < reportMs / 2) return;
-    this.#ownersAskedAt = now;
-    for (const [id, asked] of this.#askedOwners) if (now - asked.at > reportMs * 2) this.#askedOwners.delete(id);
-    for (const { part, holding, book } of this.#owners.values()) {
-      if (holding.before === null || book.cleared) continue;
-      const id = this.#question();
-      this.#askedOwners.set(id, { part, term: holding.term, at: now });
-      this.link.send(holding.before.node, { kind: 'AskOwner', id, part, term: holding.term });
-    }
-  }
-
-  // --- an outage of the state service ------------------------------------------------------------------------------
-
-  /**
-   * Whether we know of nothing past that revision. A process that has not reached the state service since its start
-   * can't say what its predecessor has told users; nor can one that may have changed something without knowing.
-   */
-  #canVouch(revision: number): boolean {
-    const doubt = this.state.doubtfulSince;
-    const contact = this.replica.contactAt;
-    const clean = this.state.unanswered === 0 && (doubt === null || (contact !== null && contact > doubt));
-    return this.replica.loaded && contact !== null && this.replica.failures > 0 && clean && this.state.seen <= revision;
-  }
-
-  #askPeers(now: number): void {
-    const { reportMs } = this.settings.facts;
-    if (this.replica.failures === 0 || this.replica.contactAt === null || this.#owners.size === 0) {
-      this.#asked = null;
-      return;
-    }
-    if (this.#asked !== null && now - this.#asked.at < reportMs) return;
-    this.#asked = { id: this.#question(), at: now, vouched: new Set() };
-    this.#broadcast({ kind: 'Ask', id: this.#asked.id, revision: this.replica.revision });
-  }
-
   // --- users -------------------------------------------------------------------------------------------------------
 
   /** Whether to send users here: not while we alone lack the state service. */
@@ -753,16 +547,3 @@
     return this.#users.cancel(id);
   }
 }
-
-function summaryMessage(summary: PartSummary, owner: string): PeerMessage {
-  return {
-    kind: 'Summary',
-    owner,
-    part: summary.part,
-    term: summary.term,
-    revision: summary.revision,
-    machines: summary.machines.map((m) => ({ ...m, byRank: [...m.byRank], images: [...m.images] })),
-    missing: summary.missing,
-    running: summary.running.map(([job, tasks]) => ({ job, tasks })),
-  };
-}
--- /dev/null
+++ b/packages/daemon/src/former-owners.ts
@@ -0,0 +1,43 @@
+// Asks the controllers from which partitions of ours were taken whether they have given them up: if so, no worker has been
+// answered by them since, and the fencing period ends sooner.
+import type { PeerMessages } from '@gingerlock/peer';
+import type { PartOwner } from './owner';
+import type { PeerChannel } from './peer-channel';
+
+interface OwnerQuery {
+  readonly part: number;
+  readonly term: number;
+  readonly at: number;
+}
+
+export class FormerOwnerQueries {
+  readonly #open = new Map<string, OwnerQuery>();
+  #askedAt = -Infinity;
+
+  constructor(
+    readonly owners: ReadonlyMap<number, PartOwner>,
+    readonly peers: PeerChannel,
+    readonly reportMs: number,
+  ) {}
+
+  tick(now: number): void {
+    if (now - this.#askedAt < this.reportMs / 2) return;
+    this.#askedAt = now;
+    for (const [id, query] of this.#open) if (now - query.at > this.reportMs * 2) this.#open.delete(id);
+    for (const { part, holding, book } of this.owners.values()) {
+      if (holding.before === null || book.cleared) continue;
+      const id = this.peers.nextRequestId();
+      const { term } = holding;
+      this.#open.set(id, { part, term, at: now });
+      this.peers.send(holding.before.node, { kind: 'AskOwner', id, part, term });
+    }
+  }
+
+  onAnswer(from: string, { id, owns }: PeerMessages['TellOwner'], now: number, wall: number): void {
+    const query = this.#open.get(id);
+    const owner = query === undefined ? undefined : this.owners.get(query.part);
+    if (query === undefined || owns || owner?.holding.term !== query.term) return;
+    owner.holding.gaveUp(from, now, wall);
+    owner.book.clearAt = owner.holding.clearAt;
+  }
+}
--- a/packages/daemon/src/leader.ts
+++ b/packages/daemon/src/leader.ts
@@ -21,12 +21,7 @@
   type Round,
 } from '@gingerlock/wire';
 import type { Shared } from './shared';
-
-export interface SeenSummary {
-  readonly summary: PartSummary;
-  readonly at: number;
-  readonly owner: string;
-}
+import type { SeenSummary } from './summaries';
 
 interface Meant {
   readonly revision: number;
