--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -42,10 +42,10 @@
 }
 
 /** While less than this share of the changes that may go at once is left, completed tasks wait for others to join them. */
-const SPARE_WRITES = 0.5;
+const SPARE_WRITES = 0.9;
 
 /** How long at the most they then wait, in report intervals. */
-const SHORT_FINISH_INTERVALS = 3;
+const SHORT_FINISH_INTERVALS = 2;
 
 /** How many machines are shown a new owner's term at each tick: all at once would hold up everything else. */
 const CALLS_PER_TICK = 8;
