--- a/packages/clients/src/budget.ts
+++ b/packages/clients/src/budget.ts
@@ -1,7 +1,7 @@
 import type { Clock } from './ports';
 
 /** Most urgent first. */
-export const URGENCY = { renew: 0, cancel: 1, accept: 2, deal: 3, finish: 4, rest: 5 } as const;
+export const URGENCY = { renew: 0, cancel: 1, accept: 2, assign: 3, finish: 4, rest: 5 } as const;
 export type Urgency = (typeof URGENCY)[keyof typeof URGENCY];
 
 export class Overloaded extends Error {
--- a/packages/core/src/division.ts
+++ b/packages/core/src/assignment.ts
@@ -1,4 +1,4 @@
-// The leader's division of waiting tasks among the parts by free room, with the arithmetic of team limits and zones.
+// The leader's assignment of waiting tasks among the parts by free room, with the arithmetic of team limits and zones.
 import { type MachineType, PRIORITIES, type Round } from '@gingerlock/wire';
 import { type Amounts, type Facts, fits, limitAllows, NOTHING, plus, typeAllows } from './facts';
 import { type Job, jobOrder } from './jobs';
@@ -32,7 +32,7 @@
 export interface PartSummary {
   readonly part: number;
   readonly term: number;
-  /** The owner's replica stood at this revision: later deals are not in it yet. */
+  /** The owner's replica stood at this revision: later assignments are not in it yet. */
   readonly revision: number;
   readonly machines: readonly MachineRoom[];
   /** What the tasks add up to that a new owner has been waiting to hear of for longer than machines take to report. */
@@ -40,7 +40,7 @@
   readonly running: readonly (readonly [string, number])[];
 }
 
-export interface Deal {
+export interface Assignment {
   readonly job: Job;
   /** What is added to the rounds of its record. */
   readonly added: readonly Round[];
@@ -56,10 +56,10 @@
   readonly zones: readonly string[] | null;
 }
 
-export interface DivisionInput {
+export interface AssignmentInput {
   readonly jobs: Iterable<Job>;
   readonly summaries: readonly PartSummary[];
-  /** Deals that a summary may not show yet. */
+  /** Assignments that a summary may not show yet. */
   readonly recent: readonly { revision: number; machine: string; part: number; need: Amounts }[];
   readonly facts: Facts;
   readonly types: ReadonlyMap<string, MachineType>;
@@ -74,17 +74,17 @@
   byRank: Amounts[];
 }
 
-/** What the dealt and unfinished tasks of every team add up to. */
+/** What the assigned and unfinished tasks of every team add up to. */
 export function teamUse(jobs: Iterable<Job>): Map<string, Amounts> {
   const use = new Map<string, Amounts>();
   for (const job of jobs) {
-    const n = dealtUnfinished(job);
+    const n = assignedUnfinished(job);
     if (n > 0) use.set(job.spec.team, plus(use.get(job.spec.team) ?? NOTHING, job.spec, n));
   }
   return use;
 }
 
-export function dealtUnfinished(job: Job): number {
+export function assignedUnfinished(job: Job): number {
   return job.rounds.reduce((n, r) => n + unfinishedIn(job, r), 0);
 }
 
@@ -113,83 +113,144 @@
   return counts;
 }
 
-export function divide(input: DivisionInput): { deals: Deal[]; unmet: Unmet[] } {
+/** Finds room for the waiting tasks of all jobs, the most urgent first, within the limits of their teams. */
+export function assignTasks(input: AssignmentInput): { assignments: Assignment[]; unmet: Unmet[] } {
+  const jobs = [...input.jobs];
+  const run = new AssignmentRun(input, jobs);
+  for (const job of jobs.filter((j) => j.ready && !j.cancelled).sort(jobOrder)) run.assign(job);
+  return run;
+}
+
+/** What is free on the machines that take work, less what earlier assignments will take there. */
+function binsOf({ summaries, recent }: AssignmentInput): Bin[] {
   const bins: Bin[] = [];
-  for (const s of input.summaries) {
-    for (const room of s.machines) {
+  for (const { machines, part, term, revision } of summaries) {
+    for (const room of machines) {
       if (!room.takesWork) continue;
-      let free = room.free;
-      for (const d of input.recent) {
-        if (d.part === s.part && d.machine === room.name && d.revision > s.revision) free = plus(free, d.need, -1);
+      let { free } = room;
+      for (const r of recent) {
+        if (r.part === part && r.machine === room.name && r.revision > revision) free = plus(free, r.need, -1);
       }
-      bins.push({ room, part: s.part, term: s.term, free, byRank: [...room.byRank] });
+      bins.push({ room, part, term, free, byRank: [...room.byRank] });
     }
   }
-  const jobs = [...input.jobs];
-  const use = teamUse(jobs);
-  const deals: Deal[] = [];
-  const unmet: Unmet[] = [];
-  // Shapes of tasks for which there is no room left: rooms only shrink from here on, so nobody looks for them again.
-  const full = new Set<string>();
-  for (const job of jobs.filter((j) => j.ready && !j.cancelled).sort(jobOrder)) {
-    const gaps = job.undealt();
-    if (gaps.length === 0) continue;
-    const team = input.facts.teams.get(job.spec.team);
+  return bins;
+}
+
+/** The places found for one job's tasks. */
+interface JobPlaces {
+  readonly indices: number[];
+  readonly places: Place[];
+  readonly meant: { machine: string; need: Amounts }[];
+  /** Tasks that the team's limit allows and that found no room. */
+  missing: number;
+}
+
+/** Which zones one job's tasks may go to, given those that it has tasks in. */
+class ZoneChoice {
+  readonly #counts: Map<string, number>;
+  readonly #cap: number;
+  /** The only zone; null: none is chosen. */
+  #only: string | null;
+
+  constructor(
+    readonly job: Job,
+    bins: readonly Bin[],
+  ) {
+    this.#counts = zoneCounts(job);
+    this.#cap = spreadCap(job);
+    this.#only = job.spec.oneZone ? ([...this.#counts.keys()][0] ?? bestZone(job, bins)) : null;
+  }
+
+  allows(zone: string): boolean {
+    return (this.#only === null || zone === this.#only) && !this.#isFull(zone);
+  }
+
+  #isFull(zone: string): boolean {
+    return this.job.spec.spread && (this.#counts.get(zone) ?? 0) >= this.#cap;
+  }
+
+  /** Puts one more task into the zone of a machine; returns the zone that it is bound to, null for any. */
+  take(machineZone: string): string | null {
+    const { spread, oneZone, zone: asked } = this.job.spec;
+    const zone = spread || oneZone ? machineZone : asked;
+    // With no free room anywhere no zone was the best: the first task that gets room by preemption binds the rest.
+    if (oneZone) this.#only = zone;
+    if (zone !== null) this.#counts.set(zone, (this.#counts.get(zone) ?? 0) + 1);
+    return zone;
+  }
+
+  /** The zones that further tasks may go to; null: any. */
+  open(zones: readonly string[]): readonly string[] | null {
+    const only = this.#only ?? this.job.spec.zone;
+    if (only !== null) return [only];
+    return this.job.spec.spread ? zones.filter((zone) => !this.#isFull(zone)) : null;
+  }
+}
+
+/** One assignment of all jobs, and what it has used up so far. */
+class AssignmentRun {
+  readonly assignments: Assignment[] = [];
+  readonly unmet: Unmet[] = [];
+  readonly #bins: Bin[];
+  readonly #use: Map<string, Amounts>;
+  /** Shapes of tasks for which there is no room left: rooms only shrink, so nobody looks for them again. */
+  readonly #full = new Set<string>();
+
+  constructor(
+    readonly input: AssignmentInput,
+    jobs: readonly Job[],
+  ) {
+    this.#bins = binsOf(input);
+    this.#use = teamUse(jobs);
+  }
+
+  assign(job: Job): void {
+    const ranges = job.unassigned();
+    const team = this.input.facts.teams.get(job.spec.team);
     // A team that is gone from the settings gets no more room; what it had goes on.
-    if (team === undefined) continue;
-    let allowed = limitAllows(team, use.get(team.name) ?? NOTHING, job.spec);
-    if (allowed === 0) continue;
-    const zones = zoneCounts(job);
-    let oneZone = job.spec.oneZone ? ([...zones.keys()][0] ?? bestZone(job, bins)) : null;
-    const cap = spreadCap(job);
-    const indices: number[] = [];
-    const places: Place[] = [];
-    const meant: { machine: string; need: Amounts }[] = [];
-    const shape = shapeOf(job);
-    let missing = 0;
-    tasks: for (const [from, count] of gaps) {
+    if (ranges.length === 0 || team === undefined) return;
+    const used = this.#use.get(team.name) ?? NOTHING;
+    const allowed = limitAllows(team, used, job.spec);
+    if (allowed === 0) return;
+    const zones = new ZoneChoice(job, this.#bins);
+    const { indices, places, meant, missing } = this.#place(job, ranges, allowed, zones);
+    this.#use.set(team.name, plus(used, job.spec, places.length + missing));
+    if (places.length > 0) this.assignments.push({ job, added: roundsOf(indices, places), meant });
+    if (missing > 0) this.unmet.push({ job, count: missing, zones: zones.open(this.input.facts.zones) });
+  }
+
+  #place(job: Job, ranges: readonly [number, number][], allowed: number, zones: ZoneChoice): JobPlaces {
+    const found: JobPlaces = { indices: [], places: [], meant: [], missing: 0 };
+    for (const [from, count] of ranges) {
       for (let index = from; index < from + count; index++) {
         if (job.isFinished(index)) continue;
-        if (allowed <= 0) break tasks;
-        const bin =
-          missing > 0 || deals.length >= input.most || full.has(shape)
-            ? undefined
-            : pick(
-                job,
-                bins,
-                input,
-                (zone) => (oneZone === null || zone === oneZone) && (!job.spec.spread || (zones.get(zone) ?? 0) < cap),
-                places.at(-1)?.part ?? job.rounds.at(-1)?.part,
-              );
-        allowed--;
+        if (found.places.length + found.missing >= allowed) return found;
+        const bin = this.#binFor(job, zones, found);
         if (bin === undefined) {
-          // With zones of its own to keep to, it says nothing of others.
-          if (deals.length < input.most && !job.spec.spread && !job.spec.oneZone) full.add(shape);
-          missing++;
+          found.missing++;
           continue;
         }
         take(bin, job);
-        const zone = job.spec.spread || job.spec.oneZone ? bin.room.zone : job.spec.zone;
-        // With no free room anywhere no zone was the best: the first task that gets room by preemption binds the rest.
-        if (job.spec.oneZone) oneZone = zone;
-        if (zone !== null) zones.set(zone, (zones.get(zone) ?? 0) + 1);
-        indices.push(index);
-        places.push({ part: bin.part, zone, term: bin.term });
-        meant.push({ machine: bin.room.name, need: job.spec });
+        found.indices.push(index);
+        found.places.push({ part: bin.part, zone: zones.take(bin.room.zone), term: bin.term });
+        found.meant.push({ machine: bin.room.name, need: job.spec });
       }
     }
-    use.set(team.name, plus(use.get(team.name) ?? NOTHING, job.spec, places.length + missing));
-    if (places.length > 0) deals.push({ job, added: roundsOf(indices, places), meant });
-    if (missing > 0) {
-      const open = job.spec.spread ? input.facts.zones.filter((z) => (zones.get(z) ?? 0) < cap) : null;
-      unmet.push({
-        job,
-        count: missing,
-        zones: oneZone !== null ? [oneZone] : job.spec.zone !== null ? [job.spec.zone] : open,
-      });
-    }
+    return found;
+  }
+
+  #binFor(job: Job, zones: ZoneChoice, { places, missing }: JobPlaces): Bin | undefined {
+    const { input } = this;
+    if (missing > 0 || this.assignments.length >= input.most) return undefined;
+    const shape = shapeOf(job);
+    if (this.#full.has(shape)) return undefined;
+    const lastPart = places.at(-1)?.part ?? job.rounds.at(-1)?.part;
+    const bin = pick(job, this.#bins, input, (zone) => zones.allows(zone), lastPart);
+    // With zones of its own to keep to, it says nothing of others.
+    if (bin === undefined && !job.spec.spread && !job.spec.oneZone) this.#full.add(shape);
+    return bin;
   }
-  return { deals, unmet };
 }
 
 /** Where one more task of a job is to run. */
@@ -231,7 +292,7 @@
 const APART = 4;
 
 /** How soon the task would run there, in milliseconds, with ties broken towards what is fuller already. */
-function cost(job: Job, bin: Bin, input: DivisionInput, lastPart: number | undefined): number {
+function cost(job: Job, bin: Bin, input: AssignmentInput, lastPart: number | undefined): number {
   const type = input.types.get(bin.room.type);
   const fetch = fetchMs(job.spec.imageGb, bin.room.images.includes(job.spec.image), type);
   // Ordinary machines are dear: work that may run on spot goes there unless it would wait for longer than this.
@@ -248,7 +309,7 @@
 function pick(
   job: Job,
   bins: readonly Bin[],
-  input: DivisionInput,
+  input: AssignmentInput,
   zoneAllowed: (zone: string) => boolean,
   lastPart: number | undefined,
 ): Bin | undefined {
--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -1,4 +1,4 @@
-// The claim book of one part: which machines report to it, which tasks were dealt to it, and which machine holds which
+// The claim book of one part: which machines report to it, which tasks were assigned to it, and which machine holds which
 // task. Pure and clock-free: every call is told the time (steady milliseconds).
 //
 // Nothing here is ever guessed. A claim ends only when the worker's own later report, a later session, its lease run out
@@ -163,7 +163,7 @@
     let slots = this.slots.get(id);
     const wanted = new Map<number, { zone: string | null; term: number }>();
     for (const r of job?.rounds ?? []) {
-      // Dealt to an owner after this one: while all is read anew that may show before the owner's own record does.
+      // Assigned to an owner after this one: while all is read anew that may show before the owner's own record does.
       if (r.part !== this.part || r.term > this.term) continue;
       for (let i = r.from; i < r.from + r.count; i++) {
         if (!job!.isFinished(i)) wanted.set(i, { zone: r.zone, term: r.term });
@@ -202,7 +202,7 @@
           leavingVersion: 0,
         };
         slots.set(index, slot);
-        // A task dealt under this owner's term can be held by nobody yet.
+        // A task assigned under this owner's term can be held by nobody yet.
         if (term === this.term || this.#cleared) this.#move(slot, 'waiting', now);
       }
     }
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -1,6 +1,6 @@
 // What the leader rents, drains and returns. It only plans; the controller talks to the cloud and to the owners.
 import { type CloudMachine, type MachineType, PRIORITIES, type RentRequest } from '@gingerlock/wire';
-import type { MachineRoom, PartSummary, Unmet } from './division';
+import type { MachineRoom, PartSummary, Unmet } from './assignment';
 import { type Amounts, type Facts, fits, NOTHING, type Partition, plus, typeAllows, workerLeaseBoundMs } from './facts';
 
 /** What the operators have set. */
@@ -480,7 +480,7 @@
 
 /**
  * An empty machine is kept for this many boot times, and always for a few reports: where machines boot at once, one was
- * returned before its first task could be dealt to it, and rented again.
+ * returned before its first task could be assigned to it, and rented again.
  */
 const IDLE_BOOTS = 0.5;
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,7 +4,7 @@
 export * from './rounds';
 export * from './claims';
 export { fetchMs } from './placement';
-export * from './division';
+export * from './assignment';
 export * from './fleet';
 export * from './ownership';
 export * from './packing';
--- a/packages/core/src/jobs.ts
+++ b/packages/core/src/jobs.ts
@@ -45,7 +45,7 @@
   /** Cancelled itself, or with a job that it needs. */
   cancelled = false;
   /** Another controller has told us that it is cancelled: true for ever, though our copy of its record may not say so yet. */
-  calledOff = false;
+  cancelledElsewhere = false;
   /** Whether all jobs that it needs are done; until then it waits and nothing of it is assigned. */
   ready = true;
   rounds: readonly Round[] = [];
@@ -84,7 +84,7 @@
   }
 
   /** Ranges of tasks that are in no round, as [from, count]. */
-  undealt(): [number, number][] {
+  unassigned(): [number, number][] {
     return unassignedRanges(this.rounds, this.spec.tasks);
   }
 }
@@ -137,7 +137,7 @@
     }
     job.spec = record.spec;
     job.acceptedAt = record.acceptedAt;
-    job.cancelled = record.cancelled || job.calledOff;
+    job.cancelled = record.cancelled || job.cancelledElsewhere;
     job.rounds = record.rounds;
     job.version = version;
     this.dependencies.update(job);
@@ -154,10 +154,10 @@
   }
 
   /** A controller that has told a user so says that the job is cancelled. */
-  callOff(id: string): void {
+  markCancelled(id: string): void {
     const job = this.live.get(id);
     if (job === undefined) return;
-    job.calledOff = true;
+    job.cancelledElsewhere = true;
     job.cancelled = true;
     this.dependencies.update(job);
   }
--- a/packages/core/src/packing.ts
+++ b/packages/core/src/packing.ts
@@ -3,7 +3,7 @@
 import type { PartBook } from './claims';
 import { type Amounts, fits, plus, typeAllows } from './facts';
 import { bestPlan } from './placement';
-import type { Machine, Refuge, Slot } from './slots';
+import type { Machine, SpareCapacity, Slot } from './slots';
 
 /** A task that is stopped gets a little more than it says it needs for saving. */
 const SAVE_SLACK = 1.25;
@@ -67,23 +67,23 @@
 export function vacate(
   book: PartBook,
   rooms: ReadonlyMap<Machine, Amounts>,
-  others: () => readonly Refuge[],
+  others: () => readonly SpareCapacity[],
   now: number,
 ): Slot[] {
   for (const job of book.wakes()) {
     if (job.spec.kind === 'service' && book.waitingSlots(job).next().done !== true) return [];
   }
-  let refuges: Refuge[] | null = null;
+  let spareCapacity: SpareCapacity[] | null = null;
   for (const m of book.machines.values()) {
     if (!m.draining || m.noticed || m.spot || book.isSuspect(m, now)) continue;
     const replicas = [...m.claims.values()].filter((s) => s.job.spec.kind === 'service');
     if (replicas.length === 0) continue;
     if (replicas.some((s) => s.claim!.stopGraceS !== null || s.claim!.stage !== 'running')) continue;
     if (replicas.some((s) => now - s.claim!.grantedAt < MOVED_AFTER_MS)) continue;
-    refuges ??= [...refugesIn(book, rooms, now), ...others()];
-    const left = new Map<Refuge, Amounts>();
+    spareCapacity ??= [...spareCapacityIn(book, rooms, now), ...others()];
+    const left = new Map<SpareCapacity, Amounts>();
     const moves = replicas.every(({ job: { spec }, zone }) => {
-      for (const r of refuges!) {
+      for (const r of spareCapacity!) {
         const free = left.get(r) ?? r.free;
         if (!fits(spec, free) || !r.images.includes(spec.image)) continue;
         if ((zone !== null && zone !== r.zone) || !typeAllows(spec, r.type, r.zone, r.spot)) continue;
@@ -103,7 +103,7 @@
   return [];
 }
 
-function* refugesIn(book: PartBook, rooms: ReadonlyMap<Machine, Amounts>, now: number): Generator<Refuge> {
+function* spareCapacityIn(book: PartBook, rooms: ReadonlyMap<Machine, Amounts>, now: number): Generator<SpareCapacity> {
   for (const [m, free] of rooms) {
     if (m.spot || book.reportsInMs(m, now) > 0) continue;
     yield { type: m.type, zone: m.zone, spot: m.spot, free, images: [...m.cache.keys()] };
--- a/packages/core/src/slots.ts
+++ b/packages/core/src/slots.ts
@@ -5,7 +5,7 @@
 import type { Plan } from './placement';
 
 /**
- * uncertain: dealt before this owner's takeover and seen nowhere yet, so an unheard machine may hold it.
+ * uncertain: assigned before this owner's takeover and seen nowhere yet, so an unheard machine may hold it.
  * waiting:   no machine holds it; it is posted in a wake.
  * claimed:   a machine holds it, or may.
  * finishing: completed; the state service has yet to be told.
@@ -34,7 +34,7 @@
 }
 
 /** Room on a machine to which a replica might move. */
-export interface Refuge {
+export interface SpareCapacity {
   readonly type: string;
   readonly zone: string;
   readonly spot: boolean;
--- a/packages/core/test/division.test.ts
+++ b/packages/core/test/assignment.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { finishedRecord, jobRecord, type MachineType } from '@gingerlock/wire';
-import { divide, JobTable, type MachineRoom, NOTHING, type PartSummary } from '../src/index';
+import { assignTasks, JobTable, type MachineRoom, NOTHING, type PartSummary } from '../src/index';
 import { FACTS, roomOf, specOf } from './fixtures';
 
 const ZONES = ['a', 'b', 'c'];
@@ -24,8 +24,8 @@
   return roomOf(name, { zone, free: { cpus: 48, gpus: freeGpus, memoryGb: 192 } });
 }
 
-/** A division of so many waiting jobs among so many machines; how often a machine was looked at. */
-function looks(machines: number, jobs: number, freeGpus: number): { looks: number; dealt: number; unmet: number } {
+/** An assignment of so many waiting jobs among so many machines; how often a machine was looked at. */
+function looks(machines: number, jobs: number, freeGpus: number): { looks: number; assigned: number; unmet: number } {
   let n = 0;
   const rooms = Array.from({ length: machines }, (_, i): MachineRoom => {
     const room = roomIn(`m-${i}`, ZONES[i % 3]!, freeGpus);
@@ -43,7 +43,7 @@
     table.applyJob(spec.id, jobRecord.write(record), i + 1);
   }
   const summary: PartSummary = { part: 0, term: 1, revision: 0, machines: rooms, missing: NOTHING, running: [] };
-  const { deals, unmet } = divide({
+  const { assignments, unmet } = assignTasks({
     jobs: table.live.values(),
     summaries: [summary],
     recent: [],
@@ -51,13 +51,13 @@
     types: new Map([[type.name, type]]),
     most: 12,
   });
-  return { looks: n, dealt: deals.length, unmet: unmet.length };
+  return { looks: n, assigned: assignments.length, unmet: unmet.length };
 }
 
-// A leader with no room left once looked through all machines for every waiting task, at every deal.
-test('one division looks at machines no more often than in step with how many there are, however many jobs wait', () => {
+// A leader with no room left once looked through all machines for every waiting task, at every assignment.
+test('one assignment looks at machines no more often than in step with how many there are, however many jobs wait', () => {
   const small = looks(50, 100, 8);
-  assert.equal(small.dealt, 12);
+  assert.equal(small.assigned, 12);
   assert.ok(looks(100, 100, 8).looks <= small.looks * 2.1);
   assert.ok(looks(50, 400, 8).looks <= small.looks * 1.1);
   const full = looks(50, 100, 0);
@@ -78,7 +78,7 @@
   const rounds = [{ from: 0, count: 2, part: 0, zone: 'a', term: 1 }];
   table.applyJob(spec.id, jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, rounds }), 1);
   const zonesDealt = (): (string | null)[] => {
-    const { deals } = divide({
+    const { assignments } = assignTasks({
       jobs: table.live.values(),
       summaries: [{ part: 1, term: 1, revision: 0, machines: [roomIn('m-1', 'b', 8)], missing: NOTHING, running: [] }],
       recent: [],
@@ -86,7 +86,7 @@
       types: new Map([[type.name, type]]),
       most: 12,
     });
-    return deals.flatMap((d) => d.added.filter((r) => r.from >= 2).map((r) => r.zone));
+    return assignments.flatMap((d) => d.added.filter((r) => r.from >= 2).map((r) => r.zone));
   };
   const finish = (tasks: number, version: number): void =>
     table.applyFinished(
--- a/packages/core/test/claims.test.ts
+++ b/packages/core/test/claims.test.ts
@@ -33,16 +33,16 @@
   });
 }
 
-/** The job with its four tasks dealt to the part. */
-function dealt(jobs: JobTable, term: number, version: number): void {
+/** The job with its four tasks assigned to the part. */
+function assigned(jobs: JobTable, term: number, version: number): void {
   const rounds = [{ from: 0, count: 4, part: 0, zone: null, term }];
   jobs.applyJob(spec.id, jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, rounds }), version);
 }
 
-/** The book of a new owner: four tasks were dealt before its time, and three machines may hold them. */
+/** The book of a new owner: four tasks were assigned before its time, and three machines may hold them. */
 function taken(): PartBook {
   const jobs = new JobTable(() => 64);
-  dealt(jobs, 1, 5);
+  assigned(jobs, 1, 5);
   const book = bookOf(jobs, 20_000, ['m-1', 'm-2', 'm-3']);
   book.syncJob(spec.id, 0);
   return book;
@@ -96,24 +96,24 @@
 });
 
 // While all is read anew, page by page, the record of a job may be seen before that of its part's next owner.
-test('what was dealt to a later owner of the part is not this one’s to start', () => {
+test('what was assigned to a later owner of the part is not this one’s to start', () => {
   const jobs = new JobTable(() => 64);
   const book = bookOf(jobs, 0, []);
   book.tick(1);
   assert.ok(book.cleared);
-  const deal = (term: number, version: number): void => {
-    dealt(jobs, term, version);
+  const assignment = (term: number, version: number): void => {
+    assigned(jobs, term, version);
     book.syncJob(spec.id, 2);
   };
-  deal(3, 5);
+  assignment(3, 5);
   assert.equal(book.slots.size, 0);
-  deal(2, 6);
+  assignment(2, 6);
   assert.equal(book.slots.get(spec.id)?.size, 4);
 });
 
 test('a job that a peer says is called off starts nothing more, also when older records of it come in after that', () => {
   const jobs = new JobTable(() => 64);
-  dealt(jobs, 2, 5);
+  assigned(jobs, 2, 5);
   const book = bookOf(jobs, 0, ['m-1']);
   book.syncJob(spec.id, 0);
   const token = 2 * CALLS_PER_TERM;
@@ -122,10 +122,10 @@
     return outcome.kind === 'answer' ? outcome.commands.map((c) => c.op) : [];
   };
   assert.deepEqual(starts(1), ['start', 'start', 'start', 'start']);
-  jobs.callOff(spec.id);
+  jobs.markCancelled(spec.id);
   assert.equal(book.syncJob(spec.id, 1500).length, 4);
   assert.equal(book.syncJob(spec.id, 1500).length, 0);
-  dealt(jobs, 2, 6);
+  assigned(jobs, 2, 6);
   book.syncJob(spec.id, 1600);
   // The starts were lost on the way: nothing is there, and nothing is started again.
   assert.deepEqual(starts(2), []);
--- a/packages/core/test/dependencies.test.ts
+++ b/packages/core/test/dependencies.test.ts
@@ -166,7 +166,7 @@
   accept('j-1', []);
   accept('j-2', ['j-1']);
   accept('j-3', ['j-2']);
-  table.callOff('j-1');
+  table.markCancelled('j-1');
   accept('j-4', ['j-3']);
   for (const job of table.live.values()) assert.ok(job.cancelled, job.id);
 });
--- a/packages/core/test/fleet.test.ts
+++ b/packages/core/test/fleet.test.ts
@@ -60,7 +60,7 @@
   assert.deepEqual(plan(26_000, [roomOf('m-1')], 2), ['m-2']);
 });
 
-test('machines that boot at once are kept until work can be dealt to them', () => {
+test('machines that boot at once are kept until work can be assigned to them', () => {
   const fleet = new Fleet(facts, 1, limits);
   const quick = new Map([['box', { ...type, bootS: 0.1 }]]);
   const empty = [roomOf('m-1', { empty: true, emptyMs: 1500 }), used('m-2', 3), used('m-3', 3)];
--- a/packages/daemon/src/budget-sharing.ts
+++ b/packages/daemon/src/budget-sharing.ts
@@ -26,17 +26,17 @@
     if (writes > 0) {
       const id = this.peers.nextRequestId();
       this.#open.set(id, { at: now, grantedBy: new Set() });
-      this.peers.broadcast({ kind: 'Need', id, writes });
+      this.peers.broadcast({ kind: 'BudgetRequest', id, writes });
     }
     for (const [id, request] of this.#open) if (now - request.at > this.patienceMs) this.#open.delete(id);
   }
 
-  onRequest(from: string, { id, writes }: PeerMessages['Need']): void {
+  onRequest(from: string, { id, writes }: PeerMessages['BudgetRequest']): void {
     const granted = this.budget.lend(writes);
-    if (granted > 0) this.peers.send(from, { kind: 'Lend', id, writes: granted });
+    if (granted > 0) this.peers.send(from, { kind: 'BudgetGrant', id, writes: granted });
   }
 
-  onGrant(from: string, { id, writes }: PeerMessages['Lend']): void {
+  onGrant(from: string, { id, writes }: PeerMessages['BudgetGrant']): void {
     const request = this.#open.get(id);
     if (request === undefined || request.grantedBy.has(from)) return;
     request.grantedBy.add(from);
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -120,8 +120,9 @@
       this.#peers.broadcast({ kind: 'Hint', revision });
       this.replica.hint(revision);
     };
-    this.shared.calledOff = (job) => this.#peers.broadcast({ kind: 'CalledOff', job });
-    this.shared.refuges = (exceptPart) => this.#summaries.refuges(exceptPart, this.clock.now() - facts.reportMs * 2);
+    this.shared.announceCancelled = (job) => this.#peers.broadcast({ kind: 'JobCancelled', job });
+    this.shared.spareCapacity = (exceptPart) =>
+      this.#summaries.spareCapacity(exceptPart, this.clock.now() - facts.reportMs * 2);
     this.store.onJob = (id) => {
       for (const owner of this.#owners.values()) owner.jobChanged(id);
     };
@@ -342,7 +343,7 @@
       this.#owners.set(Number(slot), new PartOwner(this.shared, Number(slot), holding, rooms));
       const timing = holding.timing();
       if (timing !== null)
-        void this.shared.settle(URGENCY.deal, timing.conditions, timing.changes, () => holding.owned);
+        void this.shared.settle(URGENCY.assign, timing.conditions, timing.changes, () => holding.owned);
     }
   }
 
@@ -431,18 +432,18 @@
         this.#peerContact.set(from, { ageMs: message.contactAgeMs, at: now });
         this.replica.hint(message.revision);
         return;
-      case 'Need':
+      case 'BudgetRequest':
         this.#budgetSharing.onRequest(from, message);
         return;
-      case 'Lend':
+      case 'BudgetGrant':
         this.#budgetSharing.onGrant(from, message);
         return;
       case 'Hint':
         this.replica.hint(message.revision);
         return;
-      case 'CalledOff':
+      case 'JobCancelled':
         // A stop is always safe, with or without the state service. It shortens no bound: the word may be lost.
-        this.store.callOff(message.job);
+        this.store.markCancelled(message.job);
         return;
       case 'Summary':
         if (!this.#owners.has(message.part)) this.#summaries.onSummary(message, now);
@@ -450,23 +451,23 @@
       case 'FleetOrders':
         if (this.store.owners.get(LEAD)?.record.term === message.term) this.#obey(message.drain, message.gone);
         return;
-      case 'Ask':
+      case 'ConfirmationRequest':
         this.#confirmation.onRequest(from, message, this.#contactAgeMs(now));
         return;
-      case 'Vouch':
+      case 'Confirmation':
         this.#confirmation.onAnswer(from, message);
         return;
-      case 'AskOwner': {
+      case 'OwnershipQuery': {
         // Without the state service we may be the last to learn that the part was taken from us.
         const holding = this.#owners.get(message.part)?.holding;
         if (holding !== undefined && holding.term < message.term) {
           holding.stepDown();
           this.#released(holding);
         }
-        this.link.send(from, { kind: 'TellOwner', id: message.id, owns: this.#owners.has(message.part) });
+        this.link.send(from, { kind: 'OwnershipAnswer', id: message.id, owns: this.#owners.has(message.part) });
         return;
       }
-      case 'TellOwner':
+      case 'OwnershipAnswer':
         this.#formerOwners.onAnswer(from, message, now, this.clock.wall());
         return;
       case 'Relay':
--- a/packages/daemon/src/former-owners.ts
+++ b/packages/daemon/src/former-owners.ts
@@ -29,11 +29,11 @@
       const id = this.peers.nextRequestId();
       const { term } = holding;
       this.#open.set(id, { part, term, at: now });
-      this.peers.send(holding.before.node, { kind: 'AskOwner', id, part, term });
+      this.peers.send(holding.before.node, { kind: 'OwnershipQuery', id, part, term });
     }
   }
 
-  onAnswer(from: string, { id, owns }: PeerMessages['TellOwner'], now: number, wall: number): void {
+  onAnswer(from: string, { id, owns }: PeerMessages['OwnershipAnswer'], now: number, wall: number): void {
     const query = this.#open.get(id);
     const owner = query === undefined ? undefined : this.owners.get(query.part);
     if (query === undefined || owns || owner?.holding.term !== query.term) return;
--- a/packages/daemon/src/leader.ts
+++ b/packages/daemon/src/leader.ts
@@ -1,10 +1,11 @@
 import { Cloud, sleep, URGENCY } from '@gingerlock/clients';
 import {
-  type Deal,
-  dealtUnfinished,
-  divide,
+  type Assignment,
+  assignedUnfinished,
+  assignTasks,
   Fleet,
   type Holding,
+  type Job,
   joinRounds,
   type PartSummary,
   type Unmet,
@@ -30,7 +31,7 @@
   readonly need: { cpus: number; gpus: number; memoryGb: number };
 }
 
-function recordWith({ job }: Deal, added: readonly Round[]): unknown {
+function recordWith({ job }: Assignment, added: readonly Round[]): unknown {
   return jobRecord.write({
     final: null,
     spec: job.spec,
@@ -40,12 +41,30 @@
   });
 }
 
-/** The leader: divides waiting tasks among the parts, closes jobs, and deals with the cloud. It commands no worker. */
+/** Changes of job records in one transaction, each against the version that was read. */
+class JobBatch {
+  readonly conditions: Condition[];
+  readonly changes: Change[] = [];
+  readonly jobs = new Set<string>();
+
+  constructor(entitlement: Condition) {
+    this.conditions = [entitlement];
+  }
+
+  put(job: Job, record: unknown): void {
+    const key = KEYS.job(job.id);
+    this.conditions.push({ key, version: job.version });
+    this.changes.push({ put: key, value: record });
+    this.jobs.add(job.id);
+  }
+}
+
+/** The leader: assigns waiting tasks among the parts, closes jobs, and talks to the cloud. It commands no worker. */
 export class Leader {
   readonly fleet: Fleet;
   readonly cloud: Cloud;
   readonly #since: number;
-  #dealing = false;
+  #assigning = false;
   #recent: Meant[] = [];
   #unmet: readonly Unmet[] = [];
   #drain: readonly string[] = [];
@@ -87,90 +106,101 @@
   }
 
   tick(): void {
-    if (!this.#dealing) void this.#deal();
+    if (!this.#assigning) void this.#assign();
   }
 
-  async #deal(): Promise<void> {
+  async #assign(): Promise<void> {
     const { shared } = this;
-    this.#dealing = true;
+    this.#assigning = true;
     try {
       while (!this.#stopped && this.holding.owned && shared.leaseValid() && shared.fresh()) {
-        if (!(await this.#dealOnce())) break;
+        if (!(await this.#assignOnce())) break;
       }
     } catch (error) {
-      shared.log.error({ error: String(error) }, 'dealing failed');
+      shared.log.error({ error: String(error) }, 'assigning failed');
     } finally {
-      this.#dealing = false;
+      this.#assigning = false;
     }
   }
 
-  async #dealOnce(): Promise<boolean> {
+  /** One transaction of endings and assignments, or of cleaning up; false: there was nothing to do, or it failed. */
+  async #assignOnce(): Promise<boolean> {
     const { shared } = this;
     const { store, facts, settings } = shared;
-    const now = shared.clock.now();
-    const current = this.#current(now);
-    const conditions: Condition[] = [{ key: KEYS.owner(LEAD), version: this.holding.version }];
-    const changes: Change[] = [];
-    const closing: string[] = [];
-    for (const job of store.jobs.live.values()) {
-      if (changes.length >= settings.txnOps) break;
-      const final = job.cancelled
-        ? dealtUnfinished(job) === 0 && 'cancelled'
-        : job.spec.kind === 'array' && job.complete && 'done';
-      if (final === false) continue;
-      conditions.push({ key: KEYS.job(job.id), version: job.version });
-      changes.push({ put: KEYS.job(job.id), value: jobRecord.write({ final }) });
-      closing.push(job.id);
-    }
+    const current = this.#current(shared.clock.now());
+    const batch = new JobBatch({ key: KEYS.owner(LEAD), version: this.holding.version });
+    this.#close(batch);
     this.#recent = this.#recent.filter((r) => current.some((s) => s.part === r.part && s.revision < r.revision));
-    const { deals, unmet } = divide({
+    const { assignments, unmet } = assignTasks({
       jobs: store.jobs.live.values(),
       summaries: current,
       recent: this.#recent,
       facts,
       types: store.types,
-      most: settings.txnOps - changes.length,
+      most: settings.txnOps - batch.changes.length,
     });
     this.#unmet = unmet;
+    const meant = this.#addAssignments(batch, assignments, current);
+    if (batch.changes.length === 0) {
+      if (store.leftovers.size === 0) return false;
+      for (const key of [...store.leftovers].slice(0, settings.txnOps)) batch.changes.push({ remove: key });
+    }
+    const wanted = (): boolean => this.holding.owned && !this.#stopped;
+    const revision = await shared.settle(URGENCY.assign, batch.conditions, batch.changes, wanted);
+    if (revision === 0) return false;
+    for (const m of meant) this.#recent.push({ ...m, revision });
+    shared.log.debug({ jobs: [...batch.jobs] }, 'assigned and closed');
+    return true;
+  }
+
+  /** Ends the jobs of which all tasks are finished, or, of those that are cancelled, gone. */
+  #close(batch: JobBatch): void {
+    const { store, settings } = this.shared;
+    for (const job of store.jobs.live.values()) {
+      if (batch.changes.length >= settings.txnOps) return;
+      if (job.cancelled) {
+        if (assignedUnfinished(job) === 0) batch.put(job, jobRecord.write({ final: 'cancelled' }));
+      } else if (job.spec.kind === 'array' && job.complete) {
+        batch.put(job, jobRecord.write({ final: 'done' }));
+      }
+    }
+  }
+
+  /** Returns which machines the assigned tasks are meant for. */
+  #addAssignments(
+    batch: JobBatch,
+    assignments: readonly Assignment[],
+    current: readonly PartSummary[],
+  ): Omit<Meant, 'revision'>[] {
+    const { store, log } = this.shared;
     const parts = new Set<number>();
     const meant: Omit<Meant, 'revision'>[] = [];
-    for (const deal of deals) {
-      const { job } = deal;
-      if (closing.includes(job.id)) continue;
-      const added = this.#fittingRounds(deal);
+    for (const assignment of assignments) {
+      const { job } = assignment;
+      if (batch.jobs.has(job.id)) continue;
+      const added = this.#fittingRounds(assignment);
       if (added.length === 0) {
-        shared.log.error({ job: job.id, rounds: job.rounds.length }, 'record too large, not dealt');
+        log.error({ job: job.id, rounds: job.rounds.length }, 'record too large, not assigned');
         continue;
       }
-      const value = recordWith(deal, added);
-      conditions.push({ key: KEYS.job(job.id), version: job.version });
-      changes.push({ put: KEYS.job(job.id), value });
-      for (const r of added) parts.add(r.part);
-      for (const m of deal.meant) {
-        const part = current.find((s) => s.machines.some((x) => x.name === m.machine))!.part;
-        meant.push({ part, machine: m.machine, need: m.need });
+      batch.put(job, recordWith(assignment, added));
+      for (const { part } of added) parts.add(part);
+      for (const { machine, need } of assignment.meant) {
+        const { part } = current.find((s) => s.machines.some((m) => m.name === machine))!;
+        meant.push({ part, machine, need });
       }
     }
-    if (changes.length === 0) {
-      if (store.leftovers.size === 0) return false;
-      for (const key of [...store.leftovers].slice(0, settings.txnOps)) changes.push({ remove: key });
-    }
     for (const part of parts) {
       const owner = store.owners.get(String(part));
-      if (owner !== undefined) conditions.push({ key: KEYS.owner(String(part)), version: owner.version });
-    }
-    const revision = await shared.settle(URGENCY.deal, conditions, changes, () => this.holding.owned && !this.#stopped);
-    if (revision > 0) {
-      for (const m of meant) this.#recent.push({ ...m, revision });
-      shared.log.debug({ jobs: deals.map((d) => d.job.id), closed: closing }, 'dealt');
+      if (owner !== undefined) batch.conditions.push({ key: KEYS.owner(String(part)), version: owner.version });
     }
-    return revision > 0;
+    return meant;
   }
 
   /** As many of the new rounds as the job's record has room for; the other tasks are assigned when it has shrunk. */
-  #fittingRounds(deal: Deal): Round[] {
-    const added = [...deal.added];
-    while (added.length > 0 && !this.shared.fitsValue(recordWith(deal, added))) added.pop();
+  #fittingRounds(assignment: Assignment): Round[] {
+    const added = [...assignment.added];
+    while (added.length > 0 && !this.shared.fitsValue(recordWith(assignment, added))) added.pop();
     return added;
   }
 
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -116,7 +116,8 @@
       const { rooms, stuck, stopped } = pack(this.book, now);
       this.#rooms = rooms;
       this.#stuck = stuck;
-      if (this.mayGrant(now)) stopped.push(...vacate(this.book, rooms, () => this.shared.refuges(this.part), now));
+      if (this.mayGrant(now))
+        stopped.push(...vacate(this.book, rooms, () => this.shared.spareCapacity(this.part), now));
       this.#pushAll(stopped);
       if (this.mayGrant(now)) for (const machine of toCall(this.book, now)) this.#callForReport(machine, now);
     }
--- a/packages/daemon/src/peer-confirmation.ts
+++ b/packages/daemon/src/peer-confirmation.ts
@@ -32,16 +32,16 @@
     }
     if (this.#request !== null && now - this.#request.at < this.intervalMs) return;
     this.#request = { id: peers.nextRequestId(), at: now, confirmedBy: new Set() };
-    peers.broadcast({ kind: 'Ask', id: this.#request.id, revision: replica.revision });
+    peers.broadcast({ kind: 'ConfirmationRequest', id: this.#request.id, revision: replica.revision });
   }
 
-  onRequest(from: string, { id, revision }: PeerMessages['Ask'], contactAgeMs: number): void {
-    this.peers.send(from, { kind: 'Vouch', id, vouches: this.#canConfirm(revision), contactAgeMs });
+  onRequest(from: string, { id, revision }: PeerMessages['ConfirmationRequest'], contactAgeMs: number): void {
+    this.peers.send(from, { kind: 'Confirmation', id, confirms: this.#canConfirm(revision), contactAgeMs });
   }
 
-  onAnswer(from: string, { id, vouches }: PeerMessages['Vouch']): void {
+  onAnswer(from: string, { id, confirms }: PeerMessages['Confirmation']): void {
     const request = this.#request;
-    if (request === null || request.id !== id || !vouches) return;
+    if (request === null || request.id !== id || !confirms) return;
     request.confirmedBy.add(from);
     if (!this.peers.nodes.every((node) => request.confirmedBy.has(node))) return;
     this.confirmedAt = Math.max(this.confirmedAt, request.at);
--- a/packages/daemon/src/shared.ts
+++ b/packages/daemon/src/shared.ts
@@ -1,4 +1,4 @@
-import type { Facts, Refuge } from '@gingerlock/core';
+import type { Facts, SpareCapacity } from '@gingerlock/core';
 import { type Clock, type Http, type Replica, sleep, type StateService, type Urgency } from '@gingerlock/clients';
 import type { Change, Condition } from '@gingerlock/wire';
 import type { Log } from './log';
@@ -22,9 +22,9 @@
   /** Tells the other controllers that something has changed. */
   announce: (revision: number) => void = () => undefined;
   /** Tells the other controllers that a user is being told that the job is cancelled. */
-  calledOff: (job: string) => void = () => undefined;
+  announceCancelled: (job: string) => void = () => undefined;
   /** Free room on ordinary machines of all other parts, as their owners told of it last. */
-  refuges: (exceptPart: number) => Refuge[] = () => [];
+  spareCapacity: (exceptPart: number) => SpareCapacity[] = () => [];
 
   constructor(
     readonly settings: Settings,
--- a/packages/daemon/src/store.ts
+++ b/packages/daemon/src/store.ts
@@ -40,9 +40,9 @@
     this.jobs.onDerived = (id) => this.onJob(id);
   }
 
-  /** See `JobTable.callOff`. */
-  callOff(id: string): void {
-    this.jobs.callOff(id);
+  /** See `JobTable.markCancelled`. */
+  markCancelled(id: string): void {
+    this.jobs.markCancelled(id);
     this.onJob(id);
   }
 
--- a/packages/daemon/src/summaries.ts
+++ b/packages/daemon/src/summaries.ts
@@ -1,6 +1,6 @@
 // How the partitions stand, as their owners tell each other: what runs and what is free. Hints for the leader's assignment, for
 // what users are shown and for new owners; nothing that safety rests on.
-import type { Refuge, PartSummary } from '@gingerlock/core';
+import type { SpareCapacity, PartSummary } from '@gingerlock/core';
 import type { PeerMessage, PeerMessages } from '@gingerlock/peer';
 import type { PartOwner } from './owner';
 import type { PeerChannel } from './peer-channel';
@@ -53,7 +53,7 @@
   }
 
   /** Free capacity on ordinary machines of all other partitions, told of since `since`. */
-  refuges(exceptPart: number, since: number): Refuge[] {
+  spareCapacity(exceptPart: number, since: number): SpareCapacity[] {
     return this.all()
       .filter((seen) => seen.summary.part !== exceptPart && seen.at > since)
       .flatMap((seen) => seen.summary.machines.filter((m) => m.takesWork && !m.spot && m.free.gpus + m.free.cpus > 0));
--- a/packages/daemon/src/users.ts
+++ b/packages/daemon/src/users.ts
@@ -1,6 +1,6 @@
 // What users ask for: submissions, polls and cancellations.
 import { type TxnResult, URGENCY } from '@gingerlock/clients';
-import { coverPerPartition, dealtUnfinished, type Job, neverRuns } from '@gingerlock/core';
+import { coverPerPartition, assignedUnfinished, type Job, neverRuns } from '@gingerlock/core';
 import {
   decodeSubmission,
   encodeJobState,
@@ -161,7 +161,7 @@
   /** `outgrown`: the record was stored under a larger limit on values, and refused as it is. */
   #cancelledRecord(job: Job, outgrown: boolean): unknown {
     const { spec, acceptedAt } = job;
-    // With nothing dealt there is nothing to stop: the record closes at once.
+    // With nothing assigned there is nothing to stop: the record closes at once.
     if (job.rounds.length === 0) return jobRecord.write({ final: 'cancelled' });
     const rounds = outgrown ? coverPerPartition(job.rounds) : job.rounds;
     return jobRecord.write({ final: null, spec, acceptedAt, cancelled: true, rounds });
@@ -189,7 +189,7 @@
       if (result.kind === 'done') {
         this.shared.replica.applyOwn(changes, result.revision);
         this.shared.announce(result.revision);
-        this.shared.log.debug({ job: id, dealt: dealtUnfinished(job) }, 'cancelled');
+        this.shared.log.debug({ job: id, assigned: assignedUnfinished(job) }, 'cancelled');
         break;
       }
       if (result.kind === 'refused' || result.kind === 'invalid' || this.shared.clock.now() > until)
@@ -200,7 +200,7 @@
         return this.#unavailable();
       }
     }
-    if (this.shared.store.jobs.live.get(id)?.cancelled === true) this.shared.calledOff(id);
+    if (this.shared.store.jobs.live.get(id)?.cancelled === true) this.shared.announceCancelled(id);
     return this.#reply(id, 200);
   }
 }
--- a/packages/daemon/test/questions.test.ts
+++ b/packages/daemon/test/questions.test.ts
@@ -39,17 +39,17 @@
     const { budget } = controller.state.options;
     budget.acquire(URGENCY.rest, 400, 60_000).catch(() => undefined);
     await sim.run(sim.now + 200);
-    const need = told.find((m) => m.kind === 'Need');
-    assert.ok(need?.kind === 'Need');
+    const need = told.find((m) => m.kind === 'BudgetRequest');
+    assert.ok(need?.kind === 'BudgetRequest');
     const short = (): number => budget.shortOfWrites();
     const before = short();
-    for (const id of ids) link.onMessage('n1', { kind: 'Lend', id, writes: 50 });
+    for (const id of ids) link.onMessage('n1', { kind: 'BudgetGrant', id, writes: 50 });
     assert.equal(short(), before, 'an answer to the process before');
-    link.onMessage('n1', { kind: 'Lend', id: need.id, writes: 50 });
+    link.onMessage('n1', { kind: 'BudgetGrant', id: need.id, writes: 50 });
     assert.equal(short(), before - 50);
-    link.onMessage('n1', { kind: 'Lend', id: need.id, writes: 50 });
+    link.onMessage('n1', { kind: 'BudgetGrant', id: need.id, writes: 50 });
     assert.equal(short(), before - 50, 'a copy of an answer');
-    ids.push(...told.flatMap((m) => (m.kind === 'Need' ? [m.id] : [])));
+    ids.push(...told.flatMap((m) => (m.kind === 'BudgetRequest' ? [m.id] : [])));
     assert.equal(new Set(ids).size, ids.length);
     controller.stop();
   }
--- a/packages/daemon/test/settle.test.ts
+++ b/packages/daemon/test/settle.test.ts
@@ -9,7 +9,7 @@
 import { platform } from './platform';
 
 // The first try is carried out and its answer lost, the second conflicts with it, and for a while nothing can be read: taken for
-// not done, a task that had been given back was granted here and dealt to another part.
+// not done, a task that had been given back was granted here and assigned to another part.
 test('a transaction that conflicts counts as not done only once what it conflicts with has been read', async () => {
   const sim = new Sim(5);
   const service = new SimStateService(sim);
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -46,7 +46,7 @@
   /** The state service stands at this revision at least. */
   record('Hint', { revision: 'long' }),
   /** The sender tells a user that this job is cancelled. A hint to stop its tasks, also without the state service. */
-  record('CalledOff', { job: 'string' }),
+  record('JobCancelled', { job: 'string' }),
   /** From the leader: which machines get no more work, and which are surely gone. */
   record('FleetOrders', {
     term: 'long',
@@ -54,18 +54,18 @@
     gone: { type: 'array', items: 'string' },
   }),
   // Ids name the process that asks: an answer to its predecessor, that was long under way, must match nothing here.
-  record('Ask', { id: 'string', revision: 'long' }),
-  record('Vouch', { id: 'string', vouches: 'boolean', contactAgeMs: 'double' }),
+  record('ConfirmationRequest', { id: 'string', revision: 'long' }),
+  record('Confirmation', { id: 'string', confirms: 'boolean', contactAgeMs: 'double' }),
   /** Asks the owner before of a part whether it still is; see `Holding.gaveUp`. */
-  record('AskOwner', { id: 'string', part: 'int', term: 'long' }),
-  record('TellOwner', { id: 'string', owns: 'boolean' }),
+  record('OwnershipQuery', { id: 'string', part: 'int', term: 'long' }),
+  record('OwnershipAnswer', { id: 'string', owns: 'boolean' }),
   /** A worker's report for the owner of a part, from a controller that the worker can reach. */
   record('Relay', { id: 'string', from: 'string', to: 'string', body: 'bytes' }),
   record('RelayAnswer', { id: 'string', to: 'string', status: 'int', body: 'bytes' }),
   record('Alive', { contactAgeMs: 'double', revision: 'long' }),
   /** So many changes wait at the sender for room in the state service's limit; a peer with room to spare lends some. */
-  record('Need', { id: 'string', writes: 'int' }),
-  record('Lend', { id: 'string', writes: 'int' }),
+  record('BudgetRequest', { id: 'string', writes: 'int' }),
+  record('BudgetGrant', { id: 'string', writes: 'int' }),
 ];
 
 export interface PeerAmounts {
@@ -102,17 +102,17 @@
     running: { job: string; tasks: number }[];
   };
   Hint: { revision: number };
-  CalledOff: { job: string };
+  JobCancelled: { job: string };
   FleetOrders: { term: number; drain: string[]; gone: string[] };
-  Ask: { id: string; revision: number };
-  Vouch: { id: string; vouches: boolean; contactAgeMs: number };
-  AskOwner: { id: string; part: number; term: number };
-  TellOwner: { id: string; owns: boolean };
+  ConfirmationRequest: { id: string; revision: number };
+  Confirmation: { id: string; confirms: boolean; contactAgeMs: number };
+  OwnershipQuery: { id: string; part: number; term: number };
+  OwnershipAnswer: { id: string; owns: boolean };
   Relay: { id: string; from: string; to: string; body: Buffer };
   RelayAnswer: { id: string; to: string; status: number; body: Buffer };
   Alive: { contactAgeMs: number; revision: number };
-  Need: { id: string; writes: number };
-  Lend: { id: string; writes: number };
+  BudgetRequest: { id: string; writes: number };
+  BudgetGrant: { id: string; writes: number };
 }
 
 export type PeerMessage = { [K in keyof PeerMessages]: { kind: K } & PeerMessages[K] }[keyof PeerMessages];
--- a/packages/testkit/test/meetings.test.ts
+++ b/packages/testkit/test/fault-combinations.test.ts
@@ -1,14 +1,14 @@
 // Troubles that meet. Each of these met on real machines, and rules broke there; docs/meetings.md lists them with the path
-// that carries each. A meeting is played as a whole day, and shows that it did come about.
+// that carries each. A combination is played as a whole day, and shows that it did come about.
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { PeerMessage } from '@gingerlock/peer';
 import { type Fault, playDay, World, type WorldOptions } from '../src/index';
 
-interface Meeting {
+interface FaultCombination {
   readonly name: string;
   readonly world?: Partial<WorldOptions>;
-  /** What comes when, in milliseconds from the moment of the meeting. */
+  /** What comes when, in milliseconds from the begin of the combination. */
   readonly faults: readonly (readonly [at: number, fault: Fault])[];
   /** What must have come about. */
   readonly came?: (world: World) => boolean;
@@ -46,7 +46,7 @@
   (world: World): boolean =>
     what.every((w) => (world.happened.get(w) ?? 0) > 0);
 
-const meetings: readonly Meeting[] = [
+const combinations: readonly FaultCombination[] = [
   {
     name: 'a report is held back until a new leader has acted, and then arrives there',
     faults: [
@@ -285,16 +285,16 @@
 ];
 
 /** When the troubles begin: some jobs run by then. */
-const MEET_AT = 22_000;
+const BEGIN_AT = 22_000;
 
-for (const { name, world: options, faults, came } of meetings) {
-  test(`meeting: ${name}`, async () => {
+for (const { name, world: options, faults, came } of combinations) {
+  test(`fault combination: ${name}`, async () => {
     for (const seed of [1, 2]) {
       const world = new World({ seed, controllers: 5, machines: 9, capacity: 5, ...options });
       await playDay(world, {
         seed,
         forMs: 130_000,
-        faults: faults.map(([at, fault]) => ({ at: MEET_AT + at, fault })),
+        faults: faults.map(([at, fault]) => ({ at: BEGIN_AT + at, fault })),
       });
       assert.deepEqual(world.breaches, [], `seed ${seed}`);
       assert.deepEqual(
@@ -312,7 +312,7 @@
 async function gap(seed: number, falsify: (message: PeerMessage) => PeerMessage | null): Promise<World> {
   const world = new World({ seed, controllers: 5, machines: 9, capacity: 5, falsify });
   const faults = [1, 3].map((times) => ({
-    at: MEET_AT * times,
+    at: BEGIN_AT * times,
     fault: { kind: 'gap' as const, node: -1, cancels: 8, afterMs: 1500, forMs: CANCEL * 1.3 },
   }));
   await playDay(world, { seed, forMs: 120_000, faults });
@@ -329,18 +329,22 @@
   }
   let longest = 0;
   for (const seed of [1, 2, 3, 4, 5, 6]) {
-    const untold = await gap(seed, (message) => (message.kind === 'CalledOff' ? null : message));
+    const untold = await gap(seed, (message) => (message.kind === 'JobCancelled' ? null : message));
     assert.deepEqual(untold.breaches, []);
     longest = Math.max(longest, untold.longestCancelledMs);
   }
-  assert.ok(longest > LEASE, `the meeting never came about: ${longest} ms`);
+  assert.ok(longest > LEASE, `the combination never came about: ${longest} ms`);
 });
 
 test('the gap breaks ran_cancelled when peers vouch for what they can not know', async () => {
   const breaches = [];
   for (const seed of [1, 2, 3, 4, 5, 6]) {
     const lying = await gap(seed, (message) =>
-      message.kind === 'CalledOff' ? null : message.kind === 'Vouch' ? { ...message, vouches: true } : message,
+      message.kind === 'JobCancelled'
+        ? null
+        : message.kind === 'Confirmation'
+          ? { ...message, confirms: true }
+          : message,
     );
     breaches.push(...lying.breaches);
   }
--- a/packages/testkit/test/rules.test.ts
+++ b/packages/testkit/test/rules.test.ts
@@ -154,7 +154,7 @@
 );
 
 /** Most rules that broke in operation broke when a second trouble came within moments of the first. */
-const meeting = fc
+const combination = fc
   .record({ at: seconds(3, 60), apartMs: fc.integer({ min: 0, max: 2500 }), first: fault, second: fc.option(fault) })
   .map(({ at, apartMs, first, second }) => [
     { at, fault: first },
@@ -193,12 +193,12 @@
     fc.asyncProperty(
       fc.integer({ min: 1, max: 1_000_000 }),
       size,
-      fc.array(meeting, { minLength: 1, maxLength: 4 }),
-      async (seed, size, meetings) => {
+      fc.array(combination, { minLength: 1, maxLength: 4 }),
+      async (seed, size, combinations) => {
         const world = new World({ seed, ...size, ...size.times });
         // Users come in its first half; what is left then has three times the longest wait to get done.
         const forMs = Math.max(200_000, size.times.cancelS * 6000);
-        await playDay(world, { seed, forMs, faults: meetings.flat() });
+        await playDay(world, { seed, forMs, faults: combinations.flat() });
         assert.deepEqual(world.breaches, []);
         assert.deepEqual(world.users.open(), []);
       },
--- a/packages/wire/src/records.ts
+++ b/packages/wire/src/records.ts
@@ -137,13 +137,13 @@
   },
 };
 
-/** Tasks `from` up to but excluding `from + count` are dealt to `part`, there to run in `zone` (null: any). */
+/** Tasks `from` up to but excluding `from + count` are assigned to `part`, there to run in `zone` (null: any). */
 export interface Round {
   readonly from: number;
   readonly count: number;
   readonly part: number;
   readonly zone: string | null;
-  /** Term of the part's owner at the deal. */
+  /** Term of the part's owner at the assignment. */
   readonly term: number;
 }
 
