--- a/packages/core/src/assignment.ts
+++ b/packages/core/src/assignment.ts
@@ -20,8 +20,8 @@
   readonly images: readonly string[];
   readonly takesWork: boolean;
   readonly draining: boolean;
-  readonly noticed: boolean;
-  readonly sick: boolean;
+  readonly evictionNotice: boolean;
+  readonly unhealthy: boolean;
   readonly empty: boolean;
   /** How long it has been empty. */
   readonly emptyMs: number;
--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -1,4 +1,4 @@
-// The claim book of one part: which machines report to it, which tasks were assigned to it, and which machine holds which
+// The claim table of one part: which machines report to it, which tasks were assigned to it, and which machine holds which
 // task. Pure and clock-free: every call is told the time (steady milliseconds).
 //
 // Nothing here is ever guessed. A claim ends only when the worker's own later report, a later session, its lease run out
@@ -43,30 +43,30 @@
 /** A worker takes a higher token as a cause to report once in half of its lease; a little more, for drift. */
 const CALL_EVERY_LEASES = 0.52;
 
-export interface BookOptions {
+export interface ClaimTableOptions {
   readonly facts: Facts;
   readonly part: number;
   readonly term: number;
-  readonly clearAt: number;
+  readonly fencedUntil: number;
   /** When this owner took the part over. */
   readonly openedAt: number;
   readonly jobs: JobTable;
   readonly types: () => ReadonlyMap<string, MachineType>;
-  readonly roster: Iterable<readonly [string, string]>;
+  readonly membership: Iterable<readonly [string, string]>;
   /** By machine: the images that an earlier owner believed to be cached there. */
   readonly images?: ReadonlyMap<string, readonly string[]>;
   readonly log?: (message: string, detail: Record<string, unknown>) => void;
 }
 
-export class PartBook {
+export class ClaimTable {
   readonly facts: Facts;
   readonly part: number;
   readonly term: number;
-  clearAt: number;
+  fencedUntil: number;
   readonly openedAt: number;
   readonly machines = new Map<string, Machine>();
   readonly slots = new Map<string, Map<number, Slot>>();
-  /** Machines of the roster that may run tasks of an earlier owner. */
+  /** Machines of the membership that may run tasks of an earlier owner. */
   readonly unheard: Map<string, string>;
   readonly #goneNames = new Set<string>();
   readonly #images: ReadonlyMap<string, readonly string[]>;
@@ -84,15 +84,15 @@
   /** Goes up with every change that alters rooms or waiting tasks. */
   changes = 0;
 
-  constructor(options: BookOptions) {
+  constructor(options: ClaimTableOptions) {
     this.facts = options.facts;
     this.part = options.part;
     this.term = options.term;
-    this.clearAt = options.clearAt;
+    this.fencedUntil = options.fencedUntil;
     this.openedAt = options.openedAt;
     this.#jobs = options.jobs;
     this.#types = options.types;
-    this.unheard = new Map(options.roster);
+    this.unheard = new Map(options.membership);
     this.#images = options.images ?? new Map();
     this.log = options.log ?? (() => undefined);
   }
@@ -171,7 +171,7 @@
     }
     for (const [index, slot] of slots ?? []) {
       if (!wanted.has(index) || slot.job !== job) {
-        // Off our books: if a machine runs it still, it is a stray there and is told to stop.
+        // Not in the table any more: if a machine runs it still, it is a stray there and is told to stop.
         if (slot.claim !== null) slot.claim.machine.claims.delete(slot.name);
         slots!.delete(index);
         this.changes++;
@@ -230,9 +230,9 @@
 
   // --- machines ----------------------------------------------------------------------------------------------------
 
-  setRostered(name: string, rostered: boolean): void {
+  setMember(name: string, isMember: boolean): void {
     const machine = this.machines.get(name);
-    if (machine !== undefined) machine.rostered = rostered;
+    if (machine !== undefined) machine.isMember = isMember;
   }
 
   /** The cloud's word that a machine and all that was on it are gone. */
@@ -262,7 +262,7 @@
   }
 
   /** A machine on which task after task of different jobs fails is itself at fault. */
-  isSick(machine: Machine): boolean {
+  isUnhealthy(machine: Machine): boolean {
     return machine.failedJobs.size >= 2;
   }
 
@@ -286,10 +286,10 @@
   /** Whether new work may be bound to the machine at all. */
   takesWork(machine: Machine, now: number): boolean {
     return (
-      machine.settled &&
+      machine.synchronised &&
       !machine.draining &&
-      !machine.noticed &&
-      !this.isSick(machine) &&
+      !machine.evictionNotice &&
+      !this.isUnhealthy(machine) &&
       now >= machine.deafUntil &&
       !this.isSuspect(machine, now)
     );
@@ -349,13 +349,13 @@
         spot: r.spot,
         session: r.session,
         seq: r.seq,
-        settled: false,
-        unsettledAnswers: 0,
+        synchronised: false,
+        unsynchronisedAnswers: 0,
         answeredAt: null,
         calls: 0,
         calledAt: -Infinity,
-        noticed: false,
-        rostered: this.unheard.has(r.machine),
+        evictionNotice: false,
+        isMember: this.unheard.has(r.machine),
         draining: false,
         reported: [],
         claims: new Map(),
@@ -374,23 +374,23 @@
     m.addr = r.addr;
     m.session = r.session;
     m.seq = r.seq;
-    m.noticed = r.noticeS !== null;
+    m.evictionNotice = r.noticeS !== null;
     m.reported = r.tasks;
     this.changes++;
 
     // An earlier process of ours under this very term can't be: every process takes a part under a term of its own.
     if (term < this.term) {
-      m.settled = false;
+      m.synchronised = false;
       // A worker that goes on without our term does not get our answers. Answering it for ever would keep its lease
       // in doubt for ever, and with it every uncertain task of this part. A machine that can't hold any of those is answered:
       // one that came up deaf while a part changed hands was once refused ever after.
-      if (this.unheard.has(m.name) && ++m.unsettledAnswers > 4)
+      if (this.unheard.has(m.name) && ++m.unsynchronisedAnswers > 4)
         return { kind: 'refuse', why: 'does not take our token' };
       m.answeredAt = now;
       return { kind: 'answer', token: this.token(m), commands: [] };
     }
-    m.settled = true;
-    m.unsettledAnswers = 0;
+    m.synchronised = true;
+    m.unsynchronisedAnswers = 0;
     m.answeredAt = now;
     const commands = this.#take(m, r, now);
     this.unheard.delete(m.name);
@@ -516,7 +516,7 @@
 
   /** Binds waiting tasks to the machine that reports now. */
   #grant(m: Machine, now: number, commands: WorkerCommand[]): void {
-    if (!m.rostered || !this.takesWork(m, now)) return;
+    if (!m.isMember || !this.takesWork(m, now)) return;
     let room = this.room(m);
     for (const job of this.wakes()) {
       if (!typeAllows(job.spec, m.type, m.zone, m.spot)) continue;
@@ -556,7 +556,7 @@
   #clear(now: number): void {
     if (this.#cleared) return;
     if (this.unheard.size > 0) {
-      if (now < this.clearAt) return;
+      if (now < this.fencedUntil) return;
       for (const name of this.unheard.keys()) {
         const answeredAt = this.machines.get(name)?.answeredAt ?? null;
         // We ourselves may have kept this machine's lease alive without its ever taking our token.
@@ -564,7 +564,7 @@
       }
     }
     this.#cleared = true;
-    // They hold nothing any more: left in the roster, each later owner would wait for them once more.
+    // They hold nothing any more: left in the membership, each later owner would wait for them once more.
     for (const name of this.unheard.keys()) if (!this.#heard(name)) this.#departed.push(name);
     this.unheard.clear();
     for (const slots of this.slots.values()) {
@@ -585,7 +585,7 @@
       if (m.answeredAt === null || now <= m.answeredAt + bound) continue;
       m.answeredAt = null;
       m.reported = [];
-      if (m.settled) {
+      if (m.synchronised) {
         this.#endClaims(m, now, 'lease ran out');
         this.unheard.delete(m.name);
         lapsed.push(m.name);
@@ -678,10 +678,10 @@
     let sum = NOTHING;
     if (this.#cleared) return sum;
     let settled = 0;
-    for (const m of this.machines.values()) if (m.settled) settled++;
+    for (const m of this.machines.values()) if (m.synchronised) settled++;
     if (this.unheard.size > settled) {
       const bootMs = Math.max(0, ...[...this.#types().values()].map((t) => t.bootS * 1000));
-      if (now < Math.max(this.openedAt + this.facts.reportMs * CUT_INTERVALS, this.clearAt - bootMs)) return sum;
+      if (now < Math.max(this.openedAt + this.facts.reportMs * CUT_INTERVALS, this.fencedUntil - bootMs)) return sum;
     }
     for (const slots of this.slots.values()) {
       for (const slot of slots.values()) {
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -213,7 +213,7 @@
       } else if (now - this.#quietSince(k, input) > 2 * workerLeaseBoundMs(this.facts)) {
         // Up, and silent for longer than any lease. The answer proves it gone, sooner than the time that clears its part.
         giveBack.push(k.name);
-      } else if (room?.sick === true) drain.add(k.name);
+      } else if (room?.unhealthy === true) drain.add(k.name);
     }
     const rent = this.#rent(input, booting, rooms);
     this.#idle(input, rooms, booting, drain, giveBack, rent.length > 0);
@@ -397,7 +397,7 @@
     const empties: MachineRoom[] = [];
     for (const m of rooms.values()) {
       const type = input.types.get(m.type);
-      if (type === undefined || m.noticed || this.#returned.has(m.name)) continue;
+      if (type === undefined || m.evictionNotice || this.#returned.has(m.name)) continue;
       if (!m.spot && m.takesWork) ordinary += roomForServices(m);
       if (m.empty) empties.push(m);
     }
@@ -429,7 +429,7 @@
     const spot = { free: 0, used: 0 };
     for (const m of rooms.values()) {
       const size = types.get(m.type)?.gpus ?? 0;
-      if (m.noticed || m.sick || suspect(m, this.facts)) continue;
+      if (m.evictionNotice || m.unhealthy || suspect(m, this.facts)) continue;
       const sum = (from: number, to: number): number => m.byRank.slice(from, to).reduce((n, a) => n + a.gpus, 0);
       const used = m.spot ? sum(0, m.byRank.length) : sum(0, BATCH_RANK);
       if (m.spot) spot.used += used;
--- a/packages/core/src/ownership.ts
+++ b/packages/core/src/ownership.ts
@@ -82,7 +82,7 @@
   /** Version of our owner record: every write of ours is conditional on it. */
   version = 0;
   takenAt = 0;
-  clearAt = 0;
+  fencedUntil = 0;
   /** Since when the slot has been seen without a hold; null: it has one. */
   #absentSince: number | null = null;
   #movedAt = 0;
@@ -198,7 +198,7 @@
     // DESIGN: tasks of an earlier owner are granted again only once the old workers' leases have surely run out.
     const own = hadOwner ? now + workerLeaseBoundMs(this.facts) : now;
     const moved = this.#movedClearAt(this.#movedAt, now, wallNow);
-    this.clearAt = Math.max(own, moved);
+    this.fencedUntil = Math.max(own, moved);
     return true;
   }
 
@@ -229,7 +229,7 @@
   gaveUp(node: string, now: number, wallNow: number): void {
     if (this.state !== 'held' || this.before?.node !== node) return;
     const own = now + workerLeaseBoundMs(this.facts);
-    this.clearAt = Math.min(this.clearAt, Math.max(own, this.#movedClearAt(this.before.movedAt, now, wallNow)));
+    this.fencedUntil = Math.min(this.fencedUntil, Math.max(own, this.#movedClearAt(this.before.movedAt, now, wallNow)));
     this.before = null;
   }
 
--- a/packages/core/src/packing.ts
+++ b/packages/core/src/packing.ts
@@ -1,6 +1,6 @@
 // What the owner of a part expects of the coming reports: which machine would take which waiting task, what is stopped for
 // it, which machines are called for it, and which replicas leave machines that are to go.
-import type { PartBook } from './claims';
+import type { ClaimTable } from './claims';
 import { type Amounts, fits, plus, typeAllows } from './facts';
 import { bestPlan } from './placement';
 import type { Machine, SpareCapacity, Slot } from './slots';
@@ -16,20 +16,23 @@
  * the soonest. Returns what is left of each room, the tasks that no machine of this part can take, and what was told
  * to stop.
  */
-export function pack(book: PartBook, now: number): { rooms: Map<Machine, Amounts>; stuck: Slot[]; stopped: Slot[] } {
+export function pack(
+  claimTable: ClaimTable,
+  now: number,
+): { rooms: Map<Machine, Amounts>; stuck: Slot[]; stopped: Slot[] } {
   const rooms = new Map<Machine, Amounts>();
-  for (const m of book.machines.values()) {
-    if (!book.takesWork(m, now)) continue;
-    let room = book.room(m);
+  for (const m of claimTable.machines.values()) {
+    if (!claimTable.takesWork(m, now)) continue;
+    let room = claimTable.room(m);
     // What is stopping is free soon: counted now, so that nothing more is stopped for the same task.
     for (const slot of m.claims.values()) if (slot.claim!.stopGraceS !== null) room = plus(room, slot.job.spec);
     rooms.set(m, room);
   }
   const stuck: Slot[] = [];
   const doomed = new Set<Slot>();
-  for (const job of book.wakes()) {
-    for (const slot of book.waitingSlots(job)) {
-      slot.plan = bestPlan(book, slot, rooms, doomed, now);
+  for (const job of claimTable.wakes()) {
+    for (const slot of claimTable.waitingSlots(job)) {
+      slot.plan = bestPlan(claimTable, slot, rooms, doomed, now);
       if (slot.plan === null) {
         stuck.push(slot);
         continue;
@@ -40,20 +43,21 @@
         room = plus(room, victim.job.spec);
       }
       rooms.set(slot.plan.machine, plus(room, job.spec, -1));
-      if (slot.notBefore <= now) for (const victim of slot.plan.victims) preempt(book, victim, slot);
+      if (slot.notBefore <= now) for (const victim of slot.plan.victims) preempt(claimTable, victim, slot);
     }
   }
   return { rooms, stuck, stopped: [...doomed].filter((s) => s.claim?.stopGraceS !== null) };
 }
 
 /** The machines that waiting tasks are planned for and that would report later than need be. */
-export function toCall(book: PartBook, now: number): Set<Machine> {
+export function toCall(claimTable: ClaimTable, now: number): Set<Machine> {
   const machines = new Set<Machine>();
-  for (const job of book.wakes()) {
-    for (const slot of book.waitingSlots(job)) {
+  for (const job of claimTable.wakes()) {
+    for (const slot of claimTable.waitingSlots(job)) {
       if (slot.plan === null || slot.plan.victims.length > 0 || slot.notBefore > now) continue;
       const { machine } = slot.plan;
-      if (machine.rostered && book.takesWork(machine, now) && book.mayCall(machine, now)) machines.add(machine);
+      if (machine.isMember && claimTable.takesWork(machine, now) && claimTable.mayCall(machine, now))
+        machines.add(machine);
     }
   }
   return machines;
@@ -65,22 +69,22 @@
  * move, and one is emptied at a time. Returns what is to be stopped.
  */
 export function vacate(
-  book: PartBook,
+  claimTable: ClaimTable,
   rooms: ReadonlyMap<Machine, Amounts>,
   others: () => readonly SpareCapacity[],
   now: number,
 ): Slot[] {
-  for (const job of book.wakes()) {
-    if (job.spec.kind === 'service' && book.waitingSlots(job).next().done !== true) return [];
+  for (const job of claimTable.wakes()) {
+    if (job.spec.kind === 'service' && claimTable.waitingSlots(job).next().done !== true) return [];
   }
   let spareCapacity: SpareCapacity[] | null = null;
-  for (const m of book.machines.values()) {
-    if (!m.draining || m.noticed || m.spot || book.isSuspect(m, now)) continue;
+  for (const m of claimTable.machines.values()) {
+    if (!m.draining || m.evictionNotice || m.spot || claimTable.isSuspect(m, now)) continue;
     const replicas = [...m.claims.values()].filter((s) => s.job.spec.kind === 'service');
     if (replicas.length === 0) continue;
     if (replicas.some((s) => s.claim!.stopGraceS !== null || s.claim!.stage !== 'running')) continue;
     if (replicas.some((s) => now - s.claim!.grantedAt < MOVED_AFTER_MS)) continue;
-    spareCapacity ??= [...spareCapacityIn(book, rooms, now), ...others()];
+    spareCapacity ??= [...spareCapacityIn(claimTable, rooms, now), ...others()];
     const left = new Map<SpareCapacity, Amounts>();
     const moves = replicas.every(({ job: { spec }, zone }) => {
       for (const r of spareCapacity!) {
@@ -96,23 +100,27 @@
     for (const slot of replicas) {
       slot.claim!.stopGraceS = 0;
       slot.moving = true;
-      book.log('replica moved', { task: slot.name, machine: m.name });
+      claimTable.log('replica moved', { task: slot.name, machine: m.name });
     }
     return replicas;
   }
   return [];
 }
 
-function* spareCapacityIn(book: PartBook, rooms: ReadonlyMap<Machine, Amounts>, now: number): Generator<SpareCapacity> {
+function* spareCapacityIn(
+  claimTable: ClaimTable,
+  rooms: ReadonlyMap<Machine, Amounts>,
+  now: number,
+): Generator<SpareCapacity> {
   for (const [m, free] of rooms) {
-    if (m.spot || book.reportsInMs(m, now) > 0) continue;
+    if (m.spot || claimTable.reportsInMs(m, now) > 0) continue;
     yield { type: m.type, zone: m.zone, spot: m.spot, free, images: [...m.cache.keys()] };
   }
 }
 
-function preempt(book: PartBook, victim: Slot, slot: Slot): void {
+function preempt(claimTable: ClaimTable, victim: Slot, slot: Slot): void {
   const spec = victim.job.spec;
   // A service must not wait for a save; between batch jobs the saved work is worth the time.
   victim.claim!.stopGraceS = slot.job.spec.kind === 'array' && spec.checkpointS > 0 ? spec.saveS * SAVE_SLACK : 0;
-  book.log('task preempted', { task: victim.name, machine: victim.claim!.machine.name, for: slot.name });
+  claimTable.log('task preempted', { task: victim.name, machine: victim.claim!.machine.name, for: slot.name });
 }
--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -4,7 +4,7 @@
 // the image, or after stopping work of lower priority. A machine that reports passes on a task only if another machine of
 // the part would run it sooner than this one could.
 import type { MachineType } from '@gingerlock/wire';
-import type { PartBook } from './claims';
+import type { ClaimTable } from './claims';
 import { type Amounts, fits, plus, typeAllows } from './facts';
 import type { Machine, Slot } from './slots';
 
@@ -47,21 +47,21 @@
 
 /** The machine of the part that would run the task soonest, given what is left of each room; null: none could. */
 export function bestPlan(
-  book: PartBook,
+  claimTable: ClaimTable,
   slot: Slot,
   rooms: ReadonlyMap<Machine, Amounts>,
   doomed: ReadonlySet<Slot>,
   now: number,
 ): Plan | null {
   const spec = slot.job.spec;
-  const { reportMs } = book.facts;
+  const { reportMs } = claimTable.facts;
   let best: Plan | null = null;
   let bestCost = Infinity;
   for (const [machine, room] of rooms) {
     if (!suits(slot, machine)) continue;
-    const type = book.typeOf(machine);
+    const type = claimTable.typeOf(machine);
     const fetch = fetchMs(spec.imageGb, machine.cache.has(spec.image), type);
-    let ms = fetch + book.reportsInMs(machine, now);
+    let ms = fetch + claimTable.reportsInMs(machine, now);
     if (ms >= bestCost) continue;
     let victims: readonly Slot[] = [];
     if (!fits(spec, room)) {
@@ -102,12 +102,12 @@
 }
 
 /** Whether the reporting machine passes on a task that would run sooner on the machine it is planned for. */
-export function betterElsewhere(book: PartBook, slot: Slot, m: Machine, now: number): boolean {
+export function betterElsewhere(claimTable: ClaimTable, slot: Slot, m: Machine, now: number): boolean {
   const spec = slot.job.spec;
-  const { reportMs } = book.facts;
-  const here = fetchMs(spec.imageGb, m.cache.has(spec.image), book.typeOf(m));
+  const { reportMs } = claimTable.facts;
+  const here = fetchMs(spec.imageGb, m.cache.has(spec.image), claimTable.typeOf(m));
   if (here <= reportMs / 2 || slot.plan?.machine === m) return false;
   // Not planned yet: that comes with the next tick.
   if (slot.plan === null) return now - slot.since < reportMs / 2;
-  return slot.plan.ms < here && book.takesWork(slot.plan.machine, now) && now - slot.since < here + reportMs * 2;
+  return slot.plan.ms < here && claimTable.takesWork(slot.plan.machine, now) && now - slot.since < here + reportMs * 2;
 }
--- a/packages/core/src/slots.ts
+++ b/packages/core/src/slots.ts
@@ -1,4 +1,4 @@
-// What a claim book keeps of tasks and machines.
+// What a claim table keeps of tasks and machines.
 import type { ReportedTask } from '@gingerlock/wire';
 import type { Amounts } from './facts';
 import type { Job } from './jobs';
@@ -71,17 +71,17 @@
   session: number;
   seq: number;
   /** A report that carries this owner's term has come: no older command can run there any more. */
-  settled: boolean;
+  synchronised: boolean;
   /** Answers given in a row to reports that did not carry our term. */
-  unsettledAnswers: number;
+  unsynchronisedAnswers: number;
   /** When the last report that was answered was received; null: none was, or its lease has run out since. */
   answeredAt: number | null;
   /** How often it was called under this term, and when last: see `call`. */
   calls: number;
   calledAt: number;
-  noticed: boolean;
-  /** Its name is in the state service's roster, so that a new owner knows to ask for it. */
-  rostered: boolean;
+  evictionNotice: boolean;
+  /** Its name is in the state service's membership, so that a new owner knows to ask for it. */
+  isMember: boolean;
   draining: boolean;
   reported: readonly ReportedTask[];
   readonly claims: Map<string, Slot>;
--- a/packages/core/test/claims.test.ts
+++ b/packages/core/test/claims.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { jobRecord, type MachineType, type WorkerReport } from '@gingerlock/wire';
-import { CALLS_PER_TERM, JobTable, PartBook } from '../src/index';
+import { CALLS_PER_TERM, JobTable, ClaimTable } from '../src/index';
 import { FACTS, specOf } from './fixtures';
 
 const facts = { ...FACTS, controllers: 1 };
@@ -19,17 +19,17 @@
 };
 const spec = specOf('j-000001', { kind: 'service', priority: 'high' });
 
-/** The book of an owner with term 2 of the part. */
-function bookOf(jobs: JobTable, clearAt: number, roster: readonly string[]): PartBook {
-  return new PartBook({
+/** The claim table of an owner with term 2 of the part. */
+function claimTableOf(jobs: JobTable, fencedUntil: number, membership: readonly string[]): ClaimTable {
+  return new ClaimTable({
     facts,
     part: 0,
     term: 2,
-    clearAt,
+    fencedUntil,
     openedAt: 0,
     jobs,
     types: () => new Map([[type.name, type]]),
-    roster: roster.map((name) => [name, `${name}:1`] as const),
+    membership: membership.map((name) => [name, `${name}:1`] as const),
   });
 }
 
@@ -39,13 +39,13 @@
   jobs.applyJob(spec.id, jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, rounds }), version);
 }
 
-/** The book of a new owner: four tasks were assigned before its time, and three machines may hold them. */
-function taken(): PartBook {
+/** The claim table of a new owner: four tasks were assigned before its time, and three machines may hold them. */
+function taken(): ClaimTable {
   const jobs = new JobTable(() => 64);
   assigned(jobs, 1, 5);
-  const book = bookOf(jobs, 20_000, ['m-1', 'm-2', 'm-3']);
-  book.syncJob(spec.id, 0);
-  return book;
+  const claimTable = claimTableOf(jobs, 20_000, ['m-1', 'm-2', 'm-3']);
+  claimTable.syncJob(spec.id, 0);
+  return claimTable;
 }
 
 function report(machine: string, seq: number, token: number): WorkerReport {
@@ -64,33 +64,33 @@
 }
 
 test('tasks that no machine has reported count as missing once most machines of the part were heard', () => {
-  const book = taken();
-  assert.equal(book.missing(3500).gpus, 0);
+  const claimTable = taken();
+  assert.equal(claimTable.missing(3500).gpus, 0);
   for (const name of ['m-1', 'm-2']) {
     // The first answer shows it our term; the next report proves that it knows it.
-    book.report(report(name, 1, CALLS_PER_TERM), 3500, true);
-    assert.equal(book.missing(3600).gpus, 0);
-    book.report(report(name, 2, 2 * CALLS_PER_TERM), 3700, true);
+    claimTable.report(report(name, 1, CALLS_PER_TERM), 3500, true);
+    assert.equal(claimTable.missing(3600).gpus, 0);
+    claimTable.report(report(name, 2, 2 * CALLS_PER_TERM), 3700, true);
   }
-  assert.equal(book.missing(3800).gpus, 4);
+  assert.equal(claimTable.missing(3800).gpus, 4);
 });
 
 // Of a zone that was cut off for long nothing was rented before its tasks were known to be gone: a boot was waited for on top.
 test('tasks of a part of which nothing is heard count as missing a boot before it is cleared, and not sooner', () => {
-  const book = taken();
+  const claimTable = taken();
   const bootMs = type.bootS * 1000;
-  assert.equal(book.missing(book.clearAt - bootMs - 1).gpus, 0);
-  assert.equal(book.missing(book.clearAt - bootMs).gpus, 4);
-  book.tick(book.clearAt);
-  assert.equal(book.missing(book.clearAt).gpus, 0);
+  assert.equal(claimTable.missing(claimTable.fencedUntil - bootMs - 1).gpus, 0);
+  assert.equal(claimTable.missing(claimTable.fencedUntil - bootMs).gpus, 4);
+  claimTable.tick(claimTable.fencedUntil);
+  assert.equal(claimTable.missing(claimTable.fencedUntil).gpus, 0);
 });
 
 // A worker that never takes a token is not answered for ever, as its lease would stay in doubt. A machine that came up deaf just
 // as its part changed hands was counted among those, and refused long after it could hear again.
 test('a machine that can hold no earlier task is answered however often it has not taken the token', () => {
-  const book = taken();
+  const claimTable = taken();
   const answers = (machine: string): string[] =>
-    Array.from({ length: 8 }, (_, i) => book.report(report(machine, i + 1, 0), 1000 + i, true).kind);
+    Array.from({ length: 8 }, (_, i) => claimTable.report(report(machine, i + 1, 0), 1000 + i, true).kind);
   assert.deepEqual(new Set(answers('m-new')), new Set(['answer']));
   assert.equal(answers('m-1').at(-1), 'refuse');
 });
@@ -98,46 +98,46 @@
 // While all is read anew, page by page, the record of a job may be seen before that of its part's next owner.
 test('what was assigned to a later owner of the part is not this one’s to start', () => {
   const jobs = new JobTable(() => 64);
-  const book = bookOf(jobs, 0, []);
-  book.tick(1);
-  assert.ok(book.cleared);
+  const claimTable = claimTableOf(jobs, 0, []);
+  claimTable.tick(1);
+  assert.ok(claimTable.cleared);
   const assignment = (term: number, version: number): void => {
     assigned(jobs, term, version);
-    book.syncJob(spec.id, 2);
+    claimTable.syncJob(spec.id, 2);
   };
   assignment(3, 5);
-  assert.equal(book.slots.size, 0);
+  assert.equal(claimTable.slots.size, 0);
   assignment(2, 6);
-  assert.equal(book.slots.get(spec.id)?.size, 4);
+  assert.equal(claimTable.slots.get(spec.id)?.size, 4);
 });
 
 test('a job that a peer says is called off starts nothing more, also when older records of it come in after that', () => {
   const jobs = new JobTable(() => 64);
   assigned(jobs, 2, 5);
-  const book = bookOf(jobs, 0, ['m-1']);
-  book.syncJob(spec.id, 0);
+  const claimTable = claimTableOf(jobs, 0, ['m-1']);
+  claimTable.syncJob(spec.id, 0);
   const token = 2 * CALLS_PER_TERM;
   const starts = (seq: number, tasks: WorkerReport['tasks'] = []): string[] => {
-    const outcome = book.report({ ...report('m-1', seq, token), tasks }, seq * 1000, true);
+    const outcome = claimTable.report({ ...report('m-1', seq, token), tasks }, seq * 1000, true);
     return outcome.kind === 'answer' ? outcome.commands.map((c) => c.op) : [];
   };
   assert.deepEqual(starts(1), ['start', 'start', 'start', 'start']);
   jobs.markCancelled(spec.id);
-  assert.equal(book.syncJob(spec.id, 1500).length, 4);
-  assert.equal(book.syncJob(spec.id, 1500).length, 0);
+  assert.equal(claimTable.syncJob(spec.id, 1500).length, 4);
+  assert.equal(claimTable.syncJob(spec.id, 1500).length, 0);
   assigned(jobs, 2, 6);
-  book.syncJob(spec.id, 1600);
+  claimTable.syncJob(spec.id, 1600);
   // The starts were lost on the way: nothing is there, and nothing is started again.
   assert.deepEqual(starts(2), []);
-  assert.equal(book.giveBack([], 2500).get(spec.id)?.length, 4);
+  assert.equal(claimTable.giveBack([], 2500).get(spec.id)?.length, 4);
 });
 
-// A machine that was gone before its new owner could hear it stayed in the roster: each later owner of the part kept all waiting
-// tasks back for it until its clearing time.
-test('machines that were not heard until the clearing leave the roster, and those that were heard stay', () => {
-  const book = taken();
-  book.report(report('m-1', 1, 2 * CALLS_PER_TERM), book.clearAt - 1000, true);
-  assert.deepEqual(book.tick(book.clearAt - 1), []);
-  assert.deepEqual(book.tick(book.clearAt), ['m-2', 'm-3']);
-  assert.deepEqual(book.tick(book.clearAt + 1), []);
+// A machine that was gone before its new owner could hear it stayed in the membership: each later owner of the part kept all waiting
+// tasks back for it until its fencing period.
+test('machines that were not heard until the clearing leave the membership, and those that were heard stay', () => {
+  const claimTable = taken();
+  claimTable.report(report('m-1', 1, 2 * CALLS_PER_TERM), claimTable.fencedUntil - 1000, true);
+  assert.deepEqual(claimTable.tick(claimTable.fencedUntil - 1), []);
+  assert.deepEqual(claimTable.tick(claimTable.fencedUntil), ['m-2', 'm-3']);
+  assert.deepEqual(claimTable.tick(claimTable.fencedUntil + 1), []);
 });
--- a/packages/core/test/cost.test.ts
+++ b/packages/core/test/cost.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { jobRecord, type MachineType, type WorkerReport } from '@gingerlock/wire';
-import { CALLS_PER_TERM, JobTable, pack, PartBook } from '../src/index';
+import { CALLS_PER_TERM, JobTable, pack, ClaimTable } from '../src/index';
 import { FACTS, specOf } from './fixtures';
 
 const facts = FACTS;
@@ -30,18 +30,18 @@
     const rounds = [{ from: 0, count: tasks, part: 0, zone: null, term: 2 }];
     jobs.applyJob(id, jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, rounds }), 5);
   };
-  const book = new PartBook({
+  const claimTable = new ClaimTable({
     facts,
     part: 0,
     term: 2,
-    clearAt: 0,
+    fencedUntil: 0,
     openedAt: 0,
     jobs,
     types: () => {
       looks++;
       return types;
     },
-    roster: [],
+    membership: [],
   });
   const id = (m: number): string => `j-${String(m).padStart(6, '0')}`;
   const report = (m: number, seq: number): WorkerReport => ({
@@ -64,20 +64,20 @@
   });
   for (let m = 0; m < count; m++) {
     job(id(m), TASKS);
-    book.syncJob(id(m), 0);
-    book.report(report(m, 1), 1, false);
-    book.setRostered(`m-${m}`, true);
+    claimTable.syncJob(id(m), 0);
+    claimTable.report(report(m, 1), 1, false);
+    claimTable.setMember(`m-${m}`, true);
   }
   if (waiting > 0) {
     job('j-999999', waiting);
-    book.syncJob('j-999999', 1);
+    claimTable.syncJob('j-999999', 1);
   }
   looks = 0;
-  const outcome = book.report(report(0, 2), 2, false);
+  const outcome = claimTable.report(report(0, 2), 2, false);
   assert.deepEqual(outcome, { kind: 'answer', token: 2 * CALLS_PER_TERM, commands: [] });
   const ofReport = looks;
   looks = 0;
-  const { stuck } = pack(book, 3);
+  const { stuck } = pack(claimTable, 3);
   assert.equal(stuck.length, 0);
   return { report: ofReport, packing: looks };
 }
--- a/packages/core/test/ownership.test.ts
+++ b/packages/core/test/ownership.test.ts
@@ -150,18 +150,18 @@
   };
   const first = new Holding('0', facts, { node: 'a', process: '1' }, () => 0);
   take(first, 0);
-  assert.equal(first.clearAt, 0);
+  assert.equal(first.fencedUntil, 0);
   const again = new Holding('0', facts, { node: 'a', process: '2' }, () => 0);
   take(again, 1000);
-  assert.ok(again.clearAt >= 1000 + facts.leaseMs && again.clearAt < 1000 + facts.cancelMs);
+  assert.ok(again.fencedUntil >= 1000 + facts.leaseMs && again.fencedUntil < 1000 + facts.cancelMs);
   store.dropLease(1);
   const other = new Holding('0', facts, { node: 'b', process: '3' }, () => 0);
   take(other, 2000);
-  assert.ok(other.clearAt >= 2000 + facts.cancelMs);
+  assert.ok(other.fencedUntil >= 2000 + facts.cancelMs);
   // Its restart does not shorten the wait that began with the takeover between controllers.
   const otherAgain = new Holding('0', facts, { node: 'b', process: '4' }, () => 0);
   take(otherAgain, 3000);
-  assert.ok(otherAgain.clearAt >= 2000 + facts.cancelMs);
+  assert.ok(otherAgain.fencedUntil >= 2000 + facts.cancelMs);
 });
 
 test('a slot that was given back is cleared after a worker lease, but not before the takeover that preceded it', () => {
@@ -184,13 +184,13 @@
   };
   giveBack(take('a', 1, 0));
   const second = take('b', 2, 1000);
-  assert.ok(second.clearAt >= 1000 + facts.leaseMs && second.clearAt < 1000 + facts.cancelMs);
+  assert.ok(second.fencedUntil >= 1000 + facts.leaseMs && second.fencedUntil < 1000 + facts.cancelMs);
   store.dropLease(2);
   const third = take('c', 3, 2000);
-  assert.ok(third.clearAt >= 2000 + facts.cancelMs);
+  assert.ok(third.fencedUntil >= 2000 + facts.cancelMs);
   giveBack(third);
   // The one before the last may have gone on until then.
-  assert.ok(take('a', 1, 3000).clearAt >= 2000 + facts.cancelMs);
+  assert.ok(take('a', 1, 3000).fencedUntil >= 2000 + facts.cancelMs);
 });
 
 test('nothing that an owner may have answered runs any more when the next one takes it for gone', () => {
@@ -219,7 +219,7 @@
         let second = take('b', 3, at, at + takeMs);
         if (restarted) second = take('b', 3, at + takeMs + 1000, at + takeMs + 1000, skew);
         const gone = at + takeMs + answerBoundMs(facts) + facts.leaseMs;
-        assert.ok(gone <= second.clearAt, `may run until ${gone}, cleared at ${second.clearAt}`);
+        assert.ok(gone <= second.fencedUntil, `may run until ${gone}, cleared at ${second.fencedUntil}`);
       },
     ),
     { seed: 391, numRuns: 1000 },
@@ -258,14 +258,14 @@
       store.dropLease(2);
       const takenAt = firstTakenAt + ttl + reign;
       const third = take('c', 3, takenAt);
-      const waiting = third.clearAt;
+      const waiting = third.fencedUntil;
       third.gaveUp('a', takenAt + asked, 1e12 + takenAt + asked);
-      assert.equal(third.clearAt, waiting, 'it was not the owner before');
+      assert.equal(third.fencedUntil, waiting, 'it was not the owner before');
       const saidAt = takenAt + asked;
       third.gaveUp('b', saidAt, 1e12 + saidAt);
       const gone = Math.max(saidAt + facts.leaseMs, firstTakenAt + answerBoundMs(facts) + facts.leaseMs);
-      assert.ok(third.clearAt >= Math.min(waiting, gone), `${third.clearAt} before ${gone}`);
-      assert.ok(third.clearAt <= waiting);
+      assert.ok(third.fencedUntil >= Math.min(waiting, gone), `${third.fencedUntil} before ${gone}`);
+      assert.ok(third.fencedUntil <= waiting);
     }),
     { seed: 391, numRuns: 1000 },
   );
@@ -316,9 +316,9 @@
     );
     // The first owner may have read for the last time just before the slot was taken from it.
     const gone = carriedOut + answerBoundMs(facts) + facts.leaseMs;
-    assert.ok(after.clearAt >= gone, `${next.node}: may run until ${gone}, cleared at ${after.clearAt}`);
+    assert.ok(after.fencedUntil >= gone, `${next.node}: may run until ${gone}, cleared at ${after.fencedUntil}`);
     after.gaveUp('b', now + 100, 1e12 + now + 100);
-    assert.ok(after.clearAt >= gone, `${next.node}, asked: may run until ${gone}, cleared at ${after.clearAt}`);
+    assert.ok(after.fencedUntil >= gone, `${next.node}, asked: may run until ${gone}, cleared at ${after.fencedUntil}`);
   }
 });
 
@@ -337,5 +337,5 @@
   take('a', 0);
   store.dropLease(1);
   const second = take('b', 1000);
-  assert.ok(second.clearAt >= 1000 + 100 + answerBoundMs(facts) + facts.leaseMs);
+  assert.ok(second.fencedUntil >= 1000 + 100 + answerBoundMs(facts) + facts.leaseMs);
 });
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -126,7 +126,8 @@
     this.store.onJob = (id) => {
       for (const owner of this.#owners.values()) owner.jobChanged(id);
     };
-    this.store.onRoster = (part, machine, present) => this.#owners.get(part)?.book.setRostered(machine, present);
+    this.store.onMembership = (part, machine, present) =>
+      this.#owners.get(part)?.claimTable.setMember(machine, present);
     this.link.onMessage = (from, message) => {
       try {
         this.#fromPeer(from, message);
@@ -264,9 +265,9 @@
   #releaseOne(now: number): void {
     const { leaseMs, reportMs } = this.settings.facts;
     if (now - this.#releasedAt < leaseMs || !this.shared.fresh() || this.replica.failures > 0) return;
-    for (const { part, holding, book } of this.#owners.values()) {
+    for (const { part, holding, claimTable } of this.#owners.values()) {
       const home = this.#orderFor(part)[0]!;
-      if (home === this.settings.node || holding.state !== 'held' || !book.cleared) continue;
+      if (home === this.settings.node || holding.state !== 'held' || !claimTable.cleared) continue;
       if (now - holding.takenAt < leaseMs || now - (this.#met.get(home) ?? now) < leaseMs) continue;
       const contact = this.#peerContact.get(home);
       if (contact === undefined || now - contact.at > reportMs || contact.ageMs > reportMs) continue;
@@ -321,7 +322,7 @@
       this.log.info({ slot, term: holding.term }, 'resumed');
       return;
     }
-    // What the old owner wrote before it lost the slot has to be seen first: its roster above all.
+    // What the old owner wrote before it lost the slot has to be seen first: its membership above all.
     while (this.replica.revision < revision) {
       try {
         await this.replica.barrier();
@@ -334,7 +335,7 @@
       return;
     }
     if (!holding.taken(revision, hadOwner, doneAt, this.clock.now(), this.clock.wall())) return;
-    this.log.info({ slot, term: holding.term, clearInMs: Math.round(holding.clearAt - this.clock.now()) }, 'taken');
+    this.log.info({ slot, term: holding.term, clearInMs: Math.round(holding.fencedUntil - this.clock.now()) }, 'taken');
     if (slot === LEAD) {
       this.#leader = new Leader(this.shared, holding, () => this.#summaries.all(), this.#http);
     } else {
@@ -384,7 +385,7 @@
     // The bound within which a part's next owner, and users who cancel, may count on our silence.
     if (now > this.#contactAt() + answerBoundMs(this.settings.facts))
       return refusal(503, 'no contact with the state service');
-    const outcome = owner.book.report(report, now, owner.mayGrant(now));
+    const outcome = owner.claimTable.report(report, now, owner.mayGrant(now));
     switch (outcome.kind) {
       case 'answer':
         return { status: 200, body: encodeOrders(outcome.token, outcome.commands) };
@@ -482,10 +483,10 @@
   #obey(drain: readonly string[], gone: readonly string[]): void {
     const draining = new Set(drain);
     for (const owner of this.#owners.values()) {
-      for (const m of owner.book.machines.values()) m.draining = draining.has(m.name);
+      for (const m of owner.claimTable.machines.values()) m.draining = draining.has(m.name);
       for (const name of gone) {
         // Its zone is not told with it: what is gone is gone for every part.
-        if (!owner.book.isGone(name)) owner.gone(name);
+        if (!owner.claimTable.isGone(name)) owner.gone(name);
       }
     }
   }
@@ -494,7 +495,7 @@
   #summarise(now: number): void {
     const { facts } = this.settings;
     let changes = 0;
-    for (const owner of this.#owners.values()) changes += owner.book.changes + 1;
+    for (const owner of this.#owners.values()) changes += owner.claimTable.changes + 1;
     const since = now - this.#summarySentAt;
     if (since < facts.reportMs / 6 || (changes === this.#summaryChanges && since < facts.reportMs / 2)) return;
     this.#summarySentAt = now;
--- a/packages/daemon/src/former-owners.ts
+++ b/packages/daemon/src/former-owners.ts
@@ -24,8 +24,8 @@
     if (now - this.#askedAt < this.reportMs / 2) return;
     this.#askedAt = now;
     for (const [id, query] of this.#open) if (now - query.at > this.reportMs * 2) this.#open.delete(id);
-    for (const { part, holding, book } of this.owners.values()) {
-      if (holding.before === null || book.cleared) continue;
+    for (const { part, holding, claimTable } of this.owners.values()) {
+      if (holding.before === null || claimTable.cleared) continue;
       const id = this.peers.nextRequestId();
       const { term } = holding;
       this.#open.set(id, { part, term, at: now });
@@ -38,6 +38,6 @@
     const owner = query === undefined ? undefined : this.owners.get(query.part);
     if (query === undefined || owns || owner?.holding.term !== query.term) return;
     owner.holding.gaveUp(from, now, wall);
-    owner.book.clearAt = owner.holding.clearAt;
+    owner.claimTable.fencedUntil = owner.holding.fencedUntil;
   }
 }
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -10,7 +10,7 @@
   NOTHING,
   joinRounds,
   pack,
-  PartBook,
+  ClaimTable,
   type PartSummary,
   plus,
   type Slot,
@@ -28,7 +28,7 @@
   jobRecord,
   KEYS,
   PRIORITIES,
-  rosterRecord,
+  membershipRecord,
 } from '@gingerlock/wire';
 import { DISPLAY_LAG_MS, type Shared } from './shared';
 
@@ -50,17 +50,17 @@
 /** How many machines are shown a new owner's term at each tick: all at once would hold up everything else. */
 const CALLS_PER_TICK = 8;
 
-/** One part that this controller owns: its claim book, and the writes that follow from it. */
+/** One part that this controller owns: its claim table, and the writes that follow from it. */
 export class PartOwner {
-  readonly book: PartBook;
+  readonly claimTable: ClaimTable;
   #writing = false;
   #scannedAt = 0;
   #stuck: readonly Slot[] = [];
   #rooms: ReadonlyMap<object, Amounts> = new Map();
   #packedAt = -Infinity;
   #packedChange = -1;
-  readonly #rosterRemovals = new Set<string>();
-  /** Machines of the roster that are to be shown our term, and when the last round of that began. */
+  readonly #membershipRemovals = new Set<string>();
+  /** Machines of the membership that are to be shown our term, and when the last round of that began. */
   #toCall: string[] = [];
   #calledAt = -Infinity;
   /** By machine: what an earlier owner told of it. Good for the first call only. */
@@ -74,52 +74,52 @@
   ) {
     const { store, facts, clock, log } = shared;
     this.#before = before;
-    this.book = new PartBook({
+    this.claimTable = new ClaimTable({
       facts,
       part,
       term: holding.term,
-      clearAt: holding.clearAt,
+      fencedUntil: holding.fencedUntil,
       openedAt: holding.takenAt,
       jobs: store.jobs,
       types: () => store.types,
-      roster: store.roster(part),
+      membership: store.membership(part),
       images: new Map([...before].map(([name, m]) => [name, m.images])),
       log: (message, detail) => log.debug({ part, ...detail }, message),
     });
-    for (const id of store.jobs.live.keys()) this.book.syncJob(id, clock.now());
+    for (const id of store.jobs.live.keys()) this.claimTable.syncJob(id, clock.now());
   }
 
   /** Stops of a cancelled job go out at once: its room is wanted, and nobody has any use for what it does now. */
   jobChanged(id: string): void {
-    this.#pushAll(this.book.syncJob(id, this.shared.clock.now()));
+    this.#pushAll(this.claimTable.syncJob(id, this.shared.clock.now()));
   }
 
   tick(now: number): void {
-    for (const name of this.book.tick(now)) this.#rosterRemovals.add(name);
+    for (const name of this.claimTable.tick(now)) this.#membershipRemovals.add(name);
     if (now - this.#calledAt > this.shared.facts.reportMs) {
       const first = this.#calledAt === -Infinity;
       this.#calledAt = now;
-      this.#toCall = [...this.book.unheard.keys()];
+      this.#toCall = [...this.claimTable.unheard.keys()];
       if (!first) this.#before = new Map();
     }
     for (const name of this.#toCall.splice(0, CALLS_PER_TICK)) {
-      const addr = this.book.unheard.get(name);
+      const addr = this.claimTable.unheard.get(name);
       if (addr !== undefined) void this.#call(name, addr, this.#before.get(name)?.session);
     }
     if (now - this.#scannedAt > this.shared.scanMs) {
       this.#scannedAt = now;
-      this.book.scan();
+      this.claimTable.scan();
     }
-    if (this.book.changes !== this.#packedChange || now - this.#packedAt > this.shared.facts.reportMs / 3) {
-      this.#packedChange = this.book.changes;
+    if (this.claimTable.changes !== this.#packedChange || now - this.#packedAt > this.shared.facts.reportMs / 3) {
+      this.#packedChange = this.claimTable.changes;
       this.#packedAt = now;
-      const { rooms, stuck, stopped } = pack(this.book, now);
+      const { rooms, stuck, stopped } = pack(this.claimTable, now);
       this.#rooms = rooms;
       this.#stuck = stuck;
       if (this.mayGrant(now))
-        stopped.push(...vacate(this.book, rooms, () => this.shared.spareCapacity(this.part), now));
+        stopped.push(...vacate(this.claimTable, rooms, () => this.shared.spareCapacity(this.part), now));
       this.#pushAll(stopped);
-      if (this.mayGrant(now)) for (const machine of toCall(this.book, now)) this.#callForReport(machine, now);
+      if (this.mayGrant(now)) for (const machine of toCall(this.claimTable, now)) this.#callForReport(machine, now);
     }
     void this.#write();
   }
@@ -144,7 +144,7 @@
       attempt: s.claim!.attempt,
       graceS: s.claim!.stopGraceS ?? 0,
     }));
-    const body = encodeDirectOrders(this.book.token(machine), machine.session, commands);
+    const body = encodeDirectOrders(this.claimTable.token(machine), machine.session, commands);
     const { http, facts, log } = this.shared;
     http(machine.addr, 'POST', '/commands', body, facts.reportMs * 2).catch((error: unknown) => {
       // The answer to its next report says the same.
@@ -157,7 +157,7 @@
    * is planned for it. It still is the report that claims the task, and the start rides in the answer.
    */
   #callForReport(machine: Machine, now: number): void {
-    const body = encodeDirectOrders(this.book.call(machine, now), machine.session, []);
+    const body = encodeDirectOrders(this.claimTable.call(machine, now), machine.session, []);
     const { http, facts, log } = this.shared;
     http(machine.addr, 'POST', '/commands', body, facts.reportMs).catch((error: unknown) => {
       // Then it reports in its own time.
@@ -179,7 +179,7 @@
   }
 
   /**
-   * Shows our term to a machine of the roster that has not reported to us: it then reports the higher token, upon which
+   * Shows our term to a machine of the membership that has not reported to us: it then reports the higher token, upon which
    * an old owner that still answers it steps down. Neither answer is taken as proof of anything: it can overtake a start
    * that is under way.
    */
@@ -191,17 +191,17 @@
         addr,
         'POST',
         '/commands',
-        encodeDirectOrders(this.book.token(this.book.machines.get(name)), session, []),
+        encodeDirectOrders(this.claimTable.token(this.claimTable.machines.get(name)), session, []),
         facts.reportMs,
       );
     } catch (error) {
-      log.debug({ machine: name, error: String(error) }, 'machine of the roster not reached');
+      log.debug({ machine: name, error: String(error) }, 'machine of the membership not reached');
     }
   }
 
   gone(name: string): void {
-    this.book.gone(name, this.shared.clock.now());
-    this.#rosterRemovals.add(name);
+    this.claimTable.gone(name, this.shared.clock.now());
+    this.#membershipRemovals.add(name);
   }
 
   // --- writes ------------------------------------------------------------------------------------------------------
@@ -228,47 +228,47 @@
   #writes(now: number): { writes: Write[]; urgency: (typeof URGENCY)[keyof typeof URGENCY] } {
     const { store, replica } = this.shared;
     const writes: Write[] = [];
-    const roster = store.roster(this.part);
-    for (const m of this.book.machines.values()) {
-      if (!m.settled || m.answeredAt === null || m.rostered || this.#rosterRemovals.has(m.name)) continue;
-      if (roster.has(m.name)) {
+    const membership = store.membership(this.part);
+    for (const m of this.claimTable.machines.values()) {
+      if (!m.synchronised || m.answeredAt === null || m.isMember || this.#membershipRemovals.has(m.name)) continue;
+      if (membership.has(m.name)) {
         // Heard only after the clearing, or again before its removal: no change of that is under way here.
-        this.book.setRostered(m.name, true);
+        this.claimTable.setMember(m.name, true);
         continue;
       }
-      // A name goes into the roster before its first grant, so that a new owner knows to ask for it.
-      const key = KEYS.roster(this.part, m.name);
+      // A name goes into the membership before its first grant, so that a new owner knows to ask for it.
+      const key = KEYS.membership(this.part, m.name);
       writes.push({
         conditions: [{ key, version: replica.version(key) }],
-        change: { put: key, value: rosterRecord.write(m.addr) },
+        change: { put: key, value: membershipRecord.write(m.addr) },
       });
     }
     if (writes.length > 0) return { writes, urgency: URGENCY.accept };
     const touched = new Set<string>();
-    for (const [id, slots] of this.book.finishing(now, this.#finishPatienceMs())) {
+    for (const [id, slots] of this.claimTable.finishing(now, this.#finishPatienceMs())) {
       touched.add(id);
       writes.push(...this.#finish(slots[0]!.job, slots));
     }
-    for (const [id, slots] of this.book.giveBack(this.#stuck, now)) {
+    for (const [id, slots] of this.claimTable.giveBack(this.#stuck, now)) {
       if (touched.has(id)) continue;
       const write = this.#handBack(slots[0]!.job, slots);
       if (write !== null) writes.push(write);
     }
     if (writes.length === 0) {
-      for (const name of this.#rosterRemovals) {
-        const machine = this.book.machines.get(name);
+      for (const name of this.#membershipRemovals) {
+        const machine = this.claimTable.machines.get(name);
         // It has come back, or has no entry any more.
-        if ((machine !== undefined && machine.answeredAt !== null) || !roster.has(name)) {
-          this.#rosterRemovals.delete(name);
+        if ((machine !== undefined && machine.answeredAt !== null) || !membership.has(name)) {
+          this.#membershipRemovals.delete(name);
           continue;
         }
-        const key = KEYS.roster(this.part, name);
+        const key = KEYS.membership(this.part, name);
         writes.push({
           conditions: [{ key, version: replica.version(key) }],
           change: { remove: key },
-          prepare: () => this.book.setRostered(name, false),
+          prepare: () => this.claimTable.setMember(name, false),
           // Still there: a machine that has come back meanwhile was never given work again.
-          failed: () => this.book.setRostered(name, roster.has(name)),
+          failed: () => this.claimTable.setMember(name, membership.has(name)),
         });
       }
       return { writes, urgency: URGENCY.rest };
@@ -287,8 +287,8 @@
       return {
         conditions: [{ key, version: job.version }],
         change: { put: key, value },
-        prepare: () => this.book.leaving(returned, this.shared.clock.now()),
-        failed: () => this.book.stayed(returned, this.shared.clock.now()),
+        prepare: () => this.claimTable.leaving(returned, this.shared.clock.now()),
+        failed: () => this.claimTable.stayed(returned, this.shared.clock.now()),
       };
     }
     return null;
@@ -349,16 +349,16 @@
     const done = await shared.settle(urgency, conditions, changes, () => this.holding.owned);
     // A conflict over one job fails the whole batch: the others' tasks, too, are still here.
     if (done === 0) for (const w of batch) w.failed?.();
-    // What is finished or given back shows in the replica, and leaves the book with it.
+    // What is finished or given back shows in the replica, and leaves the claim table with it.
     return done > 0 && this.holding.owned;
   }
 
   // --- what others are told ----------------------------------------------------------------------------------------
 
   summary(now: number): PartSummary {
-    const { book } = this;
+    const { claimTable } = this;
     const machines: MachineRoom[] = [];
-    for (const m of book.machines.values()) {
+    for (const m of claimTable.machines.values()) {
       const byRank: Amounts[] = PRIORITIES.map(() => NOTHING);
       for (const slot of m.claims.values()) {
         if (slot.claim!.stopGraceS === null) byRank[slot.job.rank] = plus(byRank[slot.job.rank]!, slot.job.spec);
@@ -372,11 +372,11 @@
         free: this.#rooms.get(m) ?? NOTHING,
         byRank,
         images: [...m.cache.keys()],
-        takesWork: book.takesWork(m, now) && this.#rooms.has(m),
+        takesWork: claimTable.takesWork(m, now) && this.#rooms.has(m),
         draining: m.draining,
-        noticed: m.noticed,
-        sick: book.isSick(m),
-        empty: m.claims.size === 0 && m.settled && m.reported.length === 0 && m.answeredAt !== null,
+        evictionNotice: m.evictionNotice,
+        unhealthy: claimTable.isUnhealthy(m),
+        empty: m.claims.size === 0 && m.synchronised && m.reported.length === 0 && m.answeredAt !== null,
         emptyMs: now - m.emptySince,
         silentMs: m.answeredAt === null ? 1e9 : now - m.answeredAt,
       });
@@ -386,8 +386,8 @@
       term: this.holding.term,
       revision: this.shared.replica.revision,
       machines,
-      missing: book.missing(now),
-      running: [...book.running()],
+      missing: claimTable.missing(now),
+      running: [...claimTable.running()],
     };
   }
 }
--- a/packages/daemon/src/store.ts
+++ b/packages/daemon/src/store.ts
@@ -9,7 +9,7 @@
   ownerRecord,
   type OwnerRecord,
   parseKey,
-  rosterRecord,
+  membershipRecord,
   termRecord,
 } from '@gingerlock/wire';
 
@@ -26,12 +26,12 @@
   /** By slot: the last term of which the time of the takeover is known to be right. */
   readonly timed = new Map<string, number>();
   /** By part: the machines that may hold a claim there, with their addresses. */
-  readonly rosters = new Map<number, Map<string, string>>();
+  readonly memberships = new Map<number, Map<string, string>>();
   /** Finished sets whose job has been closed: nothing needs them any more. */
   readonly leftovers = new Set<string>();
   /** Hears of each job that has changed, or for which something has changed because of another job. */
   onJob: (id: string) => void = () => undefined;
-  onRoster: (part: number, machine: string, present: boolean) => void = () => undefined;
+  onMembership: (part: number, machine: string, present: boolean) => void = () => undefined;
 
   /** Finished pages read before `meta`, which says what they stand for: lists come in the order of the keys. */
   #beforeMeta: { readonly key: string; readonly value: unknown; readonly version: number }[] = [];
@@ -55,13 +55,13 @@
     };
   }
 
-  roster(part: number): Map<string, string> {
-    let roster = this.rosters.get(part);
-    if (roster === undefined) {
-      roster = new Map();
-      this.rosters.set(part, roster);
+  membership(part: number): Map<string, string> {
+    let membership = this.memberships.get(part);
+    if (membership === undefined) {
+      membership = new Map();
+      this.memberships.set(part, membership);
     }
-    return roster;
+    return membership;
   }
 
   /** Throws if the value is none that we write. */
@@ -91,10 +91,10 @@
       case 'timed':
         if (value !== undefined) this.timed.set(k.slot, termRecord.read(value));
         return;
-      case 'roster':
-        if (value === undefined) this.roster(k.part).delete(k.machine);
-        else this.roster(k.part).set(k.machine, rosterRecord.read(value));
-        this.onRoster(k.part, k.machine, value !== undefined);
+      case 'membership':
+        if (value === undefined) this.membership(k.part).delete(k.machine);
+        else this.membership(k.part).set(k.machine, membershipRecord.read(value));
+        this.onMembership(k.part, k.machine, value !== undefined);
         return;
       case 'job': {
         const pages = [...(this.jobs.live.get(k.id)?.pages.keys() ?? [])];
--- a/packages/daemon/test/settle.test.ts
+++ b/packages/daemon/test/settle.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { type Http, NoAnswer } from '@gingerlock/clients';
-import { KEYS, rosterRecord, STATE_PATHS } from '@gingerlock/wire';
+import { KEYS, membershipRecord, STATE_PATHS } from '@gingerlock/wire';
 import { Sim, SimStateService } from '@gingerlock/testkit';
 import { Controller } from '../src/controller';
 import { SILENT } from '../src/log';
@@ -38,11 +38,11 @@
   controller.start();
   await sim.run(2000);
   lose = true;
-  const key = KEYS.roster(0, 'm-1');
+  const key = KEYS.membership(0, 'm-1');
   const before = txns;
   let settled: number | null = null;
   void controller.shared
-    .settle(0, [{ key, version: 0 }], [{ put: key, value: rosterRecord.write('a:1') }], () => true)
+    .settle(0, [{ key, version: 0 }], [{ put: key, value: membershipRecord.write('a:1') }], () => true)
     .then((revision) => {
       settled = revision;
     });
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -33,8 +33,8 @@
         images: { type: 'array', items: 'string' },
         takesWork: 'boolean',
         draining: 'boolean',
-        noticed: 'boolean',
-        sick: 'boolean',
+        evictionNotice: 'boolean',
+        unhealthy: 'boolean',
         empty: 'boolean',
         emptyMs: 'double',
         silentMs: 'double',
@@ -92,8 +92,8 @@
       images: string[];
       takesWork: boolean;
       draining: boolean;
-      noticed: boolean;
-      sick: boolean;
+      evictionNotice: boolean;
+      unhealthy: boolean;
       empty: boolean;
       emptyMs: number;
       silentMs: number;
--- a/packages/testkit/src/faults.ts
+++ b/packages/testkit/src/faults.ts
@@ -66,7 +66,7 @@
   | { readonly kind: 'late copies'; readonly share: number; readonly withinMs: number; readonly forMs: number }
   | { readonly kind: 'lost answers'; readonly share: number; readonly forMs: number }
   | { readonly kind: 'machine dies'; readonly machine: number; readonly listedAs: 'failed' | 'gone' }
-  | { readonly kind: 'sick machine'; readonly machine: number; readonly forMs: number }
+  | { readonly kind: 'unhealthy machine'; readonly machine: number; readonly forMs: number }
   | { readonly kind: 'cloud outage'; readonly forMs: number }
   | { readonly kind: 'events forgotten' }
   | { readonly kind: 'rolling restarts'; readonly everyMs: number; readonly backMs: number }
@@ -275,12 +275,12 @@
       if (name !== undefined) world.kill(name, fault.listedAs);
       return;
     }
-    case 'sick machine': {
+    case 'unhealthy machine': {
       const worker = world.workers.get(machine(fault.machine) ?? '');
       if (worker === undefined) return;
-      worker.sick = true;
+      worker.unhealthy = true;
       sim.after(fault.forMs, () => {
-        worker.sick = false;
+        worker.unhealthy = false;
       });
       return;
     }
--- a/packages/testkit/src/worker.ts
+++ b/packages/testkit/src/worker.ts
@@ -43,7 +43,7 @@
   noticeS: number | null = null;
   alive = true;
   /** Tasks end with an error shortly after their start. */
-  sick = false;
+  unhealthy = false;
   /** Tasks take so many times as long. */
   slowness = 1;
   readonly tasks = new Map<string, RunningTask>();
@@ -255,7 +255,7 @@
       t.state = 'running';
       world.onTask(task, this.name);
       this.#changed();
-      if (this.sick) t.cancelTimer = this.#after(300, () => this.#exit(t, 'error'));
+      if (this.unhealthy) t.cancelTimer = this.#after(300, () => this.#exit(t, 'error'));
       else if (job.kind === 'array') {
         t.cancelTimer = this.#after(job.estimateS * 1000 * (0.5 + sim.random()) * this.slowness, () =>
           this.#exit(t, 'done'),
--- a/packages/testkit/test/membership.test.ts
+++ b/packages/testkit/test/membership.test.ts
@@ -1,13 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { Machine, PartBook } from '@gingerlock/core';
+import type { Machine, ClaimTable } from '@gingerlock/core';
 import { Shared } from '@gingerlock/daemon';
 import { KEYS } from '@gingerlock/wire';
 import { World } from '../src/index';
 
-// A machine that was silent for a lease leaves the roster; one that comes back while that change is under way is in it still if
+// A machine that was silent for a lease leaves the membership; one that comes back while that change is under way is in it still if
 // the change fails. Its owner went by what it had wanted to write, and gave the machine nothing ever after.
-test('a machine that comes back while its removal from the roster fails is given work again', async () => {
+test('a machine that comes back while its removal from the membership fails is given work again', async () => {
   const world = new World({ seed: 3, controllers: 3, machines: 6, jobs: { kind: 'service', spot: false } });
   // Empty machines would be returned.
   for (let i = 0; i < 6; i++) void world.users.live(world.randomJob(), null);
@@ -16,13 +16,13 @@
   const machine = (): Machine | undefined =>
     world.nodes
       .flatMap((n) => n.controller?.owned() ?? [])
-      .map((o) => o.book.machines.get(name))
+      .map((o) => o.claimTable.machines.get(name))
       .find((m) => m !== undefined);
-  assert.equal(machine()?.rostered, true);
+  assert.equal(machine()?.isMember, true);
   const { settle } = Shared.prototype;
   let back = false;
   Shared.prototype.settle = async function (this: Shared, urgency, conditions, changes, wanted) {
-    const removal = changes.some((c) => 'remove' in c && [0, 1, 2].some((p) => c.remove === KEYS.roster(p, name)));
+    const removal = changes.some((c) => 'remove' in c && [0, 1, 2].some((p) => c.remove === KEYS.membership(p, name)));
     if (!removal) return settle.call(this, urgency, conditions, changes, wanted);
     world.network.mute.delete(name);
     while (machine()?.answeredAt === null) await new Promise<void>((resolve) => world.sim.after(50, resolve));
@@ -36,12 +36,12 @@
   } finally {
     Shared.prototype.settle = settle;
   }
-  assert.equal(machine()?.rostered, true);
+  assert.equal(machine()?.isMember, true);
 });
 
-// What the book knew of the roster ended with the clearing, while the roster itself went on: a machine that was heard only after
+// What the claim table knew of the membership ended with the clearing, while the membership itself went on: a machine that was heard only after
 // that was taken for one that had yet to be written down, and for one that was written down already, and never given work.
-test('a machine of the roster that is heard only after its part was cleared is given work again', async () => {
+test('a machine of the membership that is heard only after its part was cleared is given work again', async () => {
   const world = new World({ seed: 4, controllers: 1, machines: 4, jobs: { kind: 'service', spot: false } });
   for (let i = 0; i < 6; i++) void world.users.live(world.randomJob(), null);
   await world.sim.run(10_000);
@@ -50,11 +50,11 @@
   world.crash('node-0');
   await world.sim.run(world.sim.now + 500);
   world.startNode('node-0');
-  const book = (): PartBook | undefined => world.nodes[0]!.controller!.owned()[0]?.book;
-  while (book()?.cleared !== true) await world.sim.run(world.sim.now + 100);
-  assert.equal(book()!.machines.has(name), false);
+  const claimTable = (): ClaimTable | undefined => world.nodes[0]!.controller!.owned()[0]?.claimTable;
+  while (claimTable()?.cleared !== true) await world.sim.run(world.sim.now + 100);
+  assert.equal(claimTable()!.machines.has(name), false);
   world.network.mute.delete(name);
-  while (!book()!.machines.has(name)) await world.sim.run(world.sim.now + 100);
+  while (!claimTable()!.machines.has(name)) await world.sim.run(world.sim.now + 100);
   await world.sim.run(world.sim.now + 3 * world.reportMs);
-  assert.equal(book()!.machines.get(name)?.rostered, true);
+  assert.equal(claimTable()!.machines.get(name)?.isMember, true);
 });
--- a/packages/testkit/test/mutants.test.ts
+++ b/packages/testkit/test/mutants.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Replica } from '@gingerlock/clients';
-import { DependencyGraph, Job, JobTable, PartBook } from '@gingerlock/core';
+import { DependencyGraph, Job, JobTable, ClaimTable } from '@gingerlock/core';
 import { Controller } from '@gingerlock/daemon';
 import { encodeJobState, decodeSubmission } from '@gingerlock/wire';
 import { type Fault, playDay, type Rule, World } from '../src/index';
@@ -39,20 +39,20 @@
 /** Workers get no stops, neither in answers nor directly. */
 function dropStops(): () => void {
   const answers = patch(
-    PartBook.prototype,
+    ClaimTable.prototype,
     'report',
     (original) =>
-      function (this: PartBook, r, now, mayGrant) {
+      function (this: ClaimTable, r, now, mayGrant) {
         const outcome = original.call(this, r, now, mayGrant);
         if (outcome.kind !== 'answer') return outcome;
         return { ...outcome, commands: outcome.commands.filter((c) => c.op !== 'stop') };
       },
   );
   const direct = patch(
-    PartBook.prototype,
+    ClaimTable.prototype,
     'syncJob',
     (original) =>
-      function (this: PartBook, id, now) {
+      function (this: ClaimTable, id, now) {
         original.call(this, id, now);
         return [];
       },
@@ -68,10 +68,10 @@
     broken: 'claims end after a little more than one report interval of silence',
     apply: () =>
       patch(
-        PartBook.prototype,
+        ClaimTable.prototype,
         'tick',
         (original) =>
-          function (this: PartBook, now) {
+          function (this: ClaimTable, now) {
             for (const m of this.machines.values()) {
               if (m.answeredAt !== null && now - m.answeredAt > this.facts.reportMs * 1.3) m.answeredAt = -1e9;
             }
@@ -162,12 +162,12 @@
     broken: 'owners keep the waiting tasks of cancelled jobs and start them',
     faults: [{ kind: 'machines hang', machine: 0, count: 6, forMs: 5500 }],
     apply: () => {
-      const kept = patch(PartBook.prototype, 'giveBack', () => () => new Map());
+      const kept = patch(ClaimTable.prototype, 'giveBack', () => () => new Map());
       const started = patch(
-        PartBook.prototype,
+        ClaimTable.prototype,
         'waitingSlots',
         () =>
-          function* (this: PartBook, job) {
+          function* (this: ClaimTable, job) {
             for (const slot of this.slots.get(job.id)?.values() ?? []) if (slot.state === 'waiting') yield slot;
           },
       );
@@ -181,10 +181,10 @@
     broken: 'owners start nothing',
     apply: () =>
       patch(
-        PartBook.prototype,
+        ClaimTable.prototype,
         'report',
         (original) =>
-          function (this: PartBook, r, now) {
+          function (this: ClaimTable, r, now) {
             return original.call(this, r, now, false);
           },
       ),
--- a/packages/testkit/test/rules.test.ts
+++ b/packages/testkit/test/rules.test.ts
@@ -116,7 +116,7 @@
     machine,
     listedAs: fc.constantFrom('failed' as const, 'gone' as const),
   }),
-  fc.record({ kind: fc.constant('sick machine' as const), machine, forMs: seconds(5, 30) }),
+  fc.record({ kind: fc.constant('unhealthy machine' as const), machine, forMs: seconds(5, 30) }),
   fc.record({ kind: fc.constant('cloud outage' as const), forMs: seconds(5, 30) }),
   fc.record({ kind: fc.constant('events forgotten' as const) }),
   fc.record({ kind: fc.constant('rolling restarts' as const), everyMs: seconds(1, 10), backMs: seconds(0.2, 5) }),
--- a/packages/testkit/test/takeover.test.ts
+++ b/packages/testkit/test/takeover.test.ts
@@ -37,7 +37,7 @@
 /** The controller that owns the worker's part now. */
 function ownerOf(world: World, { name }: { readonly name: string }): string {
   const has = (n: World['nodes'][number]): boolean =>
-    n.controller?.owned().some((o) => o.book.machines.has(name)) ?? false;
+    n.controller?.owned().some((o) => o.claimTable.machines.has(name)) ?? false;
   return world.nodes.find(has)!.name;
 }
 
--- a/packages/wire/src/records.ts
+++ b/packages/wire/src/records.ts
@@ -19,7 +19,7 @@
   finished: (id: string, part: number, page: number) => `g/f/${id}/${part}/${page}`,
   /** A page of finished tasks that begins at task `first`; see `finishedPageFor`. */
   finishedFrom: (id: string, part: number, first: number) => `g/o/${id}/${part}/${first}`,
-  roster: (part: number, machine: string) => `g/r/${part}/${machine}`,
+  membership: (part: number, machine: string) => `g/r/${part}/${machine}`,
 } as const;
 
 /** The slot of the leader; the slot of a part is its number. */
@@ -31,7 +31,7 @@
   | { readonly kind: 'job'; readonly id: string }
   | { readonly kind: 'finished'; readonly id: string; readonly part: number; readonly page: number }
   | { readonly kind: 'finishedFrom'; readonly id: string; readonly part: number; readonly first: number }
-  | { readonly kind: 'roster'; readonly part: number; readonly machine: string };
+  | { readonly kind: 'membership'; readonly part: number; readonly machine: string };
 
 export function parseKey(key: string): ParsedKey {
   const words = key.split('/');
@@ -53,7 +53,7 @@
     case 'o':
       return { kind: 'finishedFrom', id: words[2] ?? '', part: Number(words[3]), first: Number(words[4]) };
     case 'r':
-      return { kind: 'roster', part: Number(words[2]), machine: words.slice(3).join('/') };
+      return { kind: 'membership', part: Number(words[2]), machine: words.slice(3).join('/') };
     default:
       return { kind: 'other' };
   }
@@ -207,8 +207,8 @@
   read: (value: unknown): Uint8Array => new Uint8Array(Buffer.from(checkPage(value).b, 'base64')),
 };
 
-const checkRoster = checker(Type.Object({ a: Type.String() }));
-export const rosterRecord = {
+const checkMembership = checker(Type.Object({ a: Type.String() }));
+export const membershipRecord = {
   write: (addr: string): unknown => ({ a: addr }),
-  read: (value: unknown): string => checkRoster(value).a,
+  read: (value: unknown): string => checkMembership(value).a,
 };
--- a/packages/wire/test/production-format.test.ts
+++ b/packages/wire/test/production-format.test.ts
@@ -18,7 +18,7 @@
   timed: wire.termRecord,
   job: wire.jobRecord,
   finished: wire.finishedRecord,
-  roster: wire.rosterRecord,
+  membership: wire.membershipRecord,
 };
 
 for (const { name, key, value, bytes } of pinned.records) {
