Reproduced: ran_twice and wrong_place, by an owner that goes on answering after it lost its part

Confirmed suspects, each by a test of its own: 1. A resuming owner doesn't look. Its state lease has lapsed, another controller has taken the partition, the answer to its resumption stays out while reads go on. It answers its workers past the next owner's fencing period. 2. A no that does not bind. Asked by the next owner, a controller says no while its own earlier takeover waits for a read; the read comes in, it opens the partition, and answers workers that the next owner takes for ended one lease later. Both symptoms have the first cause: the strays are in no round, so a job that is bound to one zone is placed anew.

--- /dev/null
+++ b/packages/testkit/test/one-owner.test.ts
@@ -0,0 +1,153 @@
+// One owner at a time: faults that once let a former owner answer its workers while the next one started their tasks elsewhere.
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { HttpAnswer } from '@gingerlock/clients';
+import { CLOUD_PATHS, type JobSpec, KEYS, ownerRecord, parseStateRequest } from '@gingerlock/wire';
+import { type Handler, World, type WorldOptions, ZONES } from '../src/index';
+
+/** The partition that the tests are about, at home on the first controller, and that controller's zone. */
+const SLOT = '0';
+const OWNER = 'node-0';
+const ZONE = ZONES[0]!;
+
+const REFUSED: HttpAnswer = { status: 503, body: Buffer.alloc(0) };
+
+const SERVICE: Partial<JobSpec> = {
+  kind: 'service',
+  spot: false,
+  spread: false,
+  oneZone: false,
+  zone: null,
+  gpus: 1,
+  tasks: 3,
+  imageGb: 1,
+};
+
+/** Three controllers, each with machines in its zone, all of them running replicas, with free capacity left elsewhere. */
+async function busyWorld(options: Partial<WorldOptions> & { readonly seed: number }): Promise<World> {
+  const world = new World({ controllers: 3, machines: 9, gpusMax: 100, jobs: SERVICE, ...options });
+  // No machine is returned: neither those with free room, nor those that are not heard of, whose tasks would end with them.
+  const cloud = world.network.hosts.get('cloud:1')!;
+  world.network.hosts.set('cloud:1', (method, path, body, from) =>
+    path === CLOUD_PATHS.types ? cloud(method, path, body, from) : REFUSED,
+  );
+  for (let i = 0; i < 6; i++) void world.users.live(world.randomJob(), null);
+  await world.sim.run(12_000);
+  assert.equal(ownerOf(world), OWNER);
+  assert.ok(tasksIn(world, ZONE).length > 0);
+  return world;
+}
+
+/** Who owns the partition, as the state service has it. */
+function ownerOf(world: World): string {
+  return ownerRecord.read(world.state.data.get(KEYS.owner(SLOT))!.value).node;
+}
+
+function tasksIn(world: World, zone: string): string[] {
+  return [...world.runningTasks()].filter(([, machine]) => world.zoneOf(machine) === zone).map(([task]) => task);
+}
+
+/** Cuts the workers of the zone, and its controllers too if `peers`, off from those of other zones; the state service is reached. */
+function isolate(world: World, zone: string, peers: boolean): void {
+  const isInside = (host: string): boolean => world.zoneOf(host) === zone;
+  const isPeer = (host: string): boolean => host.startsWith('peer:');
+  world.network.wall((from, to) => {
+    if (world.zoneOf(from) === null || world.zoneOf(to) === null) return false;
+    return isInside(from) !== isInside(to) && isPeer(from) === peers;
+  }, 'lose');
+}
+
+const unanswered = (): Promise<HttpAnswer> => new Promise(() => undefined);
+
+function pause(world: World, ms: number): Promise<void> {
+  return new Promise((resolve) => world.sim.after(ms, resolve));
+}
+
+/** Puts something between the controllers and the state service. */
+function intercept(world: World, handler: Handler): void {
+  world.network.hosts.set('state:1', handler);
+}
+
+/**
+ * The owner's state lease lapses, another controller takes the partition, and the owner's attempt to put its hold back is never
+ * answered. It is cut off from its peers, and its workers from all other controllers; its reads go on for most of the fencing
+ * period.
+ */
+async function resumeUnanswered(world: World): Promise<void> {
+  isolate(world, ZONE, true);
+  isolate(world, ZONE, false);
+  const holdKey = KEYS.hold(SLOT);
+  let isResuming = false;
+  let isCutOff = false;
+  intercept(world, (method, path, body, from) => {
+    const serve = (): HttpAnswer | Promise<HttpAnswer> => world.state.handle(method, path, body, from);
+    const kind = parseStateRequest(method, path)?.kind;
+    if (from === OWNER) {
+      if (!isResuming && ownerOf(world) === OWNER && world.state.data.has(holdKey)) return REFUSED;
+      if (isCutOff) return REFUSED;
+      if (kind !== 'txn') return serve();
+      isResuming = true;
+      return unanswered();
+    }
+    // The others read that the hold is gone a moment after the owner does.
+    if (kind === 'follow' && !isResuming && !world.state.data.has(holdKey)) return unanswered();
+    return serve();
+  });
+  // Reads that go on show the next owner; they end shortly before that takes all earlier tasks for ended.
+  await world.sim.run(world.sim.now + 0.9 * world.cancelMs);
+  isCutOff = true;
+  await world.sim.run(world.sim.now + 2 * world.cancelMs);
+  assert.ok(isResuming, 'the owner did not try to put its hold back');
+  assert.notEqual(ownerOf(world), OWNER);
+}
+
+// A controller whose state lease has lapsed puts its holds back under the same term. While the answer to that was out, it did not
+// look at the owner record: it answered its workers for as long as its reads went on, though these showed the next owner.
+test('an owner whose resumption stays unanswered gives way to the owner that its reads show', async () => {
+  const world = await busyWorld({ seed: 5 });
+  await resumeUnanswered(world);
+  assert.deepEqual(world.breaches, []);
+});
+
+test('nor does a job that is bound to one zone start in another while the former owner’s workers run it', async () => {
+  const world = await busyWorld({ seed: 7, jobs: { ...SERVICE, oneZone: true } });
+  await resumeUnanswered(world);
+  assert.deepEqual(world.breaches, []);
+});
+
+// Asked by the next owner whether it still owned the partition, a controller said no while its own, earlier takeover waited for a
+// read; that read came in, and it began to answer workers, whose tasks the next owner took for ended one worker lease later.
+test('a controller that has said that it does not own a partition never opens an earlier takeover of it', async () => {
+  const world = await busyWorld({ seed: 5, leaseS: 16, cancelS: 50 });
+  world.crash(OWNER);
+  await world.sim.run(world.sim.now + 300);
+  const before = world.state.data.get(KEYS.owner(SLOT))!.version;
+  const hasTaken = (): boolean => world.state.data.get(KEYS.owner(SLOT))!.version !== before;
+  const mayBeTaken = (): boolean => hasTaken() && ownerOf(world) === OWNER && !world.state.data.has(KEYS.hold(SLOT));
+  let isReading = false;
+  let isCutOff = false;
+  intercept(world, async (method, path, body, from) => {
+    const serve = (): HttpAnswer | Promise<HttpAnswer> => world.state.handle(method, path, body, from);
+    const kind = parseStateRequest(method, path)?.kind;
+    if (from !== OWNER) {
+      // The others see that the partition is free just after the owner has begun to read once more.
+      while (kind === 'follow' && mayBeTaken() && !isReading) await pause(world, 10);
+      return serve();
+    }
+    if (!hasTaken()) return serve();
+    if (isCutOff) return REFUSED;
+    if (kind !== 'follow' || !mayBeTaken()) return unanswered();
+    if (!isReading) isolate(world, ZONE, false);
+    isReading = true;
+    const answer = await serve();
+    await pause(world, 900);
+    isCutOff = true;
+    isolate(world, ZONE, true);
+    return answer;
+  });
+  world.startNode(OWNER);
+  await world.sim.run(world.sim.now + 3 * world.cancelMs);
+  assert.notEqual(ownerOf(world), OWNER);
+  assert.ok(isCutOff, 'the read did not come in after the next takeover');
+  assert.deepEqual(world.breaches, []);
+});
