--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,5 +7,8 @@
 export * from './assignment';
 export * from './fleet';
 export * from './ownership';
+export * from './ownership-timing';
+export * from './tenure';
+export * from './transaction';
 export * from './packing';
 export * from './slots';
--- /dev/null
+++ b/packages/core/src/ownership-timing.ts
@@ -0,0 +1,28 @@
+// How long leases in the state service, takeovers and the order of those who take over last. All are ratios to the settings.
+import type { Facts } from './facts';
+
+/**
+ * How long a state lease of a controller lasts without renewal. Its workers have to find the next owner within their own
+ * lease, several tries included, and what waits in its partitions waits for that long.
+ */
+export function stateLeaseMs(facts: Facts): number {
+  return Math.min(facts.reportMs * 2.5, facts.leaseMs / 4);
+}
+
+/**
+ * How long a takeover may be under way for the time written with it to bound when it happened. Rather longer than need be: a
+ * zone that was cut off may be heard by the time its fencing period ends, and its tasks begin again where their images are.
+ */
+export function takeoverBoundMs(facts: Facts): number {
+  return Math.max(stateLeaseMs(facts), facts.reportMs);
+}
+
+/** Report intervals to leave to each controller that comes before this one, by what is known of it. */
+export const TURN = {
+  /** It will see the resource free within a read. */
+  alive: 1 / 3,
+  /** It was there and has fallen silent. */
+  silent: 0,
+  /** Not heard of since our start: it may be starting, too. */
+  unknown: 1,
+} as const;
--- a/packages/core/src/ownership.ts
+++ b/packages/core/src/ownership.ts
@@ -1,273 +1,277 @@
-// Who owns a part, or the lead. One holding per slot, as a state machine; the controller carries out what it decides.
-import type { Condition, Change, HoldRecord, OwnerRecord } from '@gingerlock/wire';
+// Whether this controller owns a resource, a partition or the lead: a state machine that decides on each new view of the records;
+// the caller carries the decisions out. Each attempt and each tenure is an object of its own, and an outcome names the attempt it
+// belongs to: one that comes late, after another attempt has begun, changes nothing.
+import type { HoldRecord, OwnerRecord } from '@gingerlock/wire';
 import { holdRecord, KEYS, ownerRecord, termRecord } from '@gingerlock/wire';
-import { type Facts, marginMs, workerLeaseBoundMs } from './facts';
-
-/**
- * away:     somebody else's, or nobody's.
- * taking:   a takeover is on its way; its outcome is not known yet.
- * held:     ours.
- * resuming: ours, our state lease had lapsed, and the hold is being put back under the same term.
- * releasing: given up for the controller that it belongs to. Nobody is answered any more, whatever comes of the write.
- */
-export type HoldingState = 'away' | 'taking' | 'held' | 'resuming' | 'releasing';
-
-const MOVES: Record<HoldingState, readonly HoldingState[]> = {
-  away: ['taking'],
-  taking: ['held', 'away'],
-  held: ['away', 'resuming', 'releasing'],
-  resuming: ['held', 'away'],
-  releasing: ['away'],
-};
+import type { Facts } from './facts';
+import { takeoverBoundMs } from './ownership-timing';
+import { type FormerOwner, Tenure } from './tenure';
+import type { Transaction } from './transaction';
 
 export interface Versioned<T> {
   readonly record: T;
   readonly version: number;
 }
 
-/** What the replica says of one slot. */
-export interface SlotView {
+/** What the replica says of one resource. */
+export interface OwnershipView {
   readonly owner: Versioned<OwnerRecord> | null;
   readonly hold: Versioned<HoldRecord> | null;
   readonly term: Versioned<number> | null;
-  /** The last term whose owner has vouched for the time of its takeover; see `Holding.timing`. */
+  /** The last term whose owner has confirmed the time of its takeover; see `Tenure.confirmTime`. */
   readonly timedTerm: number;
 }
 
+/** This process of this controller. */
 export interface Me {
   readonly node: string;
   readonly process: string;
 }
 
-export interface Txn {
-  readonly conditions: Condition[];
-  readonly changes: Change[];
+/** An attempt to take the resource. */
+export interface Takeover {
+  readonly kind: 'take';
+  readonly transaction: Transaction;
+  readonly term: number;
+  readonly movedAt: number;
+  readonly sentAt: number;
+  /** Whether it takes the resource from an owner that may go on. */
+  readonly isMove: boolean;
+  readonly hadOwner: boolean;
+  readonly formerOwner: FormerOwner | null;
 }
 
-export type Decision =
-  | { readonly kind: 'none' }
-  | { readonly kind: 'lost' }
-  | { readonly kind: 'take'; readonly txn: Txn; readonly term: number; readonly movedAt: number }
-  | { readonly kind: 'resume'; readonly txn: Txn };
+/** An attempt to put the hold back under the same term. */
+export interface Resumption {
+  readonly kind: 'resume';
+  readonly transaction: Transaction;
+  readonly tenure: Tenure;
+}
 
-/**
- * How long a state lease of a controller lasts without renewal. Its workers have to find the next owner within their own
- * lease, several tries included, and what waits in its parts waits for that long.
- */
-export function stateLeaseMs(facts: Facts): number {
-  return Math.min(facts.reportMs * 2.5, facts.leaseMs / 4);
+/** The resource is given up for another controller: from here on nobody is answered, whatever comes of the write. */
+export interface Release {
+  readonly kind: 'release';
+  readonly transaction: Transaction;
+  readonly tenure: Tenure;
 }
 
+export type Attempt = Takeover | Resumption | Release;
+
+export type Decision =
+  | { readonly kind: 'none' }
+  /** The records show another owner. */
+  | { readonly kind: 'lost'; readonly tenure: Tenure }
+  | Takeover
+  | Resumption;
+
 /**
- * How long a takeover may be under way for the time written with it to bound when it happened. Rather longer than need be: a
- * zone that was cut off may be heard by the time it is cleared, and its tasks begin again where their images are.
+ * away:      somebody else's, or nobody's.
+ * taking:    a takeover is under way; its outcome is not known yet.
+ * held:      ours.
+ * resuming:  ours; see `TenureState`.
+ * releasing: given up; the outcome of that write is not known yet.
  */
-export function takeMs(facts: Facts): number {
-  return Math.max(stateLeaseMs(facts), facts.reportMs);
-}
+type Phase =
+  | { readonly state: 'away' }
+  | { readonly state: 'taking'; readonly attempt: Takeover }
+  | { readonly state: 'held'; readonly tenure: Tenure }
+  | { readonly state: 'resuming'; readonly tenure: Tenure; readonly attempt: Resumption }
+  | { readonly state: 'releasing'; readonly attempt: Release };
 
-/** What the controllers that come before this one for a slot are known to be, as intervals to leave to each. */
-export const TURN = {
-  /** It will see the slot free within a read. */
-  alive: 1 / 3,
-  /** It was there and has fallen silent. */
-  silent: 0,
-  /** Not heard of since our start: it may be starting, too. */
-  unknown: 1,
-} as const;
+const NONE: Decision = { kind: 'none' };
 
-export class Holding {
-  state: HoldingState = 'away';
-  term = 0;
-  /** Version of our owner record: every write of ours is conditional on it. */
-  version = 0;
-  takenAt = 0;
-  fencedUntil = 0;
-  /** Since when the slot has been seen without a hold; null: it has one. */
+export class Ownership {
+  #phase: Phase = { state: 'away' };
+  /** Since when the resource has been seen without a hold; null: it has one. */
   #absentSince: number | null = null;
-  #movedAt = 0;
-  /** Whether the takeover on its way is one from an owner that may go on. */
-  #moving = false;
-  /** The controller that the slot was taken from, if it may go on, and the time of the takeover before. */
-  before: { readonly node: string; readonly movedAt: number } | null = null;
-  #takeSentAt = 0;
 
   constructor(
-    readonly slot: string,
+    readonly resource: string,
     readonly facts: Facts,
     readonly me: Me,
-    /** Report intervals to leave to the controllers that come before us for this slot, as things stand. */
+    /** Report intervals to leave to the controllers that come before us for this resource, as things stand. */
     readonly turn: () => number,
   ) {}
 
-  get owned(): boolean {
-    return this.state === 'held' || this.state === 'resuming';
+  get state(): Phase['state'] {
+    return this.#phase.state;
+  }
+
+  /** The tenure under which this controller is the owner now; null: it is not. */
+  get tenure(): Tenure | null {
+    return 'tenure' in this.#phase ? this.#phase.tenure : null;
+  }
+
+  /** Whether the outcome of the attempt still matters. */
+  isPending(attempt: Attempt): boolean {
+    return 'attempt' in this.#phase && this.#phase.attempt === attempt;
   }
 
-  /** The one function that changes the state. */
-  #move(next: HoldingState): void {
-    if (!MOVES[this.state].includes(next)) throw new Error(`slot ${this.slot}: no move from ${this.state} to ${next}`);
-    this.state = next;
+  /** The one function that changes the phase. */
+  #enter(next: Phase): void {
+    const { tenure } = this;
+    if (tenure !== null && !('tenure' in next)) tenure.move('ended');
+    else if ('tenure' in next && next.tenure.state !== next.state) next.tenure.move(next.state);
+    this.#phase = next;
   }
 
-  /** Looks at an up-to-date view. `lease` is our state lease, known to be valid, or null. */
-  decide(view: SlotView, lease: number | null, now: number, wallNow: number): Decision {
+  /** Looks at a view that has just been read. `lease` is our state lease, known to be valid, or null. */
+  decide(view: OwnershipView, lease: number | null, now: number, wallNow: number): Decision {
     if (view.hold !== null) this.#absentSince = null;
     else this.#absentSince ??= now;
+    const { tenure } = this;
+    if (tenure !== null) return this.#decideAsOwner(tenure, view, lease);
+    if (this.#phase.state !== 'away' || lease === null || !this.#isOurTurn(view, now)) return NONE;
+    const attempt = this.#takeover(view, lease, now, wallNow);
+    this.#enter({ state: 'taking', attempt });
+    return attempt;
+  }
 
-    if (this.state !== 'held' && this.state !== 'away') return { kind: 'none' };
-    if (this.state === 'held') {
-      if (view.owner === null || view.owner.version !== this.version) {
-        this.#move('away');
-        return { kind: 'lost' };
-      }
-      if (view.hold === null && lease !== null) {
-        // Our state lease lapsed, and nobody took the slot: the owner key proves it. The term and all claims stand.
-        this.#move('resuming');
-        return {
-          kind: 'resume',
-          txn: {
-            conditions: [
-              { key: KEYS.owner(this.slot), version: this.version },
-              { key: KEYS.hold(this.slot), version: 0 },
-            ],
-            changes: [{ put: KEYS.hold(this.slot), value: holdRecord.write(this.me), lease }],
-          },
-        };
-      }
-      return { kind: 'none' };
+  /**
+   * In every state that answers workers the owner record is looked at. While a resumption was under way it once was not: the
+   * owner answered its workers for as long as it could read, past every bound that the next owner's fencing period counts on.
+   */
+  #decideAsOwner(tenure: Tenure, view: OwnershipView, lease: number | null): Decision {
+    if (view.owner?.version !== tenure.version) {
+      this.#enter({ state: 'away' });
+      return { kind: 'lost', tenure };
     }
-    if (lease === null) return { kind: 'none' };
-    // A hold that names this controller is an earlier process's, and that one is dead: there is one at a time.
-    const earlierSelf = view.hold?.record.node === this.me.node;
-    if (view.hold !== null && !earlierSelf) return { kind: 'none' };
-    const wait = this.turn() * this.facts.reportMs;
-    if (!earlierSelf && now - (this.#absentSince ?? now) < wait) return { kind: 'none' };
+    if (tenure.state !== 'held' || view.hold !== null || lease === null) return NONE;
+    // Our state lease lapsed, and nobody took the resource: the owner record proves it. The term and all claims stand.
+    const hold = KEYS.hold(this.resource);
+    const attempt: Resumption = {
+      kind: 'resume',
+      tenure,
+      transaction: {
+        conditions: [tenure.condition, { key: hold, version: 0 }],
+        changes: [{ put: hold, value: holdRecord.write(this.me), lease }],
+      },
+    };
+    this.#enter({ state: 'resuming', tenure, attempt });
+    return attempt;
+  }
+
+  #isOurTurn(view: OwnershipView, now: number): boolean {
+    // A hold that names this controller is an earlier process's or tenure's, and that one is over: there is one at a time.
+    if (view.hold !== null) return view.hold.record.node === this.me.node;
+    return now - (this.#absentSince ?? now) >= this.turn() * this.facts.reportMs;
+  }
 
+  #takeover(view: OwnershipView, lease: number, now: number, wallNow: number): Takeover {
     const term = (view.term?.record ?? 0) + 1;
     const previous = view.owner?.record ?? null;
-    // The time of the last takeover between controllers outlives our own restarts. An earlier process of ours is dead,
-    // and an owner that has released the slot answers nobody: either leaves leases that run out by themselves.
-    const ownRestart = previous?.node === this.me.node && view.hold?.record.process !== this.me.process;
-    // A takeover under way for long carries a time that is too early, and its taker can have ended before it took the slot
-    // once more: until the time is vouched for, whoever comes next counts from its own takeover.
-    const timed = previous === null || previous.movedAt === 0 || view.timedTerm === previous.term;
-    const moving = previous !== null && (!timed || (!ownRestart && !previous.released));
-    this.before = moving && timed ? { node: previous.node, movedAt: previous.movedAt } : null;
-    this.#moving = moving;
-    this.#movedAt = moving ? wallNow : (previous?.movedAt ?? 0);
-    this.#takeSentAt = now;
-    this.term = term;
-    this.#move('taking');
+    // The time of the last takeover between controllers outlives our own restarts. An earlier process of ours is dead, and an
+    // owner that has released the resource answers nobody: either leaves leases that run out by themselves.
+    const isOwnRestart = previous?.node === this.me.node && view.hold?.record.process !== this.me.process;
+    // A takeover under way for long carries a time that is too early, and its taker can have ended before it took the resource
+    // once more: until the time is confirmed, whoever comes next counts from its own takeover.
+    const isTimed = previous === null || previous.movedAt === 0 || view.timedTerm === previous.term;
+    const isMove = previous !== null && (!isTimed || (!isOwnRestart && !previous.released));
+    const movedAt = isMove ? wallNow : (previous?.movedAt ?? 0);
+    const owner = { term, node: this.me.node, movedAt, released: false };
     return {
       kind: 'take',
       term,
-      movedAt: this.#movedAt,
-      txn: {
+      movedAt,
+      isMove,
+      sentAt: now,
+      hadOwner: previous !== null,
+      formerOwner: isMove && isTimed ? { node: previous.node, movedAt: previous.movedAt } : null,
+      transaction: {
         conditions: [
-          { key: KEYS.hold(this.slot), version: view.hold?.version ?? 0 },
+          { key: KEYS.hold(this.resource), version: view.hold?.version ?? 0 },
           { key: KEYS.term, version: view.term?.version ?? 0 },
-          { key: KEYS.owner(this.slot), version: view.owner?.version ?? 0 },
+          { key: KEYS.owner(this.resource), version: view.owner?.version ?? 0 },
         ],
         changes: [
           { put: KEYS.term, value: termRecord.write(term) },
-          {
-            put: KEYS.owner(this.slot),
-            value: ownerRecord.write({ term, node: this.me.node, movedAt: this.#movedAt, released: false }),
-          },
-          { put: KEYS.hold(this.slot), value: holdRecord.write(this.me), lease },
+          { put: KEYS.owner(this.resource), value: ownerRecord.write(owner) },
+          { put: KEYS.hold(this.resource), value: holdRecord.write(this.me), lease },
         ],
       },
     };
   }
 
   /**
-   * The takeover was carried out at `version`, and known to be at `doneAt`. False: that took so long that the time written
-   * with it is no bound any more, so it has to be taken once more.
+   * The takeover was carried out at `version`, and known to be at `doneAt`. Null: it has been overtaken, or took so long that
+   * the time written with it is no bound any more, so the resource has to be taken once more.
    */
-  taken(version: number, hadOwner: boolean, doneAt: number, now: number, wallNow: number): boolean {
+  taken(attempt: Takeover, version: number, doneAt: number, now: number, wallNow: number): Tenure | null {
+    if (!this.isPending(attempt)) return null;
     // Only what was written now can be too old. With a slow state service a report interval, and the reading after it
     // counted in, was once too short for any takeover.
-    if (this.#moving && doneAt - this.#takeSentAt > takeMs(this.facts)) {
-      this.#move('away');
-      return false;
+    if (attempt.isMove && doneAt - attempt.sentAt > takeoverBoundMs(this.facts)) {
+      this.#enter({ state: 'away' });
+      return null;
     }
-    this.#move('held');
-    this.version = version;
-    this.takenAt = now;
-    // DESIGN: tasks of an earlier owner are granted again only once the old workers' leases have surely run out.
-    const own = hadOwner ? now + workerLeaseBoundMs(this.facts) : now;
-    const moved = this.#movedClearAt(this.#movedAt, now, wallNow);
-    this.fencedUntil = Math.max(own, moved);
-    return true;
+    const { resource, facts } = this;
+    const { term, movedAt, hadOwner, formerOwner } = attempt;
+    const options = { facts, resource, term, version, takenAt: now, movedAt, hadOwner, formerOwner, wallNow };
+    const tenure = new Tenure(options);
+    this.#enter({ state: 'held', tenure });
+    return tenure;
   }
 
-  /** Vouches for the time that was written with the takeover; null: there is none. */
-  timing(): Txn | null {
-    if (this.state !== 'held' || this.#movedAt === 0) return null;
-    return {
-      conditions: [{ key: KEYS.owner(this.slot), version: this.version }],
-      changes: [{ put: KEYS.timed(this.slot), value: termRecord.write(this.term) }],
-    };
+  /** The attempt was surely not carried out, or its outcome is of no use; false: it has been overtaken. */
+  failed(attempt: Takeover | Resumption): boolean {
+    if (!this.isPending(attempt)) return false;
+    this.#enter({ state: 'away' });
+    return true;
   }
 
-  /**
-   * When a takeover that was written down is cleared. The time of day stands in its record, up to `takeMs` before it was
-   * carried out.
-   */
-  #movedClearAt(movedAt: number, now: number, wallNow: number): number {
-    if (movedAt === 0) return now;
-    const { cancelMs, skewMs } = this.facts;
-    const slack = takeMs(this.facts) + 2 * marginMs(this.facts);
-    return now + (movedAt - wallNow) + cancelMs + 2 * skewMs + slack;
+  /** The hold is back; false: the attempt has been overtaken. */
+  resumed(attempt: Resumption): boolean {
+    if (!this.isPending(attempt)) return false;
+    this.#enter({ state: 'held', tenure: attempt.tenure });
+    return true;
   }
 
   /**
-   * Asked after our takeover, the controller that had the slot before said that it does not own it: it will not answer
-   * anybody for it, and what it has answered is gone within a worker lease. Owners before it are bound by its own takeover.
+   * Gives the resource up for the controller that it belongs to: from here on nobody is answered, so the next owner has to
+   * wait for no more than one worker lease. Null: not now.
    */
-  gaveUp(node: string, now: number, wallNow: number): void {
-    if (this.state !== 'held' || this.before?.node !== node) return;
-    const own = now + workerLeaseBoundMs(this.facts);
-    this.fencedUntil = Math.min(this.fencedUntil, Math.max(own, this.#movedClearAt(this.before.movedAt, now, wallNow)));
-    this.before = null;
-  }
-
-  /** A takeover or a resumption that was surely not carried out. */
-  failed(): void {
-    if (this.state === 'taking' || this.state === 'resuming') this.#move('away');
+  release(view: OwnershipView): Release | null {
+    const { tenure } = this;
+    if (tenure?.state !== 'held' || view.owner?.version !== tenure.version || view.hold === null) return null;
+    const hold = KEYS.hold(this.resource);
+    const attempt: Release = {
+      kind: 'release',
+      tenure,
+      transaction: {
+        conditions: [tenure.condition, { key: hold, version: view.hold.version }],
+        changes: [
+          { put: KEYS.owner(this.resource), value: ownerRecord.write({ ...view.owner.record, released: true }) },
+          { remove: hold },
+        ],
+      },
+    };
+    this.#enter({ state: 'releasing', attempt });
+    return attempt;
   }
 
-  resumed(): void {
-    if (this.state === 'resuming') this.#move('held');
+  /** The outcome of the release is known, or of no interest any more. */
+  released(attempt: Release): void {
+    if (this.isPending(attempt)) this.#enter({ state: 'away' });
   }
 
   /**
-   * Gives the slot up for the controller that it belongs to: from here on nobody is answered, so the next owner has to
-   * wait for no more than one worker lease. Null: not now.
+   * A later owner, of the given term, counts on it that no tenure of an earlier term answers workers here, now or ever. That
+   * includes a takeover under way: it may have been carried out before the later one, and its outcome be known only after it.
+   * Attempts that begin later need not be remembered: their transactions raise the term that the later owner has written.
+   * Returns the tenure that this has ended, if any.
    */
-  release(view: SlotView): Txn | null {
-    if (this.state !== 'held' || view.owner?.version !== this.version || view.hold === null) return null;
-    this.#move('releasing');
-    return {
-      conditions: [
-        { key: KEYS.owner(this.slot), version: this.version },
-        { key: KEYS.hold(this.slot), version: view.hold.version },
-      ],
-      changes: [
-        { put: KEYS.owner(this.slot), value: ownerRecord.write({ ...view.owner.record, released: true }) },
-        { remove: KEYS.hold(this.slot) },
-      ],
-    };
+  renounceBefore(term: number): Tenure | null {
+    const { tenure } = this;
+    const current = this.#phase.state === 'taking' ? this.#phase.attempt.term : tenure?.term;
+    if (current === undefined || current >= term) return null;
+    this.#enter({ state: 'away' });
+    return tenure;
   }
 
-  /** The outcome of the release is known, or we no longer care. */
-  released(): void {
-    if (this.state === 'releasing') this.#move('away');
-  }
-
-  /** Somebody else is known to own the slot. */
-  stepDown(): void {
-    if (this.owned) this.#move('away');
+  /** A worker has seen the token of a later owner. Ends the given tenure, if it is still the current one. */
+  stepDown(tenure: Tenure): boolean {
+    if (this.tenure !== tenure) return false;
+    this.#enter({ state: 'away' });
+    return true;
   }
 }
--- a/packages/core/test/ownership.test.ts
+++ b/packages/core/test/ownership.test.ts
@@ -3,7 +3,17 @@
 import type { Change, HoldRecord, OwnerRecord } from '@gingerlock/wire';
 import { holdRecord, KEYS, ownerRecord, termRecord } from '@gingerlock/wire';
 import fc from 'fast-check';
-import { answerBoundMs, Holding, type SlotView, stateLeaseMs, type Txn } from '../src/index';
+import {
+  answerBoundMs,
+  Ownership,
+  type OwnershipView,
+  type Resumption,
+  stateLeaseMs,
+  type Takeover,
+  takeoverBoundMs,
+  type Tenure,
+  type Transaction,
+} from '../src/index';
 import { FACTS } from './fixtures';
 
 const facts = { ...FACTS, controllers: 3 };
@@ -13,7 +23,7 @@
   readonly data = new Map<string, { value: unknown; version: number; lease: number | null }>();
   revision = 0;
 
-  run(txn: Txn, leaseValid: (lease: number) => boolean): number {
+  run(txn: Transaction, leaseValid: (lease: number) => boolean): number {
     for (const c of txn.changes) if ('put' in c && c.lease !== undefined && !leaseValid(c.lease)) return 0;
     if (txn.conditions.some((c) => (this.data.get(c.key)?.version ?? 0) !== c.version)) return 0;
     this.revision++;
@@ -31,7 +41,7 @@
     for (const [key, e] of this.data) if (e.lease === lease) this.data.delete(key);
   }
 
-  view(slot: string): SlotView {
+  view(slot: string): OwnershipView {
     const read = <T>(key: string, parse: (v: unknown) => T): { record: T; version: number } | null => {
       const e = this.data.get(key);
       return e === undefined ? null : { record: parse(e.value), version: e.version };
@@ -45,35 +55,102 @@
   }
 }
 
+/** Time of day at the begin of a test. */
+const WALL = 1e12;
+
+function ownershipOf(node: string, process = node, turn = 0): Ownership {
+  return new Ownership('0', facts, { node, process }, () => turn);
+}
+
+/** Decides on the store as it stands, which has to lead to a takeover. */
+function decideToTake(ownership: Ownership, store: Store, lease: number, now: number, wallOff = 0): Takeover {
+  const decision = ownership.decide(store.view('0'), lease, now, WALL + now + wallOff);
+  assert.ok(decision.kind === 'take');
+  return decision;
+}
+
+function confirmTime(tenure: Tenure, store: Store): void {
+  const confirmation = tenure.confirmTime();
+  if (confirmation !== null) store.run(confirmation, () => true);
+}
+
+/** Takes the resource by a transaction that is known at `doneAt` to have been carried out. */
+function take(ownership: Ownership, store: Store, lease: number, now: number, doneAt = now, wallOff = 0): Tenure {
+  const attempt = decideToTake(ownership, store, lease, now, wallOff);
+  const version = store.run(attempt.transaction, () => true);
+  const tenure = ownership.taken(attempt, version, doneAt, doneAt, WALL + doneAt + wallOff);
+  assert.ok(tenure !== null);
+  confirmTime(tenure, store);
+  return tenure;
+}
+
 test('whatever happens, terms only rise, and one controller at most can write as the owner', () => {
+  const what = [
+    'decide',
+    'decide',
+    'decide',
+    'decide',
+    'lose lease',
+    'lose lease',
+    'outcome',
+    'asked',
+    'late',
+    'stale',
+    'release',
+    'restart',
+  ];
   const step = fc.record(
     {
       node: fc.integer({ min: 0, max: 2 }),
-      what: fc.constantFrom('decide', 'decide', 'decide', 'restart', 'lose lease', 'late', 'stale', 'release'),
+      what: fc.constantFrom(...what),
       after: fc.integer({ min: 1, max: 4000 }),
+      /** The outcome is known only later, maybe after other attempts have begun. */
+      slow: fc.boolean(),
     },
     { noNullPrototype: true },
   );
+  let overtaken = 0;
   fc.assert(
-    fc.property(fc.array(step, { minLength: 5, maxLength: 60 }), (steps) => {
+    fc.property(fc.array(step, { minLength: 20, maxLength: 60 }), (steps) => {
       const store = new Store();
       let now = 0;
       let process = 0;
       let nextLease = 1;
       const leases = new Map<number, number>();
-      const make = (n: number): Holding =>
-        new Holding('0', facts, { node: `n${n}`, process: `p${++process}` }, () => n);
-      const nodes = [0, 1, 2].map((n) => ({ holding: make(n), n, oldView: store.view('0') }));
+      const make = (n: number): Ownership => ownershipOf(`n${n}`, `p${++process}`, n);
+      const nodes = [0, 1, 2].map((n) => ({ ownership: make(n), n, oldView: store.view('0') }));
       for (const { n } of nodes) leases.set(n, nextLease++);
       const valid = (lease: number): boolean => [...leases.values()].includes(lease);
-      const late: { txn: Txn; lease: number }[] = [];
+      const late: { txn: Transaction; lease: number }[] = [];
+      const outcomes: (() => void)[] = [];
+      /** By controller: no tenure below this term may begin or go on there. */
+      const renounced = new Map<Ownership, number>();
       let highest = 0;
+      const conclude = (ownership: Ownership, attempt: Takeover | Resumption, version: number): void => {
+        const isPending = ownership.isPending(attempt);
+        const { state, tenure } = ownership;
+        if (version === 0) ownership.failed(attempt);
+        else if (attempt.kind === 'resume') ownership.resumed(attempt);
+        else {
+          const taken = ownership.taken(attempt, version, now, now, WALL + now);
+          if (taken !== null) {
+            assert.equal(taken.term, attempt.term);
+            assert.equal(taken.version, version);
+            confirmTime(taken, store);
+          }
+        }
+        if (isPending) return;
+        overtaken++;
+        assert.equal(ownership.state, state, 'the outcome of an earlier attempt changed the state');
+        assert.equal(ownership.tenure, tenure);
+      };
       for (const s of steps) {
         now += s.after;
         const node = nodes[s.node]!;
+        const { ownership } = node;
         if (s.what === 'restart') {
           // The lease of the dead process lives on for a while: its hold stays, and names this controller.
-          node.holding = make(node.n);
+          node.ownership = make(node.n);
           leases.set(node.n, nextLease++);
           continue;
         }
@@ -88,109 +165,97 @@
           if (held !== undefined) store.run(held.txn, valid);
           continue;
         }
+        if (s.what === 'outcome') {
+          outcomes.shift()?.();
+          continue;
+        }
+        if (s.what === 'asked') {
+          const term = store.view('0').owner?.record.term;
+          if (term === undefined) continue;
+          const before = ownership.tenure;
+          const ended = ownership.renounceBefore(term);
+          if (ownership.tenure === null) renounced.set(ownership, term);
+          assert.equal(ended, ownership.tenure === before ? null : before);
+          continue;
+        }
         if (s.what === 'release') {
-          const txn = node.holding.release(store.view('0'));
-          if (txn === null) continue;
-          assert.ok(!node.holding.owned);
+          const attempt = ownership.release(store.view('0'));
+          if (attempt === null) continue;
+          assert.equal(ownership.tenure, null);
+          assert.ok(!attempt.tenure.isCurrent);
           // Sent twice, or so late that it comes after all else.
-          late.push({ txn, lease: leases.get(node.n)! });
-          if (s.after % 2 === 0) store.run(txn, valid);
-          node.holding.released();
+          late.push({ txn: attempt.transaction, lease: leases.get(node.n)! });
+          if (s.after % 2 === 0) store.run(attempt.transaction, valid);
+          ownership.released(attempt);
           continue;
         }
         const view = s.what === 'stale' ? node.oldView : store.view('0');
         node.oldView = store.view('0');
-        const had = view.owner !== null;
-        const decision = node.holding.decide(view, leases.get(node.n)!, now, 1e12 + now);
+        const before = ownership.tenure;
+        const decision = ownership.decide(view, leases.get(node.n)!, now, WALL + now);
+        if (decision.kind === 'lost') assert.equal(decision.tenure, before);
+        if (ownership.tenure !== null)
+          assert.equal(ownership.tenure.version, view.owner?.version, 'the view shows another');
         if (decision.kind === 'take' || decision.kind === 'resume') {
           // A copy of the request may come once more, later.
-          late.push({ txn: decision.txn, lease: leases.get(node.n)! });
-          const version = store.run(decision.txn, valid);
-          if (version === 0) node.holding.failed();
-          else if (decision.kind === 'resume') node.holding.resumed();
-          else {
-            node.holding.taken(version, had, now, now, 1e12 + now);
-            const timing = node.holding.timing();
-            if (timing !== null) store.run(timing, valid);
-          }
+          late.push({ txn: decision.transaction, lease: leases.get(node.n)! });
+          const version = store.run(decision.transaction, valid);
+          if (s.slow) outcomes.push(() => conclude(ownership, decision, version));
+          else conclude(ownership, decision, version);
         }
         const owner = store.view('0').owner;
         if (owner !== null) {
           assert.ok(owner.record.term >= highest, 'term went back');
           highest = owner.record.term;
           // A write as owner is conditional on the version of the owner's record.
-          const writers = nodes.filter((x) => x.holding.owned && x.holding.version === owner.version);
+          const writers = nodes.filter((x) => x.ownership.tenure?.version === owner.version);
           assert.ok(writers.length <= 1, 'two writers');
-          for (const w of writers) assert.equal(w.holding.term, owner.record.term);
+          for (const w of writers) assert.equal(w.ownership.tenure!.term, owner.record.term);
+        }
+        for (const x of nodes) {
+          const term = x.ownership.tenure?.term;
+          assert.ok((term ?? Infinity) >= (renounced.get(x.ownership) ?? 0), 'a no was taken back');
         }
       }
     }),
-    { seed: 391, numRuns: 500 },
+    { seed: 391, numRuns: 1000 },
   );
+  assert.ok(overtaken > 0, 'no outcome came after another attempt had begun');
 });
 
 test('an earlier process of this controller leaves its claims for a worker lease, another controller for a cancellation', () => {
   const store = new Store();
-  const take = (holding: Holding, now: number): void => {
-    const had = store.view('0').owner !== null;
-    const decision = holding.decide(store.view('0'), 1, now, 1e12 + now);
-    assert.equal(decision.kind, 'take');
-    if (decision.kind !== 'take') return;
-    assert.ok(
-      holding.taken(
-        store.run(decision.txn, () => true),
-        had,
-        now,
-        now,
-        1e12 + now,
-      ),
-    );
-    const timing = holding.timing();
-    if (timing !== null) store.run(timing, () => true);
-  };
-  const first = new Holding('0', facts, { node: 'a', process: '1' }, () => 0);
-  take(first, 0);
+  const first = take(ownershipOf('a', '1'), store, 1, 0);
   assert.equal(first.fencedUntil, 0);
-  const again = new Holding('0', facts, { node: 'a', process: '2' }, () => 0);
-  take(again, 1000);
+  const again = take(ownershipOf('a', '2'), store, 1, 1000);
   assert.ok(again.fencedUntil >= 1000 + facts.leaseMs && again.fencedUntil < 1000 + facts.cancelMs);
   store.dropLease(1);
-  const other = new Holding('0', facts, { node: 'b', process: '3' }, () => 0);
-  take(other, 2000);
+  const other = take(ownershipOf('b', '3'), store, 1, 2000);
   assert.ok(other.fencedUntil >= 2000 + facts.cancelMs);
   // Its restart does not shorten the wait that began with the takeover between controllers.
-  const otherAgain = new Holding('0', facts, { node: 'b', process: '4' }, () => 0);
-  take(otherAgain, 3000);
+  const otherAgain = take(ownershipOf('b', '4'), store, 1, 3000);
   assert.ok(otherAgain.fencedUntil >= 2000 + facts.cancelMs);
 });
 
-test('a slot that was given back is cleared after a worker lease, but not before the takeover that preceded it', () => {
+test('a resource that was given back is fenced for a worker lease, but not for less than the takeover that preceded it', () => {
   const store = new Store();
-  const take = (node: string, lease: number, now: number): Holding => {
-    const holding = new Holding('0', facts, { node, process: `${node}${now}` }, () => 0);
-    const had = store.view('0').owner !== null;
-    const decision = holding.decide(store.view('0'), lease, now, 1e12 + now);
-    assert.ok(decision.kind === 'take');
-    const version = store.run(decision.txn, () => true);
-    assert.ok(holding.taken(version, had, now, now, 1e12 + now));
-    const timing = holding.timing();
-    if (timing !== null) store.run(timing, () => true);
-    return holding;
-  };
-  const giveBack = (holding: Holding): void => {
-    assert.ok(store.run(holding.release(store.view('0'))!, () => true) > 0);
-    assert.equal(holding.owned, false);
-    assert.equal(holding.release(store.view('0')), null);
+  const giveBack = (ownership: Ownership): void => {
+    const attempt = ownership.release(store.view('0'))!;
+    assert.ok(store.run(attempt.transaction, () => true) > 0);
+    assert.equal(ownership.tenure, null);
+    assert.equal(ownership.release(store.view('0')), null);
   };
-  giveBack(take('a', 1, 0));
-  const second = take('b', 2, 1000);
+  const first = ownershipOf('a', 'a0');
+  take(first, store, 1, 0);
+  giveBack(first);
+  const second = take(ownershipOf('b', 'b1000'), store, 2, 1000);
   assert.ok(second.fencedUntil >= 1000 + facts.leaseMs && second.fencedUntil < 1000 + facts.cancelMs);
   store.dropLease(2);
-  const third = take('c', 3, 2000);
-  assert.ok(third.fencedUntil >= 2000 + facts.cancelMs);
+  const third = ownershipOf('c', 'c2000');
+  assert.ok(take(third, store, 3, 2000).fencedUntil >= 2000 + facts.cancelMs);
   giveBack(third);
   // The one before the last may have gone on until then.
-  assert.ok(take('a', 1, 3000).fencedUntil >= 2000 + facts.cancelMs);
+  assert.ok(take(ownershipOf('a', 'a3000'), store, 1, 3000).fencedUntil >= 2000 + facts.cancelMs);
 });
 
 test('nothing that an owner may have answered runs any more when the next one takes it for gone', () => {
@@ -202,22 +267,12 @@
       fc.boolean(),
       (at, takeMs, skew, restarted) => {
         const store = new Store();
-        const take = (node: string, lease: number, now: number, doneAt: number, wallOff = 0): Holding => {
-          const holding = new Holding('0', facts, { node, process: `${node}${now}` }, () => 0);
-          const had = store.view('0').owner !== null;
-          const decision = holding.decide(store.view('0'), lease, now, 1e12 + now + wallOff);
-          assert.ok(decision.kind === 'take');
-          const version = store.run(decision.txn, () => true);
-          assert.ok(holding.taken(version, had, doneAt, doneAt, 1e12 + doneAt + wallOff));
-          const timing = holding.timing();
-          if (timing !== null) store.run(timing, () => true);
-          return holding;
-        };
-        take('a', 1, 0, 0);
+        take(ownershipOf('a', 'a0'), store, 1, 0);
         store.dropLease(1);
         // The takeover may have been carried out, and the owner before may have read, until its answer came.
-        let second = take('b', 3, at, at + takeMs);
-        if (restarted) second = take('b', 3, at + takeMs + 1000, at + takeMs + 1000, skew);
+        let second = take(ownershipOf('b', 'b1'), store, 3, at, at + takeMs);
+        const backAt = at + takeMs + 1000;
+        if (restarted) second = take(ownershipOf('b', 'b2'), store, 3, backAt, backAt, skew);
         const gone = at + takeMs + answerBoundMs(facts) + facts.leaseMs;
         assert.ok(gone <= second.fencedUntil, `may run until ${gone}, cleared at ${second.fencedUntil}`);
       },
@@ -228,41 +283,23 @@
 
 // After a crash in the middle of a cut the wait for a cancellation began anew, though the controller that had crashed was back
 // and could say that it owned nothing.
-test('an owner before that has given the slot up leaves a worker lease, and the one before it its own time', () => {
+test('an owner before that has given the resource up leaves a worker lease, and the one before it its own time', () => {
   const ttl = stateLeaseMs(facts);
   const span = fc.integer({ min: 0, max: 30_000 });
   fc.assert(
     fc.property(span, span, span, (firstTakenAt, reign, asked) => {
       const store = new Store();
-      const take = (node: string, lease: number, now: number): Holding => {
-        const holding = new Holding('0', facts, { node, process: `${node}${now}` }, () => 0);
-        const had = store.view('0').owner !== null;
-        const decision = holding.decide(store.view('0'), lease, now, 1e12 + now);
-        assert.ok(decision.kind === 'take');
-        assert.ok(
-          holding.taken(
-            store.run(decision.txn, () => true),
-            had,
-            now,
-            now,
-            1e12 + now,
-          ),
-        );
-        const timing = holding.timing();
-        if (timing !== null) store.run(timing, () => true);
-        return holding;
-      };
-      take('a', 1, 0);
+      take(ownershipOf('a'), store, 1, 0);
       store.dropLease(1);
-      take('b', 2, firstTakenAt);
+      take(ownershipOf('b'), store, 2, firstTakenAt);
       store.dropLease(2);
       const takenAt = firstTakenAt + ttl + reign;
-      const third = take('c', 3, takenAt);
+      const third = take(ownershipOf('c'), store, 3, takenAt);
       const waiting = third.fencedUntil;
-      third.gaveUp('a', takenAt + asked, 1e12 + takenAt + asked);
+      third.formerOwnerEnded('a', takenAt + asked, WALL + takenAt + asked);
       assert.equal(third.fencedUntil, waiting, 'it was not the owner before');
       const saidAt = takenAt + asked;
-      third.gaveUp('b', saidAt, 1e12 + saidAt);
+      third.formerOwnerEnded('b', saidAt, WALL + saidAt);
       const gone = Math.max(saidAt + facts.leaseMs, firstTakenAt + answerBoundMs(facts) + facts.leaseMs);
       assert.ok(third.fencedUntil >= Math.min(waiting, gone), `${third.fencedUntil} before ${gone}`);
       assert.ok(third.fencedUntil <= waiting);
@@ -272,70 +309,103 @@
 });
 
 // A takeover that was carried out long after it had been decided on, as after an outage, left a time that was too early; if its
-// process then ended before it had taken the slot once more, the next one counted from that time.
+// process then ended before it had taken the resource once more, the next one counted from that time.
 test('a takeover under way for long leaves no time that a later owner counts from, whoever that is', () => {
   const decided = 1000;
   const carriedOut = decided + 60_000;
-  for (const next of [
-    { node: 'b', process: 'b2' },
-    { node: 'c', process: 'c1' },
-  ]) {
+  for (const [node, process] of [
+    ['b', 'b2'],
+    ['c', 'c1'],
+  ] as const) {
     const store = new Store();
-    const decide = (holding: Holding, now: number): Txn => {
-      const decision = holding.decide(store.view('0'), 1, now, 1e12 + now);
-      assert.ok(decision.kind === 'take');
-      return decision.txn;
-    };
-    const first = new Holding('0', facts, { node: 'a', process: 'a1' }, () => 0);
-    assert.ok(
-      first.taken(
-        store.run(decide(first, 0), () => true),
-        false,
-        0,
-        0,
-        1e12,
-      ),
-    );
+    take(ownershipOf('a', 'a1'), store, 1, 0);
     store.dropLease(1);
-    const slow = new Holding('0', facts, { node: 'b', process: 'b1' }, () => 0);
-    const version = store.run(decide(slow, decided), () => true);
-    assert.equal(slow.taken(version, true, carriedOut, carriedOut, 1e12 + carriedOut), false);
-    assert.equal(slow.timing(), null);
+    const slow = ownershipOf('b', 'b1');
+    const attempt = decideToTake(slow, store, 1, decided);
+    const version = store.run(attempt.transaction, () => true);
+    assert.equal(slow.taken(attempt, version, carriedOut, carriedOut, WALL + carriedOut), null);
+    assert.equal(slow.tenure, null);
     store.dropLease(1);
     const now = carriedOut + 500;
-    const after = new Holding('0', facts, next, () => 0);
-    const had = true;
-    assert.ok(
-      after.taken(
-        store.run(decide(after, now), () => true),
-        had,
-        now,
-        now,
-        1e12 + now,
-      ),
-    );
-    // The first owner may have read for the last time just before the slot was taken from it.
+    const after = take(ownershipOf(node, process), store, 1, now);
+    // The first owner may have read for the last time just before the resource was taken from it.
     const gone = carriedOut + answerBoundMs(facts) + facts.leaseMs;
-    assert.ok(after.fencedUntil >= gone, `${next.node}: may run until ${gone}, cleared at ${after.fencedUntil}`);
-    after.gaveUp('b', now + 100, 1e12 + now + 100);
-    assert.ok(after.fencedUntil >= gone, `${next.node}, asked: may run until ${gone}, cleared at ${after.fencedUntil}`);
+    assert.ok(after.fencedUntil >= gone, `${node}: may run until ${gone}, cleared at ${after.fencedUntil}`);
+    after.formerOwnerEnded('b', now + 100, WALL + now + 100);
+    assert.ok(after.fencedUntil >= gone, `${node}, asked: may run until ${gone}, cleared at ${after.fencedUntil}`);
   }
 });
 
 test('a takeover that was carried out in time stands, however long the reading after it takes', () => {
   const store = new Store();
-  const take = (node: string, now: number): Holding => {
-    const holding = new Holding('0', facts, { node, process: node }, () => 0);
-    const had = store.view('0').owner !== null;
-    const decision = holding.decide(store.view('0'), 1, now, 1e12 + now);
-    assert.ok(decision.kind === 'take');
+  const takeAndRead = (node: string, now: number): Tenure => {
+    const ownership = ownershipOf(node);
+    const attempt = decideToTake(ownership, store, 1, now);
     const readAt = now + 10 * facts.reportMs;
-    const version = store.run(decision.txn, () => true);
-    assert.ok(holding.taken(version, had, now + 100, readAt, 1e12 + readAt), node);
-    return holding;
+    const version = store.run(attempt.transaction, () => true);
+    const tenure = ownership.taken(attempt, version, now + 100, readAt, WALL + readAt);
+    assert.ok(tenure !== null, node);
+    return tenure;
   };
-  take('a', 0);
+  takeAndRead('a', 0);
   store.dropLease(1);
-  const second = take('b', 1000);
+  const second = takeAndRead('b', 1000);
   assert.ok(second.fencedUntil >= 1000 + 100 + answerBoundMs(facts) + facts.leaseMs);
 });
+
+// While the answer to its resumption was out, an owner did not look at the owner record: it answered workers as long as it could
+// read, though each read showed the next owner.
+test('an owner that is putting its hold back ends as soon as a view shows another owner', () => {
+  const store = new Store();
+  const first = ownershipOf('a');
+  const tenure = take(first, store, 1, 0);
+  store.dropLease(1);
+  const decision = first.decide(store.view('0'), 2, 1000, WALL + 1000);
+  assert.equal(decision.kind, 'resume');
+  assert.ok(tenure.isCurrent);
+  take(ownershipOf('b'), store, 3, 1000);
+  assert.equal(first.decide(store.view('0'), 2, 2000, WALL + 2000).kind, 'lost');
+  assert.ok(!tenure.isCurrent);
+  assert.equal(first.tenure, null);
+});
+
+// The outcome of a resumption was taken for that of whatever was under way when it came: a takeover begun since was given up
+// though it had been carried out, or stood under a term that its record did not have.
+test('the outcome of a resumption that comes during a later takeover leaves that takeover alone', () => {
+  const store = new Store();
+  const first = ownershipOf('a');
+  take(first, store, 1, 0);
+  store.dropLease(1);
+  const resumption = first.decide(store.view('0'), 2, 1000, WALL + 1000);
+  assert.ok(resumption.kind === 'resume');
+  const between = take(ownershipOf('b'), store, 3, 1000);
+  assert.equal(first.renounceBefore(between.term), resumption.tenure);
+  store.dropLease(3);
+  const now = 1000 + takeoverBoundMs(facts);
+  const takeover = decideToTake(first, store, 2, now);
+  assert.equal(first.failed(resumption), false);
+  assert.equal(first.resumed(resumption), false);
+  assert.equal(first.state, 'taking');
+  const version = store.run(takeover.transaction, () => true);
+  const tenure = first.taken(takeover, version, now, now, WALL + now);
+  assert.equal(tenure?.term, store.view('0').owner?.record.term);
+  assert.ok(!resumption.tenure.isCurrent);
+});
+
+// Asked while its takeover waited for a read, a controller said that it did not own the partition, and then opened it.
+test('a takeover under way is given up for a later owner that asks, and never opened', () => {
+  const store = new Store();
+  const first = ownershipOf('a');
+  const attempt = decideToTake(first, store, 1, 0);
+  const version = store.run(attempt.transaction, () => true);
+  store.dropLease(1);
+  const later = take(ownershipOf('b'), store, 2, 1000);
+  assert.equal(first.renounceBefore(later.term), null);
+  assert.equal(first.taken(attempt, version, 1500, 1500, WALL + 1500), null);
+  assert.equal(first.tenure, null);
+  // One that was asked about by an earlier owner goes on.
+  store.dropLease(2);
+  const next = decideToTake(first, store, 3, 10_000);
+  first.renounceBefore(later.term);
+  assert.ok(first.isPending(next));
+});
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -1,17 +1,14 @@
 // One controller: its view of the state service, the parts it owns, the lead if it has it, and the answers to users,
 // workers and peers. Everything it needs of the world comes in through ports.
-import { Budget, type Clock, type Http, Replica, sleep, StateService, URGENCY } from '@gingerlock/clients';
-import { answerBoundMs, type Decision, DRIFT, Holding, marginMs, stateLeaseMs, TURN, type Txn } from '@gingerlock/core';
+import { Budget, type Clock, type Http, Replica, sleep, StateService } from '@gingerlock/clients';
+import { answerBoundMs, DRIFT, marginMs, stateLeaseMs, type Tenure } from '@gingerlock/core';
 import type { PeerLink, PeerMessage } from '@gingerlock/peer';
 import {
   decodeReport,
   encodeOrders,
   encodeReportTo,
-  FORMAT,
-  KEYS,
   LEAD,
   Malformed,
-  metaRecord,
   PREFIX,
   type WorkerReport,
 } from '@gingerlock/wire';
@@ -20,6 +17,7 @@
 import { Leader } from './leader';
 import type { Log } from './log';
 import { PartOwner } from './owner';
+import { OwnershipManager } from './ownership-manager';
 import { PeerChannel } from './peer-channel';
 import { PeerConfirmation } from './peer-confirmation';
 import { refusal, type Reply } from './reply';
@@ -52,7 +50,7 @@
   readonly #budget: Budget;
   readonly #users: Users;
   readonly #owners = new Map<number, PartOwner>();
-  readonly #holdings = new Map<string, Holding>();
+  readonly #ownership: OwnershipManager;
   readonly #peers: PeerChannel;
   readonly #summaries = new Summaries();
   readonly #relay: ReportRelay;
@@ -61,7 +59,6 @@
   readonly #formerOwners: FormerOwnerQueries;
   /** Controllers that this process has heard of, and since when without a gap; null: silent now. */
   readonly #met = new Map<string, number | null>();
-  #releasedAt = -Infinity;
   readonly #peerContact = new Map<string, { ageMs: number; at: number }>();
   #leader: Leader | null = null;
   #lease: number | null = null;
@@ -101,10 +98,20 @@
           this.log.error({ key, error: String(error) }, 'unreadable record');
         }
       },
-      onSync: () => this.#synced(),
+      onSync: () => this.#ownership.synced(this.shared.leaseValid() ? this.#lease : null),
       onError: (error) => this.log.info({ error: String(error) }, 'state service can not be read'),
     });
     this.shared = new Shared(this.settings, ports.clock, ports.log, this.state, this.replica, this.store, ports.http);
+    this.#ownership = new OwnershipManager(
+      this.shared,
+      this.process,
+      {
+        isAlive: (node) => this.link.alive(node),
+        hasMet: (node) => this.#met.has(node),
+        isWell: (node, forMs) => this.#isWell(node, forMs),
+      },
+      { opened: (tenure) => this.#opened(tenure), ended: (tenure) => this.#ended(tenure) },
+    );
     this.#users = new Users(this.shared, (id) => this.#summaries.runningTasks(id));
     this.#budgetSharing = new BudgetSharing(this.#budget, this.#peers, ports.clock, facts.reportMs);
     this.#confirmation = new PeerConfirmation(this.state, this.replica, this.#peers, facts.reportMs);
@@ -145,6 +152,7 @@
 
   stop(): void {
     this.#stopped = true;
+    this.#ownership.stop();
     this.#leader?.stop();
     this.#relay.stop();
     this.replica.stop();
@@ -174,7 +182,7 @@
     for (const node of this.#met.keys()) if (!this.link.alive(node)) this.#met.set(node, null);
     for (const owner of this.#owners.values()) owner.tick(now);
     this.#formerOwners.tick(now);
-    this.#releaseOne(now);
+    this.#ownership.releaseOne(this.#owners.values(), now);
     this.#summarise(now);
     this.#leader?.tick();
     this.#confirmation.tick(now, this.#owners.size > 0);
@@ -208,156 +216,35 @@
 
   // --- ownership ---------------------------------------------------------------------------------------------------
 
-  #synced(): void {
-    const { store } = this;
-    if (store.meta === null) {
-      void this.#found();
-      return;
-    }
-    if (this.#holdings.size === 0) this.#openHoldings(store.meta.parts);
-    const now = this.clock.now();
-    for (const holding of this.#holdings.values()) {
-      const wasOwned = holding.owned;
-      const lease = this.shared.leaseValid() ? this.#lease : null;
-      const decision = holding.decide(store.view(holding.slot), lease, now, this.clock.wall());
-      if (wasOwned && !holding.owned) this.#released(holding);
-      if (decision.kind === 'take' || decision.kind === 'resume') void this.#take(holding, decision);
-    }
-  }
-
-  async #found(): Promise<void> {
-    // About half of a value's room, in bits of base64: a page of a finished set always fits.
-    const pageTasks = Math.max(64, Math.floor(this.settings.valueBytes / 2) * 6);
-    const parts = this.settings.facts.controllers;
-    const nodes = this.#nodes();
-    const zones = Array.from({ length: parts }, (_, part) => this.#zoneOf(nodes[part % nodes.length]!));
-    const meta = { format: FORMAT, parts, zones, pageTasks: pageTasks - (pageTasks % 8) };
-    const changes = [{ put: KEYS.meta, value: metaRecord.write(meta) }];
-    const result = await this.state.txn(URGENCY.accept, [{ key: KEYS.meta, version: 0 }], changes);
-    if (result.kind !== 'done') return;
-    this.replica.applyOwn(changes, result.revision);
-    this.shared.announce(result.revision);
-  }
-
-  /** All controllers, in the order in which parts have their homes. */
-  #nodes(): string[] {
-    const { node, peers } = this.settings;
-    return [node, ...peers.map((p) => p.node)].sort();
-  }
-
-  #zoneOf(node: string): string {
-    return this.settings.peers.find((p) => p.node === node)?.zone ?? this.settings.zone;
-  }
-
-  /** Who should own the part, its home first: those in its zone go before the others. */
-  #orderFor(part: number): string[] {
-    const nodes = this.#nodes();
-    const zone = this.store.meta?.zones[part];
-    const from = nodes.map((_, i) => nodes[(i + part) % nodes.length]!);
-    return [...from.filter((n) => this.#zoneOf(n) === zone), ...from.filter((n) => this.#zoneOf(n) !== zone)];
-  }
-
-  /**
-   * Gives a part that was taken over back to its home, once that is well again: after rolling restarts one controller
-   * owned most of the fleet, and its end cost the most. One at a time, and not while anything is wrong: workers of the
-   * part have to find their new owner.
-   */
-  #releaseOne(now: number): void {
-    const { leaseMs, reportMs } = this.settings.facts;
-    if (now - this.#releasedAt < leaseMs || !this.shared.fresh() || this.replica.failures > 0) return;
-    for (const { part, holding, claimTable } of this.#owners.values()) {
-      const home = this.#orderFor(part)[0]!;
-      if (home === this.settings.node || holding.state !== 'held' || !claimTable.cleared) continue;
-      if (now - holding.takenAt < leaseMs || now - (this.#met.get(home) ?? now) < leaseMs) continue;
-      const contact = this.#peerContact.get(home);
-      if (contact === undefined || now - contact.at > reportMs || contact.ageMs > reportMs) continue;
-      const txn = holding.release(this.store.view(holding.slot));
-      if (txn === null) continue;
-      this.#releasedAt = now;
-      this.#released(holding);
-      void this.#settleRelease(holding, txn);
+  #opened(tenure: Tenure): void {
+    if (tenure.resource === LEAD) {
+      this.#leader = new Leader(this.shared, tenure, () => this.#summaries.all(), this.#http);
       return;
     }
+    const part = Number(tenure.resource);
+    const before = this.#summaries.of(part)?.summary.machines ?? [];
+    this.#owners.set(part, new PartOwner(this.shared, part, tenure, new Map(before.map((m) => [m.name, m] as const))));
   }
 
-  async #settleRelease(holding: Holding, { conditions, changes }: Txn): Promise<void> {
-    const revision = await this.shared.settle(URGENCY.renew, conditions, changes, () => !this.#stopped);
-    holding.released();
-    this.log.info({ slot: holding.slot, term: holding.term, done: revision > 0 }, 'given back');
-  }
-
-  #openHoldings(parts: number): void {
-    const { node, facts } = this.settings;
-    const me = { node, process: this.process };
-    const turn = (order: readonly string[]): number => {
-      let sum = 0;
-      for (const before of order) {
-        if (before === node) break;
-        if (this.link.alive(before)) sum += TURN.alive;
-        else sum += this.#met.has(before) ? TURN.silent : TURN.unknown;
-      }
-      return sum;
-    };
-    for (let part = 0; part < parts; part++) {
-      const order = this.#orderFor(part);
-      this.#holdings.set(String(part), new Holding(String(part), facts, me, () => turn(order)));
-    }
-    const nodes = this.#nodes();
-    this.#holdings.set(LEAD, new Holding(LEAD, facts, me, () => turn(nodes)));
-  }
-
-  async #take(holding: Holding, decision: Extract<Decision, { kind: 'take' | 'resume' }>): Promise<void> {
-    const { slot } = holding;
-    const hadOwner = this.store.owners.has(slot);
-    const { conditions, changes } = decision.txn;
-    const revision = await this.shared.settle(URGENCY.renew, conditions, changes, () => !this.#stopped);
-    const doneAt = this.clock.now();
-    if (revision === 0) {
-      holding.failed();
-      if (decision.kind === 'resume') this.#released(holding);
-      return;
-    }
-    if (decision.kind === 'resume') {
-      holding.resumed();
-      this.log.info({ slot, term: holding.term }, 'resumed');
-      return;
-    }
-    // What the old owner wrote before it lost the slot has to be seen first: its membership above all.
-    while (this.replica.revision < revision) {
-      try {
-        await this.replica.barrier();
-      } catch {
-        await sleep(this.clock, this.settings.facts.reportMs / 5);
-      }
-    }
-    if (this.store.owners.get(slot)?.version !== revision) {
-      holding.failed();
-      return;
-    }
-    if (!holding.taken(revision, hadOwner, doneAt, this.clock.now(), this.clock.wall())) return;
-    this.log.info({ slot, term: holding.term, clearInMs: Math.round(holding.fencedUntil - this.clock.now()) }, 'taken');
-    if (slot === LEAD) {
-      this.#leader = new Leader(this.shared, holding, () => this.#summaries.all(), this.#http);
-    } else {
-      const before = this.#summaries.of(Number(slot))?.summary.machines ?? [];
-      const rooms = new Map(before.map((m) => [m.name, m] as const));
-      this.#owners.set(Number(slot), new PartOwner(this.shared, Number(slot), holding, rooms));
-      const timing = holding.timing();
-      if (timing !== null)
-        void this.shared.settle(URGENCY.assign, timing.conditions, timing.changes, () => holding.owned);
-    }
-  }
-
-  #released(holding: Holding): void {
-    this.log.info({ slot: holding.slot, term: holding.term }, 'released');
-    if (holding.slot === LEAD) {
+  #ended(tenure: Tenure): void {
+    if (tenure.resource === LEAD) {
       this.#leader?.stop();
       this.#leader = null;
     } else {
-      this.#owners.delete(Number(holding.slot));
+      this.#owners.delete(Number(tenure.resource));
     }
   }
 
+  /** Whether the controller has been heard of for so long without a gap, and has just read the state service. */
+  #isWell(node: string, forMs: number): boolean {
+    const now = this.clock.now();
+    const { reportMs } = this.settings.facts;
+    const metAt = this.#met.get(node) ?? now;
+    const contact = this.#peerContact.get(node);
+    if (contact === undefined || now - metAt < forMs) return false;
+    return now - contact.at <= reportMs && contact.ageMs <= reportMs;
+  }
+
   // --- workers -----------------------------------------------------------------------------------------------------
 
   /** Up to when nothing can have been accepted, cancelled or taken that we have not seen. */
@@ -382,6 +269,8 @@
   #answer(part: number, report: WorkerReport): Reply {
     const owner = this.#owners.get(part)!;
     const now = this.clock.now();
+    // Between the two requests of a full reload the records may show the next owner before that is acted upon.
+    if (!owner.isOwner()) return refusal(503, 'part was taken over');
     // The bound within which a part's next owner, and users who cancel, may count on our silence.
     if (now > this.#contactAt() + answerBoundMs(this.settings.facts))
       return refusal(503, 'no contact with the state service');
@@ -394,8 +283,7 @@
         return refusal(503, outcome.why);
       case 'superseded':
         this.log.info({ part, machine: report.machine, token: report.token }, 'superseded');
-        owner.holding.stepDown();
-        this.#released(owner.holding);
+        this.#ownership.superseded(owner.tenure);
         return { status: 421, body: encodeReportTo(null) };
     }
   }
@@ -459,13 +347,8 @@
         this.#confirmation.onAnswer(from, message);
         return;
       case 'OwnershipQuery': {
-        // Without the state service we may be the last to learn that the part was taken from us.
-        const holding = this.#owners.get(message.part)?.holding;
-        if (holding !== undefined && holding.term < message.term) {
-          holding.stepDown();
-          this.#released(holding);
-        }
-        this.link.send(from, { kind: 'OwnershipAnswer', id: message.id, owns: this.#owners.has(message.part) });
+        const owns = this.#ownership.ownsAfterQuery(message.part, message.term);
+        this.link.send(from, { kind: 'OwnershipAnswer', id: message.id, owns });
         return;
       }
       case 'OwnershipAnswer':
@@ -512,10 +395,10 @@
       this.#summaries.publish(owner, this.settings.node, now, this.#peers, to);
     }
     const leader = this.#leader;
-    if (leader !== null && leader.holding.owned) {
+    if (leader !== null && leader.tenure.isCurrent) {
       const { drain, gone } = leader.orders();
       this.#obey(drain, gone);
-      this.#peers.broadcast({ kind: 'FleetOrders', term: leader.holding.term, drain: [...drain], gone: [...gone] });
+      this.#peers.broadcast({ kind: 'FleetOrders', term: leader.tenure.term, drain: [...drain], gone: [...gone] });
     }
   }
 
--- a/packages/daemon/src/former-owners.ts
+++ b/packages/daemon/src/former-owners.ts
@@ -24,20 +24,20 @@
     if (now - this.#askedAt < this.reportMs / 2) return;
     this.#askedAt = now;
     for (const [id, query] of this.#open) if (now - query.at > this.reportMs * 2) this.#open.delete(id);
-    for (const { part, holding, claimTable } of this.owners.values()) {
-      if (holding.before === null || claimTable.cleared) continue;
+    for (const { part, tenure, claimTable } of this.owners.values()) {
+      const { term, formerOwner } = tenure;
+      if (formerOwner === null || claimTable.cleared) continue;
       const id = this.peers.nextRequestId();
-      const { term } = holding;
       this.#open.set(id, { part, term, at: now });
-      this.peers.send(holding.before.node, { kind: 'OwnershipQuery', id, part, term });
+      this.peers.send(formerOwner.node, { kind: 'OwnershipQuery', id, part, term });
     }
   }
 
   onAnswer(from: string, { id, owns }: PeerMessages['OwnershipAnswer'], now: number, wall: number): void {
     const query = this.#open.get(id);
     const owner = query === undefined ? undefined : this.owners.get(query.part);
-    if (query === undefined || owns || owner?.holding.term !== query.term) return;
-    owner.holding.gaveUp(from, now, wall);
-    owner.claimTable.fencedUntil = owner.holding.fencedUntil;
+    if (query === undefined || owns || owner?.tenure.term !== query.term) return;
+    owner.tenure.formerOwnerEnded(from, now, wall);
+    owner.claimTable.fencedUntil = owner.tenure.fencedUntil;
   }
 }
--- a/packages/daemon/src/leader.ts
+++ b/packages/daemon/src/leader.ts
@@ -4,10 +4,10 @@
   assignedUnfinished,
   assignTasks,
   Fleet,
-  type Holding,
   type Job,
   joinRounds,
   type PartSummary,
+  type Tenure,
   type Unmet,
 } from '@gingerlock/core';
 import {
@@ -15,7 +15,6 @@
   type Condition,
   jobRecord,
   KEYS,
-  LEAD,
   machineTypesMap,
   type RentRequest,
   RETURN_MOST,
@@ -76,11 +75,11 @@
 
   constructor(
     readonly shared: Shared,
-    readonly holding: Holding,
+    readonly tenure: Tenure,
     readonly summaries: () => readonly SeenSummary[],
     http: ConstructorParameters<typeof Cloud>[0],
   ) {
-    this.fleet = new Fleet(shared.facts, holding.term, shared.settings.operators);
+    this.fleet = new Fleet(shared.facts, tenure.term, shared.settings.operators);
     this.cloud = new Cloud(http, shared.settings.cloud, shared.facts.reportMs * 2);
     this.#since = shared.clock.now();
     void this.#cloudLoop();
@@ -90,6 +89,10 @@
     this.#stopped = true;
   }
 
+  #isLeading(): boolean {
+    return this.tenure.isCurrent && !this.#stopped;
+  }
+
   /** Machines that get no more work, and those that are surely gone: told to the owners again and again. */
   orders(): { drain: readonly string[]; gone: readonly string[] } {
     return { drain: this.#drain, gone: [...this.#gone.keys()] };
@@ -113,7 +116,7 @@
     const { shared } = this;
     this.#assigning = true;
     try {
-      while (!this.#stopped && this.holding.owned && shared.leaseValid() && shared.fresh()) {
+      while (this.#isLeading() && shared.leaseValid() && shared.fresh()) {
         if (!(await this.#assignOnce())) break;
       }
     } catch (error) {
@@ -128,7 +131,7 @@
     const { shared } = this;
     const { store, facts, settings } = shared;
     const current = this.#current(shared.clock.now());
-    const batch = new JobBatch({ key: KEYS.owner(LEAD), version: this.holding.version });
+    const batch = new JobBatch(this.tenure.condition);
     this.#close(batch);
     this.#recent = this.#recent.filter((r) => current.some((s) => s.part === r.part && s.revision < r.revision));
     const { assignments, unmet } = assignTasks({
@@ -145,8 +148,7 @@
       if (store.leftovers.size === 0) return false;
       for (const key of [...store.leftovers].slice(0, settings.txnOps)) batch.changes.push({ remove: key });
     }
-    const wanted = (): boolean => this.holding.owned && !this.#stopped;
-    const revision = await shared.settle(URGENCY.assign, batch.conditions, batch.changes, wanted);
+    const revision = await shared.settle(URGENCY.assign, batch.conditions, batch.changes, () => this.#isLeading());
     if (revision === 0) return false;
     for (const m of meant) this.#recent.push({ ...m, revision });
     shared.log.debug({ jobs: [...batch.jobs] }, 'assigned and closed');
@@ -221,7 +223,7 @@
           for (const name of failed) this.#gone.set(name, clock.now());
           this.#listed = true;
         }
-        if (this.holding.owned && shared.leaseValid() && shared.fresh()) await this.#manage();
+        if (this.#isLeading() && shared.leaseValid() && shared.fresh()) await this.#manage();
       } catch (error) {
         shared.log.info({ error: String(error) }, 'cloud trouble');
       }
@@ -239,12 +241,7 @@
     // Prices of spot machines move all the time; what matters to all is what the machines are.
     const still = (v: unknown): string => JSON.stringify(v).replace(/"low_price":[0-9.]+/g, '');
     if (still(value) === still(before)) return;
-    await shared.settle(
-      URGENCY.accept,
-      [{ key: KEYS.owner(LEAD), version: this.holding.version }],
-      [{ put: KEYS.types, value }],
-      () => this.holding.owned && !this.#stopped,
-    );
+    await shared.settle(URGENCY.accept, [this.tenure.condition], [{ put: KEYS.types, value }], () => this.#isLeading());
   }
 
   async #manage(): Promise<void> {
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -3,7 +3,6 @@
   type Bits,
   finishedPageFor,
   grantViewMs,
-  type Holding,
   type Job,
   type Machine,
   type MachineRoom,
@@ -14,6 +13,7 @@
   type PartSummary,
   plus,
   type Slot,
+  type Tenure,
   toCall,
   vacate,
   withoutTasks,
@@ -69,7 +69,8 @@
   constructor(
     readonly shared: Shared,
     readonly part: number,
-    readonly holding: Holding,
+    /** Fixed for the life of this object: all that it writes and sends rests on the term and version of this one tenure. */
+    readonly tenure: Tenure,
     before: ReadonlyMap<string, MachineRoom>,
   ) {
     const { store, facts, clock, log } = shared;
@@ -77,14 +78,15 @@
     this.claimTable = new ClaimTable({
       facts,
       part,
-      term: holding.term,
-      fencedUntil: holding.fencedUntil,
-      openedAt: holding.takenAt,
+      term: tenure.term,
+      fencedUntil: tenure.fencedUntil,
+      openedAt: tenure.takenAt,
       jobs: store.jobs,
       types: () => store.types,
       membership: store.membership(part),
       images: new Map([...before].map(([name, m]) => [name, m.images])),
       log: (message, detail) => log.debug({ part, ...detail }, message),
+      alarm: (message, detail) => log.error({ part, term: tenure.term, ...detail }, message),
     });
     for (const id of store.jobs.live.keys()) this.claimTable.syncJob(id, clock.now());
   }
@@ -165,11 +167,18 @@
     });
   }
 
+  /** Whether this controller is the owner, as far as any read of its own shows: nobody is answered on other grounds. */
+  isOwner(): boolean {
+    const owner = this.shared.store.owners.get(this.tenure.resource);
+    return this.tenure.isCurrent && owner?.version === this.tenure.version;
+  }
+
   /** Whether starts may be given now: we surely own the part, and have seen every cancellation but the newest. */
   mayGrant(now: number): boolean {
     const { replica, facts } = this.shared;
     return (
-      this.holding.state === 'held' &&
+      this.tenure.state === 'held' &&
+      this.isOwner() &&
       this.shared.leaseValid() &&
       replica.contactAt !== null &&
       // A new lease says nothing of holds that were attached to the one before: somebody else may have them.
@@ -332,25 +341,22 @@
 
   async #writeOnce(): Promise<boolean> {
     const { shared } = this;
-    if (!this.holding.owned || !shared.fresh()) return false;
+    if (!this.isOwner() || !shared.fresh()) return false;
     const { writes, urgency } = this.#writes(shared.clock.now());
     if (writes.length === 0) return false;
     const batch = writes.slice(0, shared.settings.txnOps);
     for (const w of batch) w.prepare?.();
-    const conditions = [
-      { key: KEYS.owner(String(this.part)), version: this.holding.version },
-      ...batch.flatMap((w) => w.conditions),
-    ];
+    const conditions = [this.tenure.condition, ...batch.flatMap((w) => w.conditions)];
     const changes = batch.map((w) => w.change);
     shared.log.debug(
       { part: this.part, urgency, keys: changes.map((c) => ('put' in c ? c.put : c.remove)) },
       'writing',
     );
-    const done = await shared.settle(urgency, conditions, changes, () => this.holding.owned);
+    const done = await shared.settle(urgency, conditions, changes, () => this.tenure.isCurrent);
     // A conflict over one job fails the whole batch: the others' tasks, too, are still here.
     if (done === 0) for (const w of batch) w.failed?.();
     // What is finished or given back shows in the replica, and leaves the claim table with it.
-    return done > 0 && this.holding.owned;
+    return done > 0 && this.tenure.isCurrent;
   }
 
   // --- what others are told ----------------------------------------------------------------------------------------
@@ -383,7 +389,7 @@
     }
     return {
       part: this.part,
-      term: this.holding.term,
+      term: this.tenure.term,
       revision: this.shared.replica.revision,
       machines,
       missing: claimTable.missing(now),
--- /dev/null
+++ b/packages/daemon/src/ownership-manager.ts
@@ -0,0 +1,267 @@
+// Which partitions this controller owns, and whether it has the lead: carries out what the ownership state machines decide, and
+// gives partitions that were taken over back to their homes.
+import { type Clock, sleep, URGENCY } from '@gingerlock/clients';
+import {
+  Ownership,
+  type Release,
+  type Resumption,
+  type Takeover,
+  type Tenure,
+  TURN,
+  type Versioned,
+} from '@gingerlock/core';
+import { FORMAT, KEYS, LEAD, metaRecord, type OwnerRecord } from '@gingerlock/wire';
+import type { PartOwner } from './owner';
+import type { Settings } from './settings';
+import type { Shared } from './shared';
+
+/** What the manager needs to know of the other controllers. */
+export interface PeerHealth {
+  isAlive(node: string): boolean;
+  /** Whether this process has ever heard of the controller. */
+  hasMet(node: string): boolean;
+  /** Whether the controller has been heard of for so long without a gap, and reads the state service. */
+  isWell(node: string, forMs: number): boolean;
+}
+
+/** Hears of the begin and the end of each tenure. */
+export interface TenureListener {
+  opened(tenure: Tenure): void;
+  ended(tenure: Tenure): void;
+}
+
+/** A page of finished tasks takes about this share of a value at the most. */
+const PAGE_SHARE = 1 / 2;
+
+/** A character of base64 holds so many tasks. */
+const TASKS_PER_CHARACTER = 6;
+
+const LEAST_PAGE_TASKS = 64;
+
+export class OwnershipManager {
+  readonly #ownerships = new Map<string, Ownership>();
+  #lease: number | null = null;
+  #releasedAt = -Infinity;
+  #stopped = false;
+
+  constructor(
+    readonly shared: Shared,
+    readonly process: string,
+    readonly peers: PeerHealth,
+    readonly listener: TenureListener,
+  ) {}
+
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  get #settings(): Settings {
+    return this.shared.settings;
+  }
+
+  get #clock(): Clock {
+    return this.shared.clock;
+  }
+
+  /** Looks at all resources after a read. `lease` is this controller's state lease, or null. */
+  synced(lease: number | null): void {
+    this.#lease = lease;
+    const { store } = this.shared;
+    if (store.meta === null) {
+      void this.#found();
+      return;
+    }
+    if (this.#ownerships.size === 0) this.#open(store.meta.parts);
+    for (const ownership of this.#ownerships.values()) this.#decide(ownership);
+  }
+
+  #decide(ownership: Ownership): void {
+    const { shared } = this;
+    const lease = shared.leaseValid() ? this.#lease : null;
+    const view = shared.store.view(ownership.resource);
+    const decision = ownership.decide(view, lease, this.#clock.now(), this.#clock.wall());
+    switch (decision.kind) {
+      case 'none':
+        return;
+      case 'lost':
+        this.#ended(decision.tenure);
+        return;
+      case 'take':
+        void this.#take(ownership, decision);
+        return;
+      case 'resume':
+        void this.#resume(ownership, decision);
+        return;
+    }
+  }
+
+  /** Writes the settings of the deployment that hold for ever, as the first controller that ever starts. */
+  async #found(): Promise<void> {
+    const { shared } = this;
+    const tasks = Math.floor(this.#settings.valueBytes * PAGE_SHARE) * TASKS_PER_CHARACTER;
+    const pageTasks = Math.max(LEAST_PAGE_TASKS, tasks);
+    const parts = this.#settings.facts.controllers;
+    const nodes = this.#nodes();
+    const zones = Array.from({ length: parts }, (_, part) => this.#zoneOf(nodes[part % nodes.length]!));
+    const meta = { format: FORMAT, parts, zones, pageTasks: pageTasks - (pageTasks % 8) };
+    const changes = [{ put: KEYS.meta, value: metaRecord.write(meta) }];
+    const result = await shared.state.txn(URGENCY.accept, [{ key: KEYS.meta, version: 0 }], changes);
+    if (result.kind !== 'done') return;
+    shared.replica.applyOwn(changes, result.revision);
+    shared.announce(result.revision);
+  }
+
+  // --- order of takers ---------------------------------------------------------------------------------------------
+
+  /** All controllers, in the order in which partitions have their homes. */
+  #nodes(): string[] {
+    const { node, peers } = this.#settings;
+    return [node, ...peers.map((p) => p.node)].sort();
+  }
+
+  #zoneOf(node: string): string {
+    return this.#settings.peers.find((p) => p.node === node)?.zone ?? this.#settings.zone;
+  }
+
+  /** Who should own the partition, its home first: those in its zone go before the others. */
+  #orderFor(part: number): string[] {
+    const nodes = this.#nodes();
+    const zone = this.shared.store.meta?.zones[part];
+    const from = nodes.map((_, i) => nodes[(i + part) % nodes.length]!);
+    return [...from.filter((n) => this.#zoneOf(n) === zone), ...from.filter((n) => this.#zoneOf(n) !== zone)];
+  }
+
+  /** Report intervals to leave to the controllers that come before this one. */
+  #turn(order: readonly string[]): number {
+    let sum = 0;
+    for (const node of order) {
+      if (node === this.#settings.node) break;
+      if (this.peers.isAlive(node)) sum += TURN.alive;
+      else sum += this.peers.hasMet(node) ? TURN.silent : TURN.unknown;
+    }
+    return sum;
+  }
+
+  #open(parts: number): void {
+    const { node, facts } = this.#settings;
+    const me = { node, process: this.process };
+    for (let part = 0; part < parts; part++) {
+      const order = this.#orderFor(part);
+      const resource = String(part);
+      this.#ownerships.set(resource, new Ownership(resource, facts, me, () => this.#turn(order)));
+    }
+    const nodes = this.#nodes();
+    this.#ownerships.set(LEAD, new Ownership(LEAD, facts, me, () => this.#turn(nodes)));
+  }
+
+  // --- taking and resuming -----------------------------------------------------------------------------------------
+
+  async #take(ownership: Ownership, attempt: Takeover): Promise<void> {
+    const { shared } = this;
+    const { conditions, changes } = attempt.transaction;
+    const isWanted = (): boolean => !this.#stopped && ownership.isPending(attempt);
+    const revision = await shared.settle(URGENCY.renew, conditions, changes, isWanted);
+    const doneAt = this.#clock.now();
+    if (revision === 0 || !(await this.#readUpTo(revision, isWanted)) || !this.#isOwnRecord(ownership, revision)) {
+      ownership.failed(attempt);
+      return;
+    }
+    const tenure = ownership.taken(attempt, revision, doneAt, this.#clock.now(), this.#clock.wall());
+    if (tenure === null) return;
+    const clearInMs = Math.round(tenure.fencedUntil - this.#clock.now());
+    shared.log.info({ slot: tenure.resource, term: tenure.term, clearInMs }, 'taken');
+    this.listener.opened(tenure);
+    this.#confirmTime(tenure);
+  }
+
+  /** What the old owner wrote before it lost the resource has to be seen first: its membership above all. */
+  async #readUpTo(revision: number, isWanted: () => boolean): Promise<boolean> {
+    const { replica, facts } = this.shared;
+    while (replica.revision < revision) {
+      try {
+        await replica.barrier();
+      } catch {
+        await sleep(this.#clock, facts.reportMs / 5);
+      }
+      if (!isWanted()) return false;
+    }
+    return true;
+  }
+
+  #isOwnRecord(ownership: Ownership, version: number): boolean {
+    const owner: Versioned<OwnerRecord> | undefined = this.shared.store.owners.get(ownership.resource);
+    return owner?.version === version;
+  }
+
+  #confirmTime(tenure: Tenure): void {
+    const transaction = tenure.resource === LEAD ? null : tenure.confirmTime();
+    if (transaction === null) return;
+    const { conditions, changes } = transaction;
+    void this.shared.settle(URGENCY.assign, conditions, changes, () => tenure.isCurrent);
+  }
+
+  async #resume(ownership: Ownership, attempt: Resumption): Promise<void> {
+    const { conditions, changes } = attempt.transaction;
+    const isWanted = (): boolean => !this.#stopped && ownership.isPending(attempt);
+    const revision = await this.shared.settle(URGENCY.renew, conditions, changes, isWanted);
+    const { tenure } = attempt;
+    if (revision === 0) {
+      if (ownership.failed(attempt)) this.#ended(tenure);
+    } else if (ownership.resumed(attempt)) {
+      this.shared.log.info({ slot: tenure.resource, term: tenure.term }, 'resumed');
+    }
+  }
+
+  #ended(tenure: Tenure): void {
+    this.shared.log.info({ slot: tenure.resource, term: tenure.term }, 'released');
+    this.listener.ended(tenure);
+  }
+
+  // --- giving up ---------------------------------------------------------------------------------------------------
+
+  /** A worker has seen the token of a later owner. */
+  superseded(tenure: Tenure): void {
+    if (this.#ownerships.get(tenure.resource)?.stepDown(tenure) === true) this.#ended(tenure);
+  }
+
+  /**
+   * A later owner of the given term asks whether the partition is still owned here. Without the state service this controller may
+   * be the last to learn that it was taken over. The answer no holds for ever, for all earlier terms.
+   */
+  ownsAfterQuery(part: number, term: number): boolean {
+    const ownership = this.#ownerships.get(String(part));
+    const ended = ownership?.renounceBefore(term) ?? null;
+    if (ended !== null) this.#ended(ended);
+    return (ownership?.tenure ?? null) !== null;
+  }
+
+  /**
+   * Gives a partition that was taken over back to its home, once that is well again: after rolling restarts one controller
+   * owned most of the fleet, and its end cost the most. One at a time, and not while anything is wrong: workers of the
+   * partition have to find their new owner.
+   */
+  releaseOne(owners: Iterable<PartOwner>, now: number): void {
+    const { leaseMs } = this.shared.facts;
+    if (now - this.#releasedAt < leaseMs || !this.shared.fresh() || this.shared.replica.failures > 0) return;
+    for (const { part, tenure, claimTable } of owners) {
+      const home = this.#orderFor(part)[0]!;
+      if (home === this.#settings.node || tenure.state !== 'held' || !claimTable.cleared) continue;
+      if (now - tenure.takenAt < leaseMs || !this.peers.isWell(home, leaseMs)) continue;
+      const ownership = this.#ownerships.get(tenure.resource)!;
+      const attempt = ownership.release(this.shared.store.view(tenure.resource));
+      if (attempt === null) continue;
+      this.#releasedAt = now;
+      this.#ended(tenure);
+      void this.#release(ownership, attempt);
+      return;
+    }
+  }
+
+  async #release(ownership: Ownership, attempt: Release): Promise<void> {
+    const { conditions, changes } = attempt.transaction;
+    const revision = await this.shared.settle(URGENCY.renew, conditions, changes, () => !this.#stopped);
+    ownership.released(attempt);
+    const { resource, term } = attempt.tenure;
+    this.shared.log.info({ slot: resource, term, done: revision > 0 }, 'given back');
+  }
+}
--- a/packages/daemon/src/store.ts
+++ b/packages/daemon/src/store.ts
@@ -1,4 +1,4 @@
-import { JobTable, Partition, type SlotView, type Versioned } from '@gingerlock/core';
+import { JobTable, Partition, type OwnershipView, type Versioned } from '@gingerlock/core';
 import {
   holdRecord,
   type HoldRecord,
@@ -46,7 +46,7 @@
     this.onJob(id);
   }
 
-  view(slot: string): SlotView {
+  view(slot: string): OwnershipView {
     return {
       owner: this.owners.get(slot) ?? null,
       hold: this.holds.get(slot) ?? null,
