Claims are kept until their end is proven, zones follow the newest record; reads without an order

- An entry was dropped with its claim as soon as the record lacked it, and made anew as waiting when the record had it again.
It now stays, is stopped, and raises an alarm in the log; it goes once the claim has ended.
- Changes of `/follow` were taken in the order in which they came: a key set and then removed came back if the removal stood first.
- The answer to a change of our own, coming after a read that had shown the key removed again, brought the key back for ever.
- A report that contradicts earlier ones of its machine (type, zone, kind) is refused.

--- a/packages/clients/src/replica.ts
+++ b/packages/clients/src/replica.ts
@@ -74,12 +74,16 @@
     this.#schedule();
   }
 
-  /** Takes changes that this controller has made itself, ahead of reading them. */
+  /**
+   * Takes changes that this controller has made itself, ahead of reading them. Those that have been read already are left
+   * alone: the key may have been removed since, and came back for ever.
+   */
   applyOwn(changes: readonly Change[], revision: number): void {
+    if (revision <= this.revision) return;
     for (const c of changes) {
       if ('put' in c) this.#take(c.put, c.value, revision);
       else {
-        if (revision > this.revision) this.#removed.set(c.remove, revision);
+        this.#removed.set(c.remove, revision);
         this.#take(c.remove, undefined, revision);
       }
     }
@@ -125,7 +129,9 @@
         this.loaded = false;
         throw new Error('changes are too old to follow, reading all again');
       }
-      for (const e of followed.events) this.#take(e.key, e.value, e.version);
+      // The protocol promises no order: a key that was set and then removed came back if the removal stood first.
+      const events = [...followed.events].sort((a, b) => a.version - b.version);
+      for (const e of events) this.#take(e.key, e.value, e.version);
       this.revision = Math.max(this.revision, followed.revision);
       for (const [key, version] of this.#removed) if (version <= this.revision) this.#removed.delete(key);
       this.contactAt = began;
--- a/packages/clients/test/state.test.ts
+++ b/packages/clients/test/state.test.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Sim, SimStateService } from '@gingerlock/testkit';
+import { decode, encode, eventsMap, eventsOf } from '@gingerlock/wire';
 import fc from 'fast-check';
-import { Budget, Overloaded, Replica, StateService, URGENCY, type Urgency } from '../src/index';
+import { Budget, Overloaded, Replica, StateService, type TxnResult, URGENCY, type Urgency } from '../src/index';
 
 test('the budget is never passed in any window, and the more urgent goes first', async () => {
   await fc.assert(
@@ -165,3 +166,51 @@
   assert.equal(seen.has('g/r'), false);
   replica.stop();
 });
+
+// Events came in the order of the service's choice: a removal that stood before the change it followed was undone by it.
+test('changes that come in any order leave what the last of each key says', async () => {
+  const sim = new Sim(6);
+  const service = new SimStateService(sim);
+  const { replica, seen, state } = replicaOf(sim, service);
+  const handle = service.handle.bind(service);
+  service.handle = (method, path, body, from) => {
+    const answer = handle(method, path, body, from);
+    if (answer instanceof Promise || answer.status !== 200 || !path.startsWith('/follow')) return answer;
+    const { events, revision } = eventsOf(decode(answer.body));
+    return { status: 200, body: encode(eventsMap([...events].reverse(), revision)) };
+  };
+  replica.start();
+  await sim.run(1000);
+  for (const change of [
+    { put: 'g/x', value: 1 },
+    { remove: 'g/x' },
+    { put: 'g/y', value: 1 },
+    { put: 'g/y', value: 2 },
+  ]) {
+    void state.txn(URGENCY.accept, [], [change]);
+  }
+  await sim.run(3000);
+  assert.deepEqual([...seen], [['g/y', 2]]);
+  replica.stop();
+});
+
+// The answer to a change of ours came after a read had shown that its key was gone again: the key came back for ever.
+test('a change of our own that was read already and undone since is not taken once more', async () => {
+  const sim = new Sim(7);
+  const service = new SimStateService(sim);
+  const { replica, seen, state } = replicaOf(sim, service);
+  replica.start();
+  await sim.run(1000);
+  const put = { put: 'g/x', value: 1 };
+  const first = await new Promise<TxnResult>((resolve) => {
+    void state.txn(URGENCY.accept, [], [put]).then(resolve);
+    void sim.run(1100);
+  });
+  assert.ok(first.kind === 'done');
+  void state.txn(URGENCY.accept, [], [{ remove: 'g/x' }]);
+  await sim.run(3000);
+  replica.applyOwn([put], first.revision);
+  await sim.run(5000);
+  assert.equal(seen.has('g/x'), false);
+  replica.stop();
+});
--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -15,6 +15,7 @@
 import { type Amounts, type Facts, fits, limitAllows, NOTHING, plus, typeAllows, workerLeaseBoundMs } from './facts';
 import { type Job, jobOrder, type JobTable } from './jobs';
 import { betterElsewhere } from './placement';
+import { type AssignedTask, tasksAssignedTo } from './rounds';
 import { type Claim, type Machine, type Slot, SLOT_MOVES, type SlotState } from './slots';
 
 export type ReportOutcome =
@@ -56,6 +57,8 @@
   /** By machine: the images that an earlier owner believed to be cached there. */
   readonly images?: ReadonlyMap<string, readonly string[]>;
   readonly log?: (message: string, detail: Record<string, unknown>) => void;
+  /** Hears of what contradicts the safety argument, and so is never expected. */
+  readonly alarm?: (message: string, detail: Record<string, unknown>) => void;
 }
 
 export class ClaimTable {
@@ -73,6 +76,7 @@
   readonly #jobs: JobTable;
   readonly #types: () => ReadonlyMap<string, MachineType>;
   readonly log: (message: string, detail: Record<string, unknown>) => void;
+  readonly alarm: (message: string, detail: Record<string, unknown>) => void;
   /** The wake queue: jobs with waiting tasks, merged, the most urgent and then the oldest first. */
   #wakes: Job[] = [];
   readonly #posted = new Set<string>();
@@ -95,6 +99,7 @@
     this.unheard = new Map(options.membership);
     this.#images = options.images ?? new Map();
     this.log = options.log ?? (() => undefined);
+    this.alarm = options.alarm ?? (() => undefined);
   }
 
   get cleared(): boolean {
@@ -160,67 +165,105 @@
   /** Brings the slots of a job in line with its record. Returns the claims that are to be stopped from now on. */
   syncJob(id: string, now: number): readonly Slot[] {
     const job = this.#jobs.live.get(id);
-    let slots = this.slots.get(id);
-    const wanted = new Map<number, { zone: string | null; term: number }>();
-    for (const r of job?.rounds ?? []) {
-      // Assigned to an owner after this one: while all is read anew that may show before the owner's own record does.
-      if (r.part !== this.part || r.term > this.term) continue;
-      for (let i = r.from; i < r.from + r.count; i++) {
-        if (!job!.isFinished(i)) wanted.set(i, { zone: r.zone, term: r.term });
-      }
-    }
-    for (const [index, slot] of slots ?? []) {
-      if (!wanted.has(index) || slot.job !== job) {
-        // Not in the table any more: if a machine runs it still, it is a stray there and is told to stop.
-        if (slot.claim !== null) slot.claim.machine.claims.delete(slot.name);
-        slots!.delete(index);
-        this.changes++;
-      }
-    }
-    if (wanted.size > 0) {
-      slots ??= new Map();
-      this.slots.set(id, slots);
-      for (const [index, { zone, term }] of wanted) {
-        const known = slots.get(index);
-        if (known !== undefined) {
-          // Only a newer record proves that the change under way can not happen any more.
-          if (known.state === 'leaving' && job!.version !== known.leavingVersion) this.#move(known, 'waiting', now);
-          continue;
-        }
-        const slot: Slot = {
-          job: job!,
-          index,
-          name: taskName(id, index),
-          zone,
-          state: 'uncertain',
-          claim: null,
-          since: now,
-          notBefore: 0,
-          failures: 0,
-          plan: null,
-          moving: false,
-          leavingVersion: 0,
-        };
-        slots.set(index, slot);
-        // A task assigned under this owner's term can be held by nobody yet.
-        if (term === this.term || this.#cleared) this.#move(slot, 'waiting', now);
-      }
-    }
-    if (slots?.size === 0) this.slots.delete(id);
+    const slots = this.slots.get(id) ?? new Map<number, Slot>();
+    // Assigned to an owner after this one: while all is read anew that may show before the owner's own record does.
+    const assigned = job === undefined ? new Map<number, AssignedTask>() : tasksAssignedTo(job, this.part, this.term);
+    const stopped: Slot[] = [];
+    for (const slot of [...slots.values()]) {
+      if (assigned.has(slot.index) && slot.job === job) continue;
+      if (!this.#mustKeep(slot, job)) this.#remove(slot, slots);
+      else if (this.#withdraw(slot)) stopped.push(slot);
+    }
+    for (const [index, task] of assigned) {
+      const slot = slots.get(index);
+      if (slot === undefined) this.#add(job!, index, task, slots, now);
+      else if (this.#reassign(slot, task, now)) stopped.push(slot);
+    }
+    if (slots.size === 0) this.slots.delete(id);
+    else this.slots.set(id, slots);
     // Its urgency may be another one now: that of a job that needs it.
     this.#wakesSorted = false;
     this.changes++;
-    return job?.cancelled === true ? this.#cancel(job) : [];
+    if (job?.cancelled === true) stopped.push(...this.#cancel(job));
+    return stopped;
+  }
+
+  #add(job: Job, index: number, { zone, term }: AssignedTask, slots: Map<number, Slot>, now: number): void {
+    const slot: Slot = {
+      job,
+      index,
+      name: taskName(job.id, index),
+      zone,
+      state: 'uncertain',
+      claim: null,
+      since: now,
+      notBefore: 0,
+      failures: 0,
+      plan: null,
+      moving: false,
+      leavingVersion: 0,
+      withdrawn: false,
+    };
+    slots.set(index, slot);
+    // A task assigned under this owner's term can be held by nobody yet.
+    if (term === this.term || this.#cleared) this.#move(slot, 'waiting', now);
+  }
+
+  #remove(slot: Slot, slots: Map<number, Slot>): void {
+    // Not in the table any more: if a machine runs it still, it is a stray there and is told to stop.
+    if (slot.claim !== null) slot.claim.machine.claims.delete(slot.name);
+    slots.delete(slot.index);
+    this.changes++;
+  }
+
+  /**
+   * Whether a task that is not assigned here any more has to stay: a machine may hold it, and it is neither finished nor is its
+   * job over. Entries were once dropped with their claims, and such a task could be started again while it ran.
+   */
+  #mustKeep(slot: Slot, job: Job | undefined): boolean {
+    return slot.claim !== null && slot.job === job && !job.isFinished(slot.index);
+  }
+
+  /** Has a claimed task stopped that the record no longer names, which is never expected; true: it was not before. */
+  #withdraw(slot: Slot): boolean {
+    if (!slot.withdrawn) this.alarm('claimed task is not assigned here any more', { task: slot.name });
+    slot.withdrawn = true;
+    return this.#stop(slot);
+  }
+
+  /**
+   * Brings a known slot in line with the newest assignment of its task. It may have been given back and assigned anew, to
+   * another zone, without the record in between having been seen: the zone of the first assignment was once kept.
+   */
+  #reassign(slot: Slot, { zone }: AssignedTask, now: number): boolean {
+    slot.withdrawn = false;
+    slot.zone = zone;
+    // Only a newer record proves that the change under way can not happen any more.
+    if (slot.state === 'leaving' && slot.job.version !== slot.leavingVersion) this.#move(slot, 'waiting', now);
+    if (slot.claim === null || zone === null || slot.claim.machine.zone === zone) return false;
+    this.alarm('claimed task is assigned to another zone', { task: slot.name, zone });
+    return this.#stop(slot);
+  }
+
+  /** Has a claimed task stopped at once; false: it is being stopped already. */
+  #stop(slot: Slot): boolean {
+    if (slot.claim === null || slot.claim.stopGraceS === 0) return false;
+    slot.claim.stopGraceS = 0;
+    return true;
+  }
+
+  /** The claim has ended, by proof: the task waits again, unless it is not assigned here any more. */
+  #claimEnded(slot: Slot, why: string, now: number): void {
+    this.log('claim ended', { task: slot.name, machine: slot.claim?.machine.name, why });
+    this.#move(slot, 'waiting', now);
+    const slots = this.slots.get(slot.job.id);
+    if (!slot.withdrawn || slots === undefined) return;
+    this.#remove(slot, slots);
+    if (slots.size === 0) this.slots.delete(slot.job.id);
   }
 
   #cancel(job: Job): Slot[] {
-    const stopped: Slot[] = [];
-    for (const slot of this.slots.get(job.id)?.values() ?? []) {
-      if (slot.claim === null || slot.claim.stopGraceS === 0) continue;
-      slot.claim.stopGraceS = 0;
-      stopped.push(slot);
-    }
-    return stopped;
+    return [...(this.slots.get(job.id)?.values() ?? [])].filter((slot) => this.#stop(slot));
   }
 
   slotOf(task: string): Slot | undefined {
@@ -252,8 +295,7 @@
 
   #endClaims(machine: Machine, now: number, why: string): void {
     for (const slot of [...machine.claims.values()]) {
-      this.log('claim ended', { task: slot.name, machine: machine.name, why });
-      this.#move(slot, 'waiting', now);
+      this.#claimEnded(slot, why, now);
     }
   }
 
@@ -340,6 +382,10 @@
     if (m !== undefined && (r.session < m.session || (r.session === m.session && r.seq <= m.seq))) {
       return { kind: 'refuse', why: 'older copy of a report' };
     }
+    if (m !== undefined && (r.type !== m.type || r.zone !== m.zone || r.spot !== m.spot)) {
+      this.alarm('a report contradicts earlier ones of its machine', { machine: r.machine });
+      return { kind: 'refuse', why: 'contradicts earlier reports' };
+    }
     if (m === undefined) {
       m = {
         name: r.machine,
@@ -413,12 +459,7 @@
       // later report lacks has not started and will not.
       const lost = slot.claim!.stage === 'granted';
       if (lost && ++m.lostGrants >= 2) m.deafUntil = now + this.facts.leaseMs;
-      this.log('claim ended', {
-        task: slot.name,
-        machine: m.name,
-        why: lost ? 'start was lost' : 'not reported any more',
-      });
-      this.#move(slot, 'waiting', now);
+      this.#claimEnded(slot, lost ? 'start was lost' : 'not reported any more', now);
     }
     for (const task of r.tasks) {
       if (task.state !== 'exited') continue;
@@ -429,6 +470,8 @@
       if (task.state === 'exited') continue;
       let slot = this.slotOf(task.task);
       if (slot !== undefined && slot.claim === null && slot.state !== 'finishing') {
+        if (slot.state !== 'uncertain')
+          this.alarm('a task that was free to start runs', { task: slot.name, on: m.name });
         // Held here since an earlier owner's time.
         this.#move(slot, 'claimed', now, {
           machine: m,
@@ -472,8 +515,7 @@
     }
     if (!ours) return false;
     this.#blame(m, slot, task.cause ?? 'error', now);
-    this.log('claim ended', { task: slot.name, machine: m.name, why: `exited: ${task.cause}` });
-    this.#move(slot, 'waiting', now);
+    this.#claimEnded(slot, `exited: ${task.cause}`, now);
     return false;
   }
 
--- a/packages/core/src/slots.ts
+++ b/packages/core/src/slots.ts
@@ -46,7 +46,8 @@
   readonly job: Job;
   readonly index: number;
   readonly name: string;
-  readonly zone: string | null;
+  /** Where it is to run, by the newest record; null: anywhere. */
+  zone: string | null;
   state: SlotState;
   claim: Claim | null;
   /** Since when it is in this state. */
@@ -60,6 +61,8 @@
   moving: boolean;
   /** Version of the job's record on which the change that gives this task back is conditional. */
   leavingVersion: number;
+  /** Not assigned here any more by the newest record, and kept only until its claim ends. */
+  withdrawn: boolean;
 }
 
 export interface Machine {
--- a/packages/core/test/claims.test.ts
+++ b/packages/core/test/claims.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { jobRecord, type MachineType, type WorkerReport } from '@gingerlock/wire';
-import { CALLS_PER_TERM, JobTable, ClaimTable } from '../src/index';
+import { jobRecord, type MachineType, type Round, type WorkerReport } from '@gingerlock/wire';
+import { CALLS_PER_TERM, JobTable, ClaimTable, type Slot } from '../src/index';
 import { FACTS, specOf } from './fixtures';
 
 const facts = { ...FACTS, controllers: 1 };
@@ -20,7 +20,12 @@
 const spec = specOf('j-000001', { kind: 'service', priority: 'high' });
 
 /** The claim table of an owner with term 2 of the part. */
-function claimTableOf(jobs: JobTable, fencedUntil: number, membership: readonly string[]): ClaimTable {
+function claimTableOf(
+  jobs: JobTable,
+  fencedUntil: number,
+  membership: readonly string[],
+  alarm: (message: string) => void = () => undefined,
+): ClaimTable {
   return new ClaimTable({
     facts,
     part: 0,
@@ -30,6 +35,7 @@
     jobs,
     types: () => new Map([[type.name, type]]),
     membership: membership.map((name) => [name, `${name}:1`] as const),
+    alarm,
   });
 }
 
@@ -141,3 +147,76 @@
   assert.deepEqual(claimTable.tick(claimTable.fencedUntil), ['m-2', 'm-3']);
   assert.deepEqual(claimTable.tick(claimTable.fencedUntil + 1), []);
 });
+
+/** Writes the job's record with the given rounds, and has the claim table take it. */
+function reassign(jobs: JobTable, claimTable: ClaimTable, rounds: readonly Round[], version: number): readonly Slot[] {
+  jobs.applyJob(spec.id, jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, rounds }), version);
+  return claimTable.syncJob(spec.id, 2000);
+}
+
+const round = (from: number, count: number, zone: string | null, part = 0): Round => ({
+  from,
+  count,
+  part,
+  zone,
+  term: 2,
+});
+
+// Given back, and assigned to the same partition in another zone before the owner had read of either, a task kept the zone of its
+// first assignment: a job that is bound to one zone ran in two.
+test('a task that is given back and assigned anew to another zone starts in that zone alone', () => {
+  const jobs = new JobTable(() => 64);
+  const claimTable = claimTableOf(jobs, 20_000, ['m-1', 'm-2']);
+  reassign(jobs, claimTable, [round(0, 4, 'a')], 5);
+  claimTable.leaving([...claimTable.slots.get(spec.id)!.values()], 1000);
+  reassign(jobs, claimTable, [round(0, 4, 'b')], 7);
+  const starts = (machine: string, zone: string): number => {
+    const outcome = claimTable.report({ ...report(machine, 1, 2 * CALLS_PER_TERM), zone }, 9000, true);
+    assert.ok(outcome.kind === 'answer');
+    return outcome.commands.filter((c) => c.op === 'start').length;
+  };
+  assert.equal(starts('m-1', 'a'), 0);
+  assert.equal(starts('m-2', 'b'), 4);
+});
+
+// Entries were dropped with their claims as soon as the record lacked them, and made anew as waiting when it had them again: the
+// task was started again while it ran.
+test('a claimed task that its record does not name for a while is stopped, and not started again before it has ended', () => {
+  const jobs = new JobTable(() => 64);
+  const alarms: string[] = [];
+  const claimTable = claimTableOf(jobs, 0, ['m-1', 'm-2'], (message) => alarms.push(message));
+  const token = 2 * CALLS_PER_TERM;
+  const commands = (machine: string, seq: number, tasks: WorkerReport['tasks']): string[] => {
+    const outcome = claimTable.report({ ...report(machine, seq, token), tasks }, 5000 + seq * 2000, true);
+    return outcome.kind === 'answer' ? outcome.commands.map((c) => `${c.op} ${c.task}`) : [];
+  };
+  reassign(jobs, claimTable, [round(0, 1, null)], 5);
+  assert.deepEqual(commands('m-1', 1, []), [`start ${spec.id}/0`]);
+  const attempt = claimTable.slots.get(spec.id)!.get(0)!.claim!.attempt;
+  const running = { task: `${spec.id}/0`, attempt, state: 'running' as const, cause: null, saved: false };
+  assert.deepEqual(commands('m-1', 2, [running]), []);
+  assert.equal(reassign(jobs, claimTable, [], 6).length, 1);
+  assert.deepEqual(alarms, ['claimed task is not assigned here any more']);
+  reassign(jobs, claimTable, [round(0, 1, null)], 7);
+  assert.deepEqual(commands('m-2', 3, []), []);
+  assert.deepEqual(commands('m-1', 4, [running]), [`stop ${spec.id}/0`]);
+  assert.deepEqual(commands('m-1', 5, []), [`start ${spec.id}/0`]);
+  // Withdrawn for good, it goes with its claim.
+  reassign(jobs, claimTable, [], 8);
+  assert.equal(claimTable.slots.get(spec.id)?.size, 1);
+  assert.deepEqual(commands('m-1', 6, []), []);
+  assert.equal(claimTable.slots.has(spec.id), false);
+});
+
+test('a report that contradicts earlier ones of its machine is refused and changes nothing', () => {
+  const jobs = new JobTable(() => 64);
+  const claimTable = claimTableOf(jobs, 0, ['m-1']);
+  const token = 2 * CALLS_PER_TERM;
+  assert.equal(claimTable.report(report('m-1', 1, token), 1000, true).kind, 'answer');
+  for (const change of [{ zone: 'b' }, { type: 'other' }, { spot: true }]) {
+    const outcome = claimTable.report({ ...report('m-1', 9, token), ...change }, 2000, true);
+    assert.equal(outcome.kind, 'refuse');
+  }
+  assert.equal(claimTable.machines.get('m-1')?.seq, 1);
+  assert.equal(claimTable.report(report('m-1', 2, token), 3000, true).kind, 'answer');
+});
