--- a/packages/testkit/src/faults.ts
+++ b/packages/testkit/src/faults.ts
@@ -74,6 +74,35 @@
   | { readonly kind: 'peers refused'; readonly forMs: number }
   | { readonly kind: 'slow state service'; readonly ms: number; readonly forMs: number }
   | { readonly kind: 'zone cut'; readonly zone: number; readonly how: 'hold' | 'lose'; readonly forMs: number }
+  /** A zone loses all others, while the state service, the cloud and users are reached from everywhere. */
+  | { readonly kind: 'zone apart'; readonly zone: number; readonly how: 'hold' | 'lose'; readonly forMs: number }
+  /** Transactions of one controller get no answer and are never carried out; all else of it is served. */
+  | { readonly kind: 'writes unanswered'; readonly node: number; readonly forMs: number }
+  /** The renewals of one controller's state lease are refused: the lease ends. */
+  | { readonly kind: 'renewals refused'; readonly node: number; readonly forMs: number }
+  /** One controller's reads of the state service are answered late, with what stood there when they were asked. */
+  | { readonly kind: 'slow reads'; readonly node: number; readonly ms: number; readonly forMs: number }
+  /** Changes come in any order and the last of each key only; few are kept, and lists have many pages. */
+  | {
+      readonly kind: 'unhelpful reads';
+      readonly keptEvents: number;
+      readonly pageItems: number;
+      readonly forMs: number;
+    }
+  /**
+   * One controller's state lease ends, which the others read late; nothing that it then writes is answered, and its zone loses
+   * all others.
+   */
+  | { readonly kind: 'lapsed apart'; readonly node: number; readonly lapseMs: number; readonly forMs: number }
+  /** One controller ends and is back, with slow reads and a lease that ends; then it loses state service and peers. */
+  | {
+      readonly kind: 'back and cut off';
+      readonly node: number;
+      readonly backMs: number;
+      readonly readMs: number;
+      readonly afterMs: number;
+      readonly forMs: number;
+    }
   | { readonly kind: 'zones apart'; readonly zone: number; readonly how: 'hold' | 'lose'; readonly forMs: number }
   | { readonly kind: 'spot wave'; readonly share: number; readonly noticeMs: number }
   | { readonly kind: 'slow machine'; readonly machine: number; readonly factor: number; readonly forMs: number };
@@ -96,6 +125,10 @@
       for (const [from, to] of ways) network.heal(from, to);
     });
   };
+  const forSome = (affected: Set<string>, name: string, forMs: number): void => {
+    affected.add(name);
+    sim.after(forMs, () => affected.delete(name));
+  };
   switch (fault.kind) {
     case 'crash':
       for (const i of fault.nodes) {
@@ -329,6 +362,53 @@
       );
       return;
     }
+    case 'zone apart':
+      sim.after(fault.forMs, network.wall(apartFrom(world, ZONES[fault.zone % ZONES.length]!), fault.how));
+      return;
+    case 'writes unanswered':
+      forSome(state.unansweredFrom, node(fault.node), fault.forMs);
+      return;
+    case 'renewals refused':
+      forSome(state.unrenewed, node(fault.node), fault.forMs);
+      return;
+    case 'slow reads': {
+      const name = node(fault.node);
+      state.slowReadsOf.set(name, fault.ms);
+      sim.after(fault.forMs, () => state.slowReadsOf.delete(name));
+      return;
+    }
+    case 'unhelpful reads':
+      state.unhelpful = fault;
+      sim.after(fault.forMs, () => {
+        state.unhelpful = null;
+      });
+      return;
+    case 'lapsed apart': {
+      const name = node(fault.node);
+      const { lapseMs, forMs } = fault;
+      forSome(state.unrenewed, name, lapseMs);
+      forSome(state.unansweredFrom, name, lapseMs + forMs);
+      for (const other of world.controllers) {
+        if (other === name) continue;
+        state.slowReadsOf.set(other, world.reportMs * 0.7);
+        sim.after(lapseMs, () => state.slowReadsOf.delete(other));
+      }
+      sim.after(lapseMs + forMs, network.wall(apartFrom(world, world.zoneOf(name)!), 'lose'));
+      return;
+    }
+    case 'back and cut off': {
+      const name = node(fault.node);
+      world.crash(name);
+      sim.after(fault.backMs, () => world.startNode(name));
+      state.slowReadsOf.set(name, fault.readMs);
+      forSome(state.unrenewed, name, fault.backMs + fault.afterMs + fault.forMs);
+      sim.after(fault.backMs + fault.afterMs, () => {
+        state.slowReadsOf.delete(name);
+        const index = world.controllers.indexOf(name);
+        inflict(world, { kind: 'node cut', node: index, from: 'both', how: 'lose', forMs: fault.forMs });
+      });
+      return;
+    }
     case 'zones apart': {
       const pair = [ZONES[fault.zone % ZONES.length]!, ZONES[(fault.zone + 1) % ZONES.length]!];
       const apart = (from: string, to: string): boolean => {
@@ -365,6 +445,14 @@
   }
 }
 
+/** Between the zone and all others; what belongs to no zone is reached from everywhere. */
+function apartFrom(world: World, zone: string): (from: string, to: string) => boolean {
+  return (from, to) => {
+    const zones = [world.zoneOf(from), world.zoneOf(to)];
+    return !zones.includes(null) && zones[0] !== zones[1] && zones.includes(zone);
+  };
+}
+
 /** Users call off some jobs that run, within so many milliseconds; returns which. */
 function cancelSome(world: World, count: number, withinMs: number): Set<string> {
   const running = new Set([...world.runningTasks().keys()].map((task) => parseTaskName(task)!.job));
@@ -432,6 +520,10 @@
       return fault.forMs + fault.withinMs;
     case 'late writes':
       return fault.forMs + 12_000;
+    case 'lapsed apart':
+      return fault.lapseMs + fault.forMs;
+    case 'back and cut off':
+      return fault.backMs + fault.afterMs + fault.forMs;
     default:
       return fault.forMs;
   }
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -6,5 +6,6 @@
 export * from './users';
 export * from './pipelines';
 export * from './liveness';
+export * from './ownership-audit';
 export * from './world';
 export * from './faults';
--- /dev/null
+++ b/packages/testkit/src/ownership-audit.ts
@@ -0,0 +1,71 @@
+// Checks the statements on which `ran_twice` rests, while a day goes on: they break long before a task starts a second time.
+import type { PartOwner } from '@gingerlock/daemon';
+import { type Slot, tasksAssignedTo } from '@gingerlock/core';
+import { jobRecord, type JobRecord, KEYS, parseTaskName } from '@gingerlock/wire';
+import type { World } from './world';
+
+export class OwnershipAudit {
+  /** Records of jobs as they were parsed last, by key. */
+  readonly #records = new Map<string, { readonly version: number; readonly record: JobRecord }>();
+
+  constructor(readonly world: World) {}
+
+  audit(): void {
+    for (const { controller } of this.world.nodes) {
+      for (const owner of controller?.owned() ?? []) this.#checkClaims(owner);
+    }
+    for (const [task, machine] of this.world.runningTasks()) this.#checkAssigned(task, machine);
+  }
+
+  /** A worker is being answered with 200 by a controller that takes itself for the owner of the worker's partition. */
+  answered(node: string, owner: PartOwner): void {
+    const { tenure, shared } = owner;
+    const copy = shared.store.owners.get(tenure.resource);
+    if (copy?.version === tenure.version) return;
+    this.world.breach('deposed_owner', `${node} answers for partition ${owner.part} under term ${tenure.term}`);
+  }
+
+  #checkClaims(owner: PartOwner): void {
+    const { tenure, claimTable } = owner;
+    const isOwner = this.world.state.data.get(KEYS.owner(tenure.resource))?.version === tenure.version;
+    for (const slots of claimTable.slots.values()) {
+      for (const slot of slots.values()) {
+        if (slot.state === 'waiting') this.#checkPlace(owner, slot);
+        if (isOwner && (slot.state === 'waiting' || slot.state === 'leaving')) this.#checkFree(slot);
+      }
+    }
+  }
+
+  /** What waits to be started is what the newest record that was read says. */
+  #checkPlace({ claimTable, part }: PartOwner, { job, index, name, zone }: Slot): void {
+    const assigned = tasksAssignedTo(job, part, claimTable.term).get(index);
+    if (assigned?.zone === zone) return;
+    this.world.breach('stale_entry', `${name} waits for zone ${zone}, its record says ${assigned?.zone}`);
+  }
+
+  /** What may be started, or given back to be started elsewhere, runs nowhere. */
+  #checkFree({ name, state }: Slot): void {
+    const machine = this.world.runningTasks().get(name);
+    if (machine !== undefined) this.world.breach('free_but_running', `${name} is ${state} and on ${machine}`);
+  }
+
+  /** What is assigned to no partition runs nowhere: the leader may assign it to any. */
+  #checkAssigned(task: string, machine: string): void {
+    const { job, index } = parseTaskName(task)!;
+    const record = this.#recordOf(job);
+    if (record === null || this.world.isDone(task)) return;
+    const isAssigned = record.final === null && record.rounds.some((r) => index >= r.from && index < r.from + r.count);
+    if (!isAssigned) this.world.breach('free_but_running', `${task} is assigned nowhere and on ${machine}`);
+  }
+
+  #recordOf(job: string): JobRecord | null {
+    const key = KEYS.job(job);
+    const entry = this.world.state.data.get(key);
+    if (entry === undefined) return null;
+    const known = this.#records.get(key);
+    if (known?.version === entry.version) return known.record;
+    const record = jobRecord.read(entry.value);
+    this.#records.set(key, { version: entry.version, record });
+    return record;
+  }
+}
--- a/packages/testkit/src/rules.ts
+++ b/packages/testkit/src/rules.ts
@@ -7,6 +7,10 @@
  * orphaned:        a job is called queued or running long after its user was told that one before it is cancelled.
  * refused:         the state service refused a change as malformed or beyond its limits.
  * unanswered:      once all troubles are over, no question about an accepted job is answered.
+ * The statements on which ran_twice and wrong_place rest; see `OwnershipAudit`:
+ * deposed_owner:    a worker is answered by a controller whose own copy of the records shows another owner.
+ * free_but_running: a task that may be started, or assigned anew, runs.
+ * stale_entry:      a task waits to be started elsewhere than the newest record that its owner has read says.
  */
 export type Rule =
   | 'ran_twice'
@@ -23,7 +27,10 @@
   | 'refused'
   | 'start_cancelled'
   | 'left_waiting'
-  | 'unanswered';
+  | 'unanswered'
+  | 'deposed_owner'
+  | 'free_but_running'
+  | 'stale_entry';
 
 export interface Breach {
   readonly rule: Rule;
--- a/packages/testkit/src/state-service.ts
+++ b/packages/testkit/src/state-service.ts
@@ -34,9 +34,25 @@
   readonly writesPerS: number;
 }
 
+/** How little the protocol lets a follower or a lister count on. */
+export interface UnhelpfulReads {
+  /** So many changes are kept; who asks for older ones has to read all again. */
+  readonly keptEvents: number;
+  /** So many items come in one page of a list. */
+  readonly pageItems: number;
+}
+
 /** Conditions of one transaction, as a multiple of the changes that it may have. */
 const CONDITIONS_PER_CHANGE = 4;
 
+function shuffled<T>(items: T[], random: () => number): T[] {
+  for (let i = items.length - 1; i > 0; i--) {
+    const j = Math.floor(random() * (i + 1));
+    [items[i], items[j]] = [items[j]!, items[i]!];
+  }
+  return items;
+}
+
 /** A stand-in of the state service. */
 export class SimStateService {
   readonly data = new Map<string, Entry>();
@@ -47,6 +63,14 @@
   readonly refused = new Set<string>();
   /** Share of transactions that get no answer, and whether they are carried out at once or later. */
   unanswered: { readonly share: number; readonly atOnce: boolean } | null = null;
+  /** Controllers whose transactions get no answer and are never carried out, while all else of theirs is served. */
+  readonly unansweredFrom = new Set<string>();
+  /** Controllers that are refused the renewal of their leases alone. */
+  readonly unrenewed = new Set<string>();
+  /** By controller: how long the answers to its reads take, which are of the moment at which they were asked for. */
+  readonly slowReadsOf = new Map<string, number>();
+  /** Set while reads are as unhelpful as the protocol allows: changes in any order, of each key the last one only. */
+  unhelpful: UnhelpfulReads | null = null;
   /** Enforced from the moment when they are set; until then what breaks a limit is only counted. */
   limits: StateLimits | null = null;
   /** Hears of each request that is refused for good. */
@@ -81,6 +105,12 @@
     for (const lease of this.#leases.values()) lease.until = on ? Infinity : this.sim.now + lease.ttlMs;
   }
 
+  /** Whether a request to renew a lease names one that has not ended. */
+  #isLive(path: string): boolean {
+    const request = parseStateRequest('POST', path);
+    return request?.kind === 'renew' && this.#leases.has(request.lease);
+  }
+
   #end(id: number): void {
     this.#leases.delete(id);
     const keys = [...this.data].filter(([, e]) => e.lease === id).map(([key]) => key);
@@ -97,6 +127,18 @@
     if (this.#events.length > KEPT_EVENTS) this.#dropped = this.#events.shift()!.version;
   }
 
+  /** Changes after a revision; null: they are not kept any more. */
+  #eventsAfter(revision: number, prefix: string): StateEvent[] | null {
+    if (revision < this.#dropped) return null;
+    const later = this.#events.filter((e) => e.version > revision);
+    const { unhelpful } = this;
+    if (unhelpful !== null && later.length > unhelpful.keptEvents) return null;
+    const events = later.filter((e) => e.key.startsWith(prefix));
+    if (unhelpful === null) return events;
+    const last = new Map(events.map((e) => [e.key, e]));
+    return shuffled([...last.values()], this.sim.random);
+  }
+
   /** Forgets changes, as if many had been made since. */
   forgetEvents(): void {
     this.#dropped = this.revision;
@@ -106,6 +148,14 @@
   handle(method: string, path: string, body: Buffer, from: string): HttpAnswer | Promise<HttpAnswer> {
     this.requests++;
     if (this.outage || this.refused.has(from)) return answer(503, { error: 'trouble' });
+    const kind = parseStateRequest(method, path)?.kind;
+    if (kind === 'txn' && this.unansweredFrom.has(from)) return new Promise(() => undefined);
+    if (kind === 'renew' && this.unrenewed.has(from) && this.#isLive(path)) return answer(503, { error: 'trouble' });
+    const readMs = this.slowReadsOf.get(from);
+    if (kind === 'follow' && readMs !== undefined) {
+      const late = this.#carryOut(method, path, body);
+      return new Promise((resolve) => this.sim.after(readMs, () => resolve(late)));
+    }
     const { unanswered } = this;
     if (unanswered !== null && method === 'POST' && path === STATE_PATHS.txn && this.sim.random() < unanswered.share) {
       if (unanswered.atOnce) this.#carryOut(method, path, body);
@@ -195,13 +245,13 @@
         const all = [...this.data]
           .filter(([key]) => key.startsWith(request.prefix) && key > request.after)
           .sort(([a], [b]) => (a < b ? -1 : 1));
-        const items = all.slice(0, request.limit).map(([key, e]) => ({ key, value: e.value, version: e.version }));
+        const limit = Math.min(request.limit, this.unhelpful?.pageItems ?? Infinity);
+        const items = all.slice(0, limit).map(([key, e]) => ({ key, value: e.value, version: e.version }));
         return answer(200, listMap(items, all.length > items.length, this.revision));
       }
       case 'follow': {
-        if (request.after < this.#dropped) return answer(410, {});
-        const events = this.#events.filter((e) => e.version > request.after && e.key.startsWith(request.prefix));
-        return answer(200, eventsMap(events, this.revision));
+        const events = this.#eventsAfter(request.after, request.prefix);
+        return events === null ? answer(410, {}) : answer(200, eventsMap(events, this.revision));
       }
     }
   }
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -1,12 +1,13 @@
 // A whole deployment in simulated time: controllers as they run for real, stand-ins for all the rest, and the rules of
 // the protocol checked against what really runs where.
-import { Controller, type ControllerPorts, type Log, settingsOf, SILENT } from '@gingerlock/daemon';
+import { Controller, type ControllerPorts, type Log, type Reply, settingsOf, SILENT } from '@gingerlock/daemon';
 import type { HttpAnswer } from '@gingerlock/clients';
 import { type Amounts, NOTHING } from '@gingerlock/core';
 import { decodePeer, encodePeer, type PeerLink, type PeerMessage } from '@gingerlock/peer';
 import {
   type CloudMachine,
   decode,
+  decodeReport,
   encode,
   type JobSpec,
   holdRecord,
@@ -23,6 +24,7 @@
 } from '@gingerlock/wire';
 import { Liveness } from './liveness';
 import { Network } from './network';
+import { OwnershipAudit } from './ownership-audit';
 import type { Breach, Rule } from './rules';
 import { Sim } from './sim';
 import { SimStateService, type StateLimits } from './state-service';
@@ -138,6 +140,7 @@
   fastBoots = false;
   readonly users = new SimUsers(this);
   readonly liveness = new Liveness(this);
+  readonly ownership = new OwnershipAudit(this);
   /** How long after its user was told that it is cancelled any job had a task on a machine. */
   longestCancelledMs = 0;
   /** The most that a team has ever used. */
@@ -252,12 +255,22 @@
     node.controller = controller;
     // Workers know a controller by its name.
     this.network.hosts.set(name, async (_method, path, body) => {
-      const reply = path === '/checkin' ? await controller.checkin(body) : { status: 404, body: null };
+      const reply = path === '/checkin' ? await this.#checkin(controller, name, body) : { status: 404, body: null };
       return { status: reply.status, body: reply.body ?? Buffer.alloc(0) };
     });
     controller.start();
   }
 
+  /** A worker's report to a controller; what that answers as the owner is checked. */
+  async #checkin(controller: Controller, node: string, body: Buffer): Promise<Reply> {
+    const reply = await controller.checkin(body);
+    const { machine, zone } = decodeReport(body);
+    const part = controller.store.partition?.of(machine, zone);
+    const owner = controller.owned().find((o) => o.part === part);
+    if (reply.status === 200 && owner !== undefined) this.ownership.answered(node, owner);
+    return reply;
+  }
+
   /** Kills a controller with no notice. */
   crash(name: string): void {
     const node = this.nodes.find((n) => n.name === name)!;
@@ -414,6 +427,7 @@
   /** Checks what only time can show. */
   audit(): void {
     for (const task of this.#on.keys()) this.#checkCancelled(task);
+    this.ownership.audit();
     this.liveness.audit(this.quietAt);
   }
 
@@ -450,6 +464,10 @@
     };
   }
 
+  isDone(task: string): boolean {
+    return this.#done.get(parseTaskName(task)!.job)?.has(task) ?? false;
+  }
+
   doneOf(id: string): number {
     return this.#done.get(id)?.size ?? 0;
   }
--- a/packages/testkit/test/fault-combinations.test.ts
+++ b/packages/testkit/test/fault-combinations.test.ts
@@ -282,6 +282,35 @@
     ],
     came: had('cancelled'),
   },
+  {
+    name: 'an owner’s lease ends, its writes stay unanswered, its zone is apart, and the others read late',
+    world: { gpusMax: 40 },
+    faults: [
+      [0, { kind: 'lapsed apart', node: 0, lapseMs: 3000, forMs: CANCEL * 1.5 }],
+      [CANCEL * 0.7, { kind: 'state refuses one', node: 0, how: 'refuse', forMs: CANCEL }],
+    ],
+  },
+  {
+    name: 'a controller is back, reads late, and loses the state service and its peers',
+    world: { gpusMax: 40 },
+    faults: [
+      [0, { kind: 'zone apart', zone: 0, how: 'lose', forMs: CANCEL * 1.5 }],
+      [0, { kind: 'back and cut off', node: 0, backMs: 300, readMs: 900, afterMs: 2500, forMs: CANCEL * 1.5 }],
+    ],
+  },
+  {
+    name: 'changes come in any order and few are kept while writes are late, jobs of one zone move and leaders end',
+    world: { jobs: { oneZone: true, spread: false, zone: null }, controllers: 2 },
+    faults: [
+      [0, { kind: 'unhelpful reads', keptEvents: 3, pageItems: 3, forMs: 60_000 }],
+      [500, lateWrites(true)],
+      [4000, dies(0)],
+      [5000, dies(1)],
+      [14_000, leaderEnds()],
+      [30_000, dies(2)],
+      [31_000, { kind: 'slow reads', node: 0, ms: 900, forMs: 10_000 }],
+    ],
+  },
 ];
 
 /** When the troubles begin: some jobs run by then. */
--- a/packages/testkit/test/mutants.test.ts
+++ b/packages/testkit/test/mutants.test.ts
@@ -2,8 +2,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Replica } from '@gingerlock/clients';
-import { DependencyGraph, Job, JobTable, ClaimTable } from '@gingerlock/core';
-import { Controller } from '@gingerlock/daemon';
+import { DependencyGraph, Job, JobTable, ClaimTable, Ownership } from '@gingerlock/core';
+import { Controller, PartOwner } from '@gingerlock/daemon';
 import { encodeJobState, decodeSubmission } from '@gingerlock/wire';
 import { type Fault, playDay, type Rule, World } from '../src/index';
 
@@ -215,6 +215,63 @@
       return () => undefined;
     },
   },
+  deposed_owner: {
+    broken: 'owners do not look at the records while they put their holds back',
+    faults: [{ kind: 'lapsed apart', node: 0, lapseMs: 3000, forMs: 40_000 }],
+    apply: () => {
+      const decides = patch(
+        Ownership.prototype,
+        'decide',
+        (original) =>
+          function (this: Ownership, ...view) {
+            return this.state === 'resuming' ? { kind: 'none' } : original.apply(this, view);
+          },
+      );
+      const answers = patch(
+        PartOwner.prototype,
+        'isOwner',
+        () =>
+          function (this: PartOwner) {
+            return this.tenure.isCurrent;
+          },
+      );
+      return () => {
+        decides();
+        answers();
+      };
+    },
+  },
+  free_but_running: {
+    broken: 'fencing periods last for a report interval',
+    faults: [
+      { kind: 'mute machines', machine: 0, count: 24, how: 'lose', forMs: 5000 },
+      { kind: 'crash', nodes: [0, 1], backMs: 10_000 },
+    ],
+    apply: () =>
+      patch(
+        ClaimTable.prototype,
+        'tick',
+        (original) =>
+          function (this: ClaimTable, now) {
+            this.fencedUntil = Math.min(this.fencedUntil, this.openedAt + this.facts.reportMs);
+            return original.call(this, now);
+          },
+      ),
+  },
+  stale_entry: {
+    broken: 'waiting tasks forget their zones',
+    apply: () =>
+      patch(
+        ClaimTable.prototype,
+        'syncJob',
+        (original) =>
+          function (this: ClaimTable, id, now) {
+            const stopped = original.call(this, id, now);
+            for (const slot of this.slots.get(id)?.values() ?? []) slot.zone = null;
+            return stopped;
+          },
+      ),
+  },
   unanswered: {
     broken: 'questions are put off for ever',
     apply: () => {
--- a/packages/testkit/test/one-owner.test.ts
+++ b/packages/testkit/test/one-owner.test.ts
@@ -31,6 +31,11 @@
   world.network.hosts.set('cloud:1', (method, path, body, from) =>
     path === CLOUD_PATHS.types ? cloud(method, path, body, from) : REFUSED,
   );
+  const audit = (): void => {
+    world.audit();
+    world.sim.after(world.reportMs / 5, audit);
+  };
+  audit();
   for (let i = 0; i < 6; i++) void world.users.live(world.randomJob(), null);
   await world.sim.run(12_000);
   assert.equal(ownerOf(world), OWNER);
--- a/packages/testkit/test/rules.test.ts
+++ b/packages/testkit/test/rules.test.ts
@@ -151,6 +151,38 @@
     seed: fc.integer({ min: 1, max: 1_000_000 }),
   }),
   fc.record({ kind: fc.constant('state limits' as const) }),
+  fc.record({ kind: fc.constant('zone apart' as const), zone, how, forMs: seconds(1, 60) }),
+  fc.record({
+    kind: fc.constantFrom('writes unanswered' as const, 'renewals refused' as const),
+    node,
+    forMs: seconds(1, 60),
+  }),
+  fc.record({
+    kind: fc.constant('slow reads' as const),
+    node,
+    ms: fc.constantFrom(200, 500, 900),
+    forMs: seconds(2, 40),
+  }),
+  fc.record({
+    kind: fc.constant('unhelpful reads' as const),
+    keptEvents: fc.constantFrom(3, 30, 1000),
+    pageItems: fc.constantFrom(3, 20, 1000),
+    forMs: seconds(5, 60),
+  }),
+  fc.record({
+    kind: fc.constant('lapsed apart' as const),
+    node,
+    lapseMs: seconds(1, 5),
+    forMs: seconds(10, 60),
+  }),
+  fc.record({
+    kind: fc.constant('back and cut off' as const),
+    node,
+    backMs: seconds(0.1, 1),
+    readMs: fc.constantFrom(300, 600, 900),
+    afterMs: seconds(1, 5),
+    forMs: seconds(10, 60),
+  }),
 );
 
 /** Most rules that broke in operation broke when a second trouble came within moments of the first. */
