--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -13,10 +13,12 @@
   type WorkerReport,
 } from '@gingerlock/wire';
 import { type Amounts, type Facts, fits, limitAllows, NOTHING, plus, typeAllows, workerLeaseBoundMs } from './facts';
-import { type Job, jobOrder, type JobTable } from './jobs';
+import { ImageCache } from './image-cache';
+import type { Job, JobTable } from './jobs';
 import { betterElsewhere } from './placement';
 import { type AssignedTask, tasksAssignedTo } from './rounds';
 import { type Claim, type Machine, type Slot, SLOT_MOVES, type SlotState } from './slots';
+import { WakeQueue } from './wake-queue';
 
 export type ReportOutcome =
   | { readonly kind: 'answer'; readonly token: number; readonly commands: WorkerCommand[] }
@@ -41,6 +43,9 @@
 /** A part of which most machines have not been heard for so many report intervals after its takeover is cut off. */
 const CUT_INTERVALS = 4;
 
+/** A worker that may hold earlier tasks and does not take the owner's token is answered so many times. */
+const MOST_UNSYNCHRONISED_ANSWERS = 4;
+
 /** A worker takes a higher token as a cause to report once in half of its lease; a little more, for drift. */
 const CALL_EVERY_LEASES = 0.52;
 
@@ -77,10 +82,7 @@
   readonly #types: () => ReadonlyMap<string, MachineType>;
   readonly log: (message: string, detail: Record<string, unknown>) => void;
   readonly alarm: (message: string, detail: Record<string, unknown>) => void;
-  /** The wake queue: jobs with waiting tasks, merged, the most urgent and then the oldest first. */
-  #wakes: Job[] = [];
-  readonly #posted = new Set<string>();
-  #wakesSorted = true;
+  readonly #wakes = new WakeQueue();
   #counter = 0;
   #cleared = false;
   /** Machines that were not heard until the clearing. */
@@ -122,24 +124,13 @@
     if (claim !== null) claim.machine.claims.set(slot.name, slot);
     slot.state = next;
     slot.since = now;
-    if (next === 'waiting') this.#post(slot.job);
+    if (next === 'waiting') this.#wakes.post(slot.job);
     this.changes++;
   }
 
-  #post(job: Job): void {
-    if (this.#posted.has(job.id)) return;
-    this.#posted.add(job.id);
-    this.#wakes.push(job);
-    this.#wakesSorted = false;
-  }
-
-  /** The wakes in order; those without a waiting task are dropped. */
+  /** The jobs that may have waiting tasks, in order. */
   wakes(): readonly Job[] {
-    if (!this.#wakesSorted) {
-      this.#wakes.sort(jobOrder);
-      this.#wakesSorted = true;
-    }
-    return this.#wakes;
+    return this.#wakes.jobs();
   }
 
   *waitingSlots(job: Job): Generator<Slot> {
@@ -149,17 +140,15 @@
 
   /** The recovery scan: posts every job that has a waiting task and no wake, drops wakes that have none. */
   scan(): void {
-    this.#wakes = [];
-    this.#posted.clear();
+    this.#wakes.clear();
     for (const slots of this.slots.values()) {
       for (const slot of slots.values()) {
         if (slot.state === 'waiting') {
-          this.#post(slot.job);
+          this.#wakes.post(slot.job);
           break;
         }
       }
     }
-    this.#wakesSorted = false;
   }
 
   /** Brings the slots of a job in line with its record. Returns the claims that are to be stopped from now on. */
@@ -182,7 +171,7 @@
     if (slots.size === 0) this.slots.delete(id);
     else this.slots.set(id, slots);
     // Its urgency may be another one now: that of a job that needs it.
-    this.#wakesSorted = false;
+    this.#wakes.reorder();
     this.changes++;
     if (job?.cancelled === true) stopped.push(...this.#cancel(job));
     return stopped;
@@ -377,64 +366,78 @@
   report(r: WorkerReport, now: number, mayGrant: boolean): ReportOutcome {
     const term = termOfToken(r.token);
     if (term > this.term) return { kind: 'superseded' };
-    if (this.#goneNames.has(r.machine)) return { kind: 'refuse', why: 'machine was returned' };
-    let m = this.machines.get(r.machine);
-    if (m !== undefined && (r.session < m.session || (r.session === m.session && r.seq <= m.seq))) {
-      return { kind: 'refuse', why: 'older copy of a report' };
-    }
-    if (m !== undefined && (r.type !== m.type || r.zone !== m.zone || r.spot !== m.spot)) {
-      this.alarm('a report contradicts earlier ones of its machine', { machine: r.machine });
-      return { kind: 'refuse', why: 'contradicts earlier reports' };
-    }
-    if (m === undefined) {
-      m = {
-        name: r.machine,
-        addr: r.addr,
-        type: r.type,
-        zone: r.zone,
-        spot: r.spot,
-        session: r.session,
-        seq: r.seq,
-        synchronised: false,
-        unsynchronisedAnswers: 0,
-        answeredAt: null,
-        calls: 0,
-        calledAt: -Infinity,
-        evictionNotice: false,
-        isMember: this.unheard.has(r.machine),
-        draining: false,
-        reported: [],
-        claims: new Map(),
-        cache: this.#inherited(r.machine),
-        emptySince: now,
-        lostGrants: 0,
-        deafUntil: 0,
-        failedJobs: new Set(),
-      };
-      this.machines.set(r.machine, m);
-    }
-    if (r.session > m.session) {
-      // The worker's lease expired in between: it has killed and forgotten all that ran before.
-      this.#endClaims(m, now, 'new session');
-    }
+    const known = this.machines.get(r.machine);
+    const why = this.#whyRefused(r, known);
+    if (why !== null) return { kind: 'refuse', why };
+    const m = known ?? this.#addMachine(r, now);
+    // The worker's lease expired in between: it has killed and forgotten all that ran before.
+    if (r.session > m.session) this.#endClaims(m, now, 'new session');
     m.addr = r.addr;
     m.session = r.session;
     m.seq = r.seq;
     m.evictionNotice = r.noticeS !== null;
     m.reported = r.tasks;
     this.changes++;
+    // An earlier process of ours under this very term can't be: every process takes a partition under a term of its own.
+    return term < this.term ? this.#answerUnsynchronised(m, now) : this.#answerSynchronised(m, r, now, mayGrant);
+  }
 
-    // An earlier process of ours under this very term can't be: every process takes a part under a term of its own.
-    if (term < this.term) {
-      m.synchronised = false;
-      // A worker that goes on without our term does not get our answers. Answering it for ever would keep its lease
-      // in doubt for ever, and with it every uncertain task of this part. A machine that can't hold any of those is answered:
-      // one that came up deaf while a part changed hands was once refused ever after.
-      if (this.unheard.has(m.name) && ++m.unsynchronisedAnswers > 4)
-        return { kind: 'refuse', why: 'does not take our token' };
-      m.answeredAt = now;
-      return { kind: 'answer', token: this.token(m), commands: [] };
+  /** Why a report is not to be answered: it changes nothing and renews nothing; null: it is taken. */
+  #whyRefused(r: WorkerReport, known: Machine | undefined): string | null {
+    if (this.#goneNames.has(r.machine)) return 'machine was returned';
+    if (known === undefined) return null;
+    if (r.session < known.session || (r.session === known.session && r.seq <= known.seq)) {
+      return 'older copy of a report';
     }
+    if (r.type === known.type && r.zone === known.zone && r.spot === known.spot) return null;
+    this.alarm('a report contradicts earlier ones of its machine', { machine: r.machine });
+    return 'contradicts earlier reports';
+  }
+
+  #addMachine(r: WorkerReport, now: number): Machine {
+    const machine: Machine = {
+      name: r.machine,
+      addr: r.addr,
+      type: r.type,
+      zone: r.zone,
+      spot: r.spot,
+      session: r.session,
+      seq: r.seq,
+      synchronised: false,
+      unsynchronisedAnswers: 0,
+      answeredAt: null,
+      calls: 0,
+      calledAt: -Infinity,
+      evictionNotice: false,
+      isMember: this.unheard.has(r.machine),
+      draining: false,
+      reported: [],
+      claims: new Map(),
+      cache: this.#inherited(r.machine),
+      emptySince: now,
+      lostGrants: 0,
+      deafUntil: 0,
+      failedJobs: new Set(),
+    };
+    this.machines.set(r.machine, machine);
+    return machine;
+  }
+
+  /**
+   * Answers a worker that has not seen our term. One that goes on without it does not get our answers, and answering it for ever
+   * would keep its lease in doubt for ever, and with it every uncertain task of this partition. A machine that can't hold any of
+   * those is answered: one that came up deaf while a partition changed hands was once refused ever after.
+   */
+  #answerUnsynchronised(m: Machine, now: number): ReportOutcome {
+    m.synchronised = false;
+    if (this.unheard.has(m.name) && ++m.unsynchronisedAnswers > MOST_UNSYNCHRONISED_ANSWERS) {
+      return { kind: 'refuse', why: 'does not take our token' };
+    }
+    m.answeredAt = now;
+    return { kind: 'answer', token: this.token(m), commands: [] };
+  }
+
+  #answerSynchronised(m: Machine, r: WorkerReport, now: number, mayGrant: boolean): ReportOutcome {
     m.synchronised = true;
     m.unsynchronisedAnswers = 0;
     m.answeredAt = now;
@@ -446,7 +449,7 @@
     return { kind: 'answer', token: this.token(m), commands };
   }
 
-  /** Takes what a settled worker says of its tasks; returns what it has to stop and forget. */
+  /** Takes what a synchronised worker says of its tasks; returns what it has to stop and forget. */
   #take(m: Machine, r: WorkerReport, now: number): WorkerCommand[] {
     const forget: WorkerCommand[] = [];
     const stop: WorkerCommand[] = [];
@@ -481,7 +484,7 @@
           stage: task.state,
           stopGraceS: slot.job.cancelled ? 0 : null,
         });
-        this.#touchImage(m, slot.job.spec.image, slot.job.spec.imageGb);
+        this.#useImage(m, slot.job);
       }
       if (slot?.claim?.machine !== m || slot.claim.attempt !== task.attempt) slot = undefined;
       if (slot === undefined) {
@@ -492,7 +495,7 @@
       if (claim.stage === 'granted') m.lostGrants = 0;
       if (claim.stage !== task.state) {
         claim.stage = task.state;
-        this.#touchImage(m, slot.job.spec.image, slot.job.spec.imageGb);
+        this.#useImage(m, slot.job);
       }
       if (claim.stopGraceS !== null && (task.state !== 'saving' || claim.stopGraceS === 0)) {
         stop.push({ op: 'stop', task: task.task, attempt: task.attempt, graceS: claim.stopGraceS });
@@ -531,29 +534,17 @@
   }
 
   /** What an earlier owner knew of a machine's cache. It is a guess like our own: a wrong one costs a fetch. */
-  #inherited(machine: string): Map<string, number> {
+  #inherited(machine: string): ImageCache {
     const sizes = new Map<string, number>();
-    for (const job of this.#jobs.live.values()) sizes.set(job.spec.image, job.spec.imageGb);
-    const cache = new Map<string, number>();
-    for (const image of this.#images.get(machine) ?? []) {
-      const gb = sizes.get(image);
-      if (gb !== undefined) cache.set(image, gb);
-    }
-    return cache;
-  }
-
-  #touchImage(m: Machine, image: string, gb: number): void {
-    m.cache.delete(image);
-    m.cache.set(image, gb);
-    let total = 0;
-    for (const size of m.cache.values()) total += size;
-    const limit = this.typeOf(m)?.cacheGb ?? 0;
-    for (const [name, size] of m.cache) {
-      if (total <= limit) break;
-      if (name === image) continue;
-      m.cache.delete(name);
-      total -= size;
-    }
+    for (const { spec } of this.#jobs.live.values()) sizes.set(spec.image, spec.imageGb);
+    const images = this.#images.get(machine) ?? [];
+    return new ImageCache(
+      images.filter((image) => sizes.has(image)).map((image) => [image, sizes.get(image)!] as const),
+    );
+  }
+
+  #useImage(m: Machine, { spec }: Job): void {
+    m.cache.use(spec.image, spec.imageGb, this.typeOf(m)?.cacheGb ?? 0);
   }
 
   /** Binds waiting tasks to the machine that reports now. */
@@ -586,7 +577,7 @@
           cached: m.cache.has(job.spec.image),
           waitedMs: Math.round(waited),
         });
-        this.#touchImage(m, job.spec.image, job.spec.imageGb);
+        this.#useImage(m, job);
         room = plus(room, job.spec, -1);
         commands.push({ op: 'start', task: slot.name, attempt });
       }
--- a/packages/core/src/packing.ts
+++ b/packages/core/src/packing.ts
@@ -114,7 +114,7 @@
 ): Generator<SpareCapacity> {
   for (const [m, free] of rooms) {
     if (m.spot || claimTable.reportsInMs(m, now) > 0) continue;
-    yield { type: m.type, zone: m.zone, spot: m.spot, free, images: [...m.cache.keys()] };
+    yield { type: m.type, zone: m.zone, spot: m.spot, free, images: m.cache.images() };
   }
 }
 
--- a/packages/core/src/slots.ts
+++ b/packages/core/src/slots.ts
@@ -1,6 +1,7 @@
 // What a claim table keeps of tasks and machines.
 import type { ReportedTask } from '@gingerlock/wire';
 import type { Amounts } from './facts';
+import type { ImageCache } from './image-cache';
 import type { Job } from './jobs';
 import type { Plan } from './placement';
 
@@ -88,8 +89,7 @@
   draining: boolean;
   reported: readonly ReportedTask[];
   readonly claims: Map<string, Slot>;
-  /** Our guess at its image cache, the most recently used last. */
-  readonly cache: Map<string, number>;
+  readonly cache: ImageCache;
   emptySince: number;
   /** Grants in a row that the next report did not show. */
   lostGrants: number;
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -378,7 +378,7 @@
         session: m.session,
         free: this.#rooms.get(m) ?? NOTHING,
         byRank,
-        images: [...m.cache.keys()],
+        images: m.cache.images(),
         takesWork: claimTable.takesWork(m, now) && this.#rooms.has(m),
         draining: m.draining,
         evictionNotice: m.evictionNotice,
