--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -85,7 +85,7 @@
   readonly #wakes = new WakeQueue();
   #counter = 0;
   #cleared = false;
-  /** Machines that were not heard until the clearing. */
+  /** Machines that were not heard until the fencing period ended. */
   readonly #departed: string[] = [];
   /** Goes up with every change that alters rooms or waiting tasks. */
   changes = 0;
@@ -610,7 +610,7 @@
     return (this.machines.get(name)?.answeredAt ?? null) !== null;
   }
 
-  /** Ends what time alone ends; returns the machines whose lease has run out, or that surely hold nothing since the clearing. */
+  /** Ends what time alone ends; returns the machines whose lease has run out, or that surely hold nothing since the fencing period. */
   tick(now: number): string[] {
     const lapsed: string[] = [];
     const bound = workerLeaseBoundMs(this.facts);
@@ -710,9 +710,9 @@
   missing(now: number): Amounts {
     let sum = NOTHING;
     if (this.#cleared) return sum;
-    let settled = 0;
-    for (const m of this.machines.values()) if (m.synchronised) settled++;
-    if (this.unheard.size > settled) {
+    let synchronised = 0;
+    for (const m of this.machines.values()) if (m.synchronised) synchronised++;
+    if (this.unheard.size > synchronised) {
       const bootMs = Math.max(0, ...[...this.#types().values()].map((t) => t.bootS * 1000));
       if (now < Math.max(this.openedAt + this.facts.reportMs * CUT_INTERVALS, this.fencedUntil - bootMs)) return sum;
     }
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -98,7 +98,7 @@
           this.log.error({ key, error: String(error) }, 'unreadable record');
         }
       },
-      onSync: () => this.#ownership.synced(this.shared.leaseValid() ? this.#lease : null),
+      onSync: () => this.#ownership.synced(this.#lease),
       onError: (error) => this.log.info({ error: String(error) }, 'state service can not be read'),
     });
     this.shared = new Shared(this.settings, ports.clock, ports.log, this.state, this.replica, this.store, ports.http);
--- a/packages/daemon/src/leader.ts
+++ b/packages/daemon/src/leader.ts
@@ -251,8 +251,8 @@
     const current = this.#current(now);
     const allHeard = current.length === (store.meta?.parts ?? Infinity);
     // Until all that is up has been heard, or has had the time to be, what is free is not known.
-    const settled = now - this.#since >= facts.reportMs * 2 || this.fleet.allHeard(current);
-    if (!this.#listed || !allHeard || !settled) return;
+    const isFleetHeard = now - this.#since >= facts.reportMs * 2 || this.fleet.allHeard(current);
+    if (!this.#listed || !allHeard || !isFleetHeard) return;
     const plan = this.fleet.plan({
       now,
       types: store.types,
--- a/packages/daemon/src/ownership-manager.ts
+++ b/packages/daemon/src/ownership-manager.ts
@@ -63,7 +63,7 @@
     return this.shared.clock;
   }
 
-  /** Looks at all resources after a read. `lease` is this controller's state lease, or null. */
+  /** Looks at all resources after a read. `lease` is this controller's state lease, valid or not, or null. */
   synced(lease: number | null): void {
     this.#lease = lease;
     const { store } = this.shared;
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -1,4 +1,4 @@
-// What controllers tell each other. Nothing that safety rests on lives here alone, but for the vouching of peers that
+// What controllers tell each other. Nothing that safety rests on lives here alone, but for the confirmations by peers that
 // they too lack the state service.
 import avro from 'avsc';
 
