--- a/packages/core/src/assignment.ts
+++ b/packages/core/src/assignment.ts
@@ -56,7 +56,16 @@
   readonly zones: readonly string[] | null;
 }
 
+/** When tasks of failing jobs are tried; see `TrialSchedule`. */
+export interface Trials {
+  isProven(job: string): boolean;
+  mayTry(job: string, now: number): boolean;
+  lastPart(job: string): number | null;
+}
+
 export interface AssignmentInput {
+  readonly now: number;
+  readonly trials: Trials;
   readonly jobs: Iterable<Job>;
   readonly summaries: readonly PartSummary[];
   /** Assignments that a summary may not show yet. */
@@ -113,6 +122,11 @@
   return counts;
 }
 
+/** Whether the job failed wherever it was started, and no trial has shown since that it can run. */
+export function isTried(job: Job, trials: Trials): boolean {
+  return job.failing && !trials.isProven(job.id);
+}
+
 /** Finds room for the waiting tasks of all jobs, the most urgent first, within the limits of their teams. */
 export function assignTasks(input: AssignmentInput): { assignments: Assignment[]; unmet: Unmet[] } {
   const jobs = [...input.jobs];
@@ -214,12 +228,34 @@
     const allowed = limitAllows(team, used, job.spec);
     if (allowed === 0) return;
     const zones = new ZoneChoice(job, this.#bins);
+    if (isTried(job, this.input.trials)) {
+      this.#assignTrial(job, ranges, zones);
+      return;
+    }
     const { indices, places, meant, missing } = this.#place(job, ranges, allowed, zones);
     this.#use.set(team.name, plus(used, job.spec, places.length + missing));
     if (places.length > 0) this.assignments.push({ job, added: roundsOf(indices, places), meant });
     if (missing > 0) this.unmet.push({ job, count: missing, zones: zones.open(this.input.facts.zones) });
   }
 
+  /** One task of a failing job goes to free room. It stops nobody and asks for no machine, and its next trial goes elsewhere. */
+  #assignTrial(job: Job, ranges: readonly [number, number][], zones: ZoneChoice): void {
+    const { input } = this;
+    const { trials, now } = input;
+    if (assignedUnfinished(job) > 0 || !trials.mayTry(job.id, now) || this.assignments.length >= input.most) return;
+    const free = this.#bins.filter((bin) => fits(job.spec, bin.free));
+    const last = trials.lastPart(job.id);
+    const allows = (zone: string): boolean => zones.allows(zone);
+    const elsewhere = free.filter((bin) => bin.part !== last);
+    const bin = pick(job, elsewhere, input, allows, undefined) ?? pick(job, free, input, allows, undefined);
+    if (bin === undefined) return;
+    take(bin, job);
+    const place = { part: bin.part, zone: zones.take(bin.room.zone), term: bin.term };
+    const meant = [{ machine: bin.room.name, need: job.spec }];
+    this.#use.set(job.spec.team, plus(this.#use.get(job.spec.team) ?? NOTHING, job.spec));
+    this.assignments.push({ job, added: roundsOf([ranges[0]![0]], [place]), meant });
+  }
+
   #place(job: Job, ranges: readonly [number, number][], allowed: number, zones: ZoneChoice): JobPlaces {
     const found: JobPlaces = { indices: [], places: [], meant: [], missing: 0 };
     for (const [from, count] of ranges) {
--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -12,7 +12,9 @@
   type WorkerCommand,
   type WorkerReport,
 } from '@gingerlock/wire';
+import { assignedUnfinished } from './assignment';
 import { type Amounts, type Facts, fits, limitAllows, NOTHING, plus, typeAllows, workerLeaseBoundMs } from './facts';
+import { type JobEvidence, FailureAttribution } from './failure-attribution';
 import { ImageCache } from './image-cache';
 import type { Job, JobTable } from './jobs';
 import { betterElsewhere } from './placement';
@@ -83,6 +85,7 @@
   readonly log: (message: string, detail: Record<string, unknown>) => void;
   readonly alarm: (message: string, detail: Record<string, unknown>) => void;
   readonly #wakes = new WakeQueue();
+  readonly failures: FailureAttribution;
   #counter = 0;
   #cleared = false;
   /** Machines that were not heard until the fencing period ended. */
@@ -100,6 +103,7 @@
     this.#types = options.types;
     this.unheard = new Map(options.membership);
     this.#images = options.images ?? new Map();
+    this.failures = new FailureAttribution(options.facts);
     this.log = options.log ?? (() => undefined);
     this.alarm = options.alarm ?? (() => undefined);
   }
@@ -274,6 +278,7 @@
     const machine = this.machines.get(name);
     if (machine === undefined) return;
     this.#endClaims(machine, now, 'machine gone');
+    this.failures.forgetMachine(name);
     this.machines.delete(name);
     this.changes++;
   }
@@ -292,9 +297,45 @@
     return machine.answeredAt === null || now - machine.answeredAt > this.facts.reportMs * SUSPECT_INTERVALS;
   }
 
-  /** A machine on which task after task of different jobs fails is itself at fault. */
+  /** A machine on which several jobs failed that run elsewhere is itself at fault. */
   isUnhealthy(machine: Machine): boolean {
-    return machine.failedJobs.size >= 2;
+    return this.failures.isUnhealthy(machine.name);
+  }
+
+  /** Whether the job failed wherever it was started, as its record or this partition has it. */
+  isFailing(job: Job): boolean {
+    return job.failing || this.failures.verdictOn(job.id) === 'failing';
+  }
+
+  /** Whether a waiting task may be started: of a failing job only one that the leader has assigned alone, and once. */
+  mayStart({ job, failures }: Slot): boolean {
+    return !this.isFailing(job) || (job.failing && failures === 0 && assignedUnfinished(job) <= 1);
+  }
+
+  /** Whether the record of a job of which these tasks are given back is to say that it is failing. */
+  isMarkedOnReturn(job: Job, returned: readonly Slot[], now: number): boolean {
+    if (job.finishedCount > 0) return false;
+    // No machine here is left to try it on: elsewhere it is tried as one that may fail again.
+    const failedHere = returned.some((slot) => slot.failures > 0) && this.#evidenceOn(job.id, now).runningOn === 0;
+    return failedHere || this.isFailing(job);
+  }
+
+  #evidenceOn(id: string, now: number): JobEvidence {
+    const job = this.#jobs.live.get(id);
+    const machines = new Set<string>();
+    let oldest = Infinity;
+    for (const { claim } of this.slots.get(id)?.values() ?? []) {
+      if (claim === null || claim.stage !== 'running' || claim.runningSince === null) continue;
+      machines.add(claim.machine.name);
+      oldest = Math.min(oldest, claim.runningSince);
+    }
+    return {
+      hasCompleted: (job?.finishedCount ?? 0) > 0 || this.#jobs.finals.get(id) === 'done',
+      isOver: job === undefined,
+      isMarkedFailing: job?.failing === true,
+      runningOn: machines.size,
+      longestRunMs: oldest === Infinity ? 0 : now - oldest,
+    };
   }
 
   /** What a machine has left, by its claims and by strays that it reports. */
@@ -321,6 +362,7 @@
       !machine.draining &&
       !machine.evictionNotice &&
       !this.isUnhealthy(machine) &&
+      !this.failures.isOnProbation(machine.name, now) &&
       now >= machine.deafUntil &&
       !this.isSuspect(machine, now)
     );
@@ -417,7 +459,6 @@
       emptySince: now,
       lostGrants: 0,
       deafUntil: 0,
-      failedJobs: new Set(),
     };
     this.machines.set(r.machine, machine);
     return machine;
@@ -482,6 +523,7 @@
           session: m.session,
           grantedAt: now,
           stage: task.state,
+          runningSince: task.state === 'running' ? now : null,
           stopGraceS: slot.job.cancelled ? 0 : null,
         });
         this.#useImage(m, slot.job);
@@ -495,6 +537,7 @@
       if (claim.stage === 'granted') m.lostGrants = 0;
       if (claim.stage !== task.state) {
         claim.stage = task.state;
+        if (task.state === 'running') claim.runningSince ??= now;
         this.#useImage(m, slot.job);
       }
       if (claim.stopGraceS !== null && (task.state !== 'saving' || claim.stopGraceS === 0)) {
@@ -512,7 +555,7 @@
     if (task.cause === 'done' && slot.job.spec.kind === 'array') {
       if (slot.state === 'finishing') return true;
       if (slot.claim !== null && !ours) return false;
-      m.failedJobs.clear();
+      this.failures.completed(slot.job.id, m.name);
       this.#move(slot, 'finishing', now);
       return true;
     }
@@ -524,7 +567,8 @@
 
   #blame(m: Machine, slot: Slot, cause: ExitCause, now: number): void {
     if (cause === 'error' || cause === 'unknown') {
-      if (cause === 'error') m.failedJobs.add(slot.job.id);
+      const runningSince = slot.claim?.runningSince ?? now;
+      if (cause === 'error') this.failures.failed(slot.job.id, m.name, now - runningSince, now);
       slot.failures++;
       const backoff = this.facts.reportMs * 2 ** Math.min(slot.failures - 2, 4);
       slot.notBefore = slot.failures < 2 ? now : now + backoff;
@@ -553,10 +597,11 @@
     let room = this.room(m);
     for (const job of this.wakes()) {
       if (!typeAllows(job.spec, m.type, m.zone, m.spot)) continue;
+      if (this.failures.isExcluded(job.id, m.name, now)) continue;
       for (const slot of this.waitingSlots(job)) {
         if (!fits(job.spec, room)) break;
         if (slot.notBefore > now || (slot.zone !== null && slot.zone !== m.zone)) continue;
-        if (m.failedJobs.has(job.id)) break;
+        if (!this.mayStart(slot)) continue;
         if (betterElsewhere(this, slot, m, now)) continue;
         if (this.#movesOn(slot, now) && !m.cache.has(job.spec.image)) continue;
         const attempt = this.term * ATTEMPTS_PER_TERM + ++this.#counter;
@@ -567,6 +612,7 @@
           session: m.session,
           grantedAt: now,
           stage: 'granted',
+          runningSince: null,
           stopGraceS: null,
         });
         slot.moving = false;
@@ -625,6 +671,7 @@
       }
     }
     this.#clear(now);
+    this.failures.review((job) => this.#evidenceOn(job, now));
     return [...lapsed, ...this.#departed.splice(0)];
   }
 
@@ -637,13 +684,19 @@
     const add = (slot: Slot): void => {
       const list = back.get(slot.job.id);
       if (list === undefined) back.set(slot.job.id, [slot]);
-      else list.push(slot);
+      else if (!list.includes(slot)) list.push(slot);
     };
     for (const slots of this.slots.values()) {
       for (const slot of slots.values()) {
         if (slot.job.cancelled && (slot.state === 'waiting' || slot.state === 'finishing')) add(slot);
       }
     }
+    for (const job of this.wakes()) {
+      if (!this.isFailing(job)) continue;
+      for (const slot of this.waitingSlots(job)) {
+        if (!this.mayStart(slot) && now - slot.since > this.facts.reportMs) add(slot);
+      }
+    }
     const patience = this.facts.reportMs / 2;
     for (const slot of stuck) {
       if (slot.state === 'waiting' && (now - slot.since > patience || slot.moving)) add(slot);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,8 @@
 export * from './jobs';
 export * from './rounds';
 export * from './claims';
+export * from './failure-attribution';
+export * from './trials';
 export { fetchMs } from './placement';
 export * from './assignment';
 export * from './fleet';
--- a/packages/core/src/jobs.ts
+++ b/packages/core/src/jobs.ts
@@ -46,6 +46,8 @@
   cancelled = false;
   /** Another controller has told us that it is cancelled: true for ever, though our copy of its record may not say so yet. */
   cancelledElsewhere = false;
+  /** Marked in its record: it failed on several machines and was not seen to run. */
+  markedFailing = false;
   /** Whether all jobs that it needs are done; until then it waits and nothing of it is assigned. */
   ready = true;
   rounds: readonly Round[] = [];
@@ -65,6 +67,11 @@
     return PRIORITIES.indexOf(this.spec.priority);
   }
 
+  /** Whether at most one task at a time is tried, for it failed wherever it was started. */
+  get failing(): boolean {
+    return this.markedFailing && this.finishedCount === 0;
+  }
+
   isFinished(task: number): boolean {
     return this.#finished.has(task);
   }
@@ -138,6 +145,7 @@
     job.spec = record.spec;
     job.acceptedAt = record.acceptedAt;
     job.cancelled = record.cancelled || job.cancelledElsewhere;
+    job.markedFailing = record.failing;
     job.rounds = record.rounds;
     job.version = version;
     this.dependencies.update(job);
--- a/packages/core/src/packing.ts
+++ b/packages/core/src/packing.ts
@@ -32,6 +32,9 @@
   const doomed = new Set<Slot>();
   for (const job of claimTable.wakes()) {
     for (const slot of claimTable.waitingSlots(job)) {
+      slot.plan = null;
+      // Held back, and given back in time: no machine is kept for it, none is asked for.
+      if (!claimTable.mayStart(slot)) continue;
       slot.plan = bestPlan(claimTable, slot, rooms, doomed, now);
       if (slot.plan === null) {
         stuck.push(slot);
@@ -75,7 +78,8 @@
   now: number,
 ): Slot[] {
   for (const job of claimTable.wakes()) {
-    if (job.spec.kind === 'service' && claimTable.waitingSlots(job).next().done !== true) return [];
+    if (job.spec.kind !== 'service' || claimTable.isFailing(job)) continue;
+    if (claimTable.waitingSlots(job).next().done !== true) return [];
   }
   let spareCapacity: SpareCapacity[] | null = null;
   for (const m of claimTable.machines.values()) {
--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -9,11 +9,11 @@
 import type { Machine, Slot } from './slots';
 
 /** Whether a task could be bound to the machine if it had the room. */
-export function suits(slot: Slot, m: Machine): boolean {
+export function suits(claimTable: ClaimTable, slot: Slot, m: Machine, now: number): boolean {
   return (
     (slot.zone === null || slot.zone === m.zone) &&
     typeAllows(slot.job.spec, m.type, m.zone, m.spot) &&
-    !m.failedJobs.has(slot.job.id)
+    !claimTable.failures.isExcluded(slot.job.id, m.name, now)
   );
 }
 
@@ -55,16 +55,18 @@
 ): Plan | null {
   const spec = slot.job.spec;
   const { reportMs } = claimTable.facts;
+  const mayPreempt = !claimTable.isFailing(slot.job);
   let best: Plan | null = null;
   let bestCost = Infinity;
   for (const [machine, room] of rooms) {
-    if (!suits(slot, machine)) continue;
+    if (!suits(claimTable, slot, machine, now)) continue;
     const type = claimTable.typeOf(machine);
     const fetch = fetchMs(spec.imageGb, machine.cache.has(spec.image), type);
     let ms = fetch + claimTable.reportsInMs(machine, now);
     if (ms >= bestCost) continue;
     let victims: readonly Slot[] = [];
     if (!fits(spec, room)) {
+      if (!mayPreempt) continue;
       const found = leastVictims(machine, slot, room, doomed);
       if (found === null) continue;
       victims = found;
--- a/packages/core/src/slots.ts
+++ b/packages/core/src/slots.ts
@@ -30,6 +30,8 @@
   readonly grantedAt: number;
   /** What the worker said last; `granted` until it has said anything. */
   stage: 'granted' | 'fetching' | 'running' | 'saving';
+  /** When it was first reported running; null: it has not been. */
+  runningSince: number | null;
   /** Set when the task is to be stopped, with the time it gets for saving. */
   stopGraceS: number | null;
 }
@@ -94,6 +96,4 @@
   /** Grants in a row that the next report did not show. */
   lostGrants: number;
   deafUntil: number;
-  /** Jobs that failed here since a task last went well. */
-  readonly failedJobs: Set<string>;
 }
--- /dev/null
+++ b/packages/core/src/trials.ts
@@ -0,0 +1,91 @@
+// When the leader has a task of a failing job tried again. Such a job is retried as a job: one task at a time, however many it has,
+// with pauses that grow, and never given up, for a run of machines at fault looks alike at first. Pure: the time is an argument.
+import type { Facts } from './facts';
+
+interface Trial {
+  /** No task is assigned before. */
+  nextAt: number;
+  pauseMs: number;
+  /** Since when a task of the job has been reported running without a gap; null: none is. */
+  runningSince: number | null;
+  /** For how long a task has to run for the job to count as one that can. */
+  provenAfterMs: number;
+  isProven: boolean;
+  /** Where its last trial was; the next one goes elsewhere if it can. */
+  lastPart: number | null;
+}
+
+/** The pause after the first trial, and how long a trial has to run at first, in report intervals. */
+const FIRST_PAUSE_INTERVALS = 2;
+const PROVEN_INTERVALS = 4;
+
+/** What a trial was not enough for doubles with each failure after it, up to this many times `cancel_s`. */
+const MOST_PROVEN_CANCELS = 8;
+
+export class TrialSchedule {
+  readonly #trials = new Map<string, Trial>();
+
+  constructor(readonly facts: Facts) {}
+
+  #of(job: string): Trial {
+    let trial = this.#trials.get(job);
+    if (trial === undefined) {
+      trial = {
+        nextAt: -Infinity,
+        pauseMs: this.facts.reportMs * FIRST_PAUSE_INTERVALS,
+        runningSince: null,
+        provenAfterMs: this.facts.reportMs * PROVEN_INTERVALS,
+        isProven: false,
+        lastPart: null,
+      };
+      this.#trials.set(job, trial);
+    }
+    return trial;
+  }
+
+  /** Takes in which jobs are live, which of them are marked as failing, and how many tasks of each are reported running. */
+  review(
+    isLive: (job: string) => boolean,
+    failing: Iterable<string>,
+    running: (job: string) => number,
+    now: number,
+  ): void {
+    for (const job of this.#trials.keys()) if (!isLive(job)) this.#trials.delete(job);
+    for (const job of failing) {
+      const trial = this.#of(job);
+      if (running(job) === 0) trial.runningSince = null;
+      else trial.runningSince ??= now;
+      trial.isProven = trial.runningSince !== null && now - trial.runningSince >= trial.provenAfterMs;
+    }
+  }
+
+  /** Whether a trial has run for long enough: the job is no failing one any more. */
+  isProven(job: string): boolean {
+    return this.#trials.get(job)?.isProven ?? false;
+  }
+
+  /** The mark has been taken off. Should the job fail again, its next trial has to run for longer. */
+  cleared(job: string): void {
+    const trial = this.#trials.get(job);
+    if (trial === undefined) return;
+    trial.provenAfterMs = Math.min(trial.provenAfterMs * 2, this.facts.cancelMs * MOST_PROVEN_CANCELS);
+    trial.runningSince = null;
+    trial.isProven = false;
+  }
+
+  mayTry(job: string, now: number): boolean {
+    return now >= this.#of(job).nextAt;
+  }
+
+  lastPart(job: string): number | null {
+    return this.#of(job).lastPart;
+  }
+
+  /** A task of the job has been assigned to a partition as a trial. */
+  tried(job: string, part: number, now: number): void {
+    const trial = this.#of(job);
+    trial.lastPart = part;
+    trial.nextAt = now + trial.pauseMs;
+    trial.pauseMs = Math.min(trial.pauseMs * 2, this.facts.cancelMs);
+  }
+}
--- a/packages/core/test/assignment.test.ts
+++ b/packages/core/test/assignment.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { finishedRecord, jobRecord, type MachineType } from '@gingerlock/wire';
-import { assignTasks, JobTable, type MachineRoom, NOTHING, type PartSummary } from '../src/index';
+import { assignTasks, JobTable, type MachineRoom, NOTHING, type PartSummary, TrialSchedule } from '../src/index';
 import { FACTS, roomOf, specOf } from './fixtures';
 
 const ZONES = ['a', 'b', 'c'];
@@ -39,11 +39,13 @@
   const table = new JobTable(() => 64);
   for (let i = 0; i < jobs; i++) {
     const spec = specOf(`j-${i}`, { image: `img-${i % 7}` });
-    const record = { final: null, spec, acceptedAt: i, cancelled: false, rounds: [] };
+    const record = { final: null, spec, acceptedAt: i, cancelled: false, failing: false, rounds: [] };
     table.applyJob(spec.id, jobRecord.write(record), i + 1);
   }
   const summary: PartSummary = { part: 0, term: 1, revision: 0, machines: rooms, missing: NOTHING, running: [] };
   const { assignments, unmet } = assignTasks({
+    now: 0,
+    trials: new TrialSchedule(facts),
     jobs: table.live.values(),
     summaries: [summary],
     recent: [],
@@ -76,9 +78,15 @@
   const table = new JobTable(() => 64);
   const spec = specOf('j-1', { oneZone: true });
   const rounds = [{ from: 0, count: 2, part: 0, zone: 'a', term: 1 }];
-  table.applyJob(spec.id, jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, rounds }), 1);
+  table.applyJob(
+    spec.id,
+    jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, failing: false, rounds }),
+    1,
+  );
   const zonesDealt = (): (string | null)[] => {
     const { assignments } = assignTasks({
+      now: 0,
+      trials: new TrialSchedule(facts),
       jobs: table.live.values(),
       summaries: [{ part: 1, term: 1, revision: 0, machines: [roomIn('m-1', 'b', 8)], missing: NOTHING, running: [] }],
       recent: [],
--- a/packages/core/test/claims.test.ts
+++ b/packages/core/test/claims.test.ts
@@ -42,7 +42,11 @@
 /** The job with its four tasks assigned to the part. */
 function assigned(jobs: JobTable, term: number, version: number): void {
   const rounds = [{ from: 0, count: 4, part: 0, zone: null, term }];
-  jobs.applyJob(spec.id, jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, rounds }), version);
+  jobs.applyJob(
+    spec.id,
+    jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, failing: false, rounds }),
+    version,
+  );
 }
 
 /** The claim table of a new owner: four tasks were assigned before its time, and three machines may hold them. */
@@ -150,7 +154,11 @@
 
 /** Writes the job's record with the given rounds, and has the claim table take it. */
 function reassign(jobs: JobTable, claimTable: ClaimTable, rounds: readonly Round[], version: number): readonly Slot[] {
-  jobs.applyJob(spec.id, jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, rounds }), version);
+  jobs.applyJob(
+    spec.id,
+    jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, failing: false, rounds }),
+    version,
+  );
   return claimTable.syncJob(spec.id, 2000);
 }
 
--- a/packages/core/test/cost.test.ts
+++ b/packages/core/test/cost.test.ts
@@ -28,7 +28,11 @@
   const job = (id: string, tasks: number): void => {
     const spec = specOf(id, { kind: 'service', priority: 'production', tasks, cpus: 4, memoryGb: 12 });
     const rounds = [{ from: 0, count: tasks, part: 0, zone: null, term: 2 }];
-    jobs.applyJob(id, jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, rounds }), 5);
+    jobs.applyJob(
+      id,
+      jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, failing: false, rounds }),
+      5,
+    );
   };
   const claimTable = new ClaimTable({
     facts,
--- a/packages/core/test/finished-pages.test.ts
+++ b/packages/core/test/finished-pages.test.ts
@@ -13,7 +13,11 @@
 function tableWith(tasks: number): { table: JobTable; job: Job } {
   const table = new JobTable(() => PAGE_TASKS);
   const spec = specOf('j-1', { tasks });
-  table.applyJob(spec.id, jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, rounds: [] }), 1);
+  table.applyJob(
+    spec.id,
+    jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, failing: false, rounds: [] }),
+    1,
+  );
   return { table, job: table.live.get(spec.id)! };
 }
 
--- /dev/null
+++ b/packages/core/test/trials.test.ts
@@ -0,0 +1,95 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { jobRecord } from '@gingerlock/wire';
+import { assignTasks, isTried, JobTable, NOTHING, type PartSummary, TrialSchedule } from '../src/index';
+import { FACTS, roomOf, specOf } from './fixtures';
+
+const team = { name: 'red', cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 };
+const facts = { ...FACTS, teams: new Map([[team.name, team]]) };
+const spec = specOf('j-1', { tasks: 60, priority: 'production' });
+
+/** A job that is marked as failing, and two partitions with one machine each. */
+function failingJob(
+  byRank = NOTHING,
+  free = { cpus: 8, gpus: 4, memoryGb: 32 },
+): {
+  jobs: JobTable;
+  trials: TrialSchedule;
+  assign: (now: number) => ReturnType<typeof assignTasks>;
+} {
+  const jobs = new JobTable(() => 64);
+  jobs.applyJob(
+    spec.id,
+    jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, failing: true, rounds: [] }),
+    1,
+  );
+  const trials = new TrialSchedule(facts);
+  const summaries = [0, 1].map((part): PartSummary => ({
+    part,
+    term: 1,
+    revision: 0,
+    machines: [roomOf(`m-${part}`, { free, byRank: [NOTHING, NOTHING, NOTHING, byRank] })],
+    missing: NOTHING,
+    running: [],
+  }));
+  const assign = (now: number): ReturnType<typeof assignTasks> =>
+    assignTasks({ now, trials, jobs: jobs.live.values(), summaries, recent: [], facts, types: new Map(), most: 12 });
+  return { jobs, trials, assign };
+}
+
+test('of a failing job one task at a time is assigned, with pauses that grow, in turn to the partitions, and for ever', () => {
+  const { trials, assign } = failingJob();
+  const times: number[] = [];
+  const parts: number[] = [];
+  for (let now = 0; now < facts.cancelMs * 20; now += facts.reportMs / 10) {
+    const { assignments, unmet } = assign(now);
+    assert.equal(unmet.length, 0);
+    if (assignments.length === 0) continue;
+    const { added } = assignments[0]!;
+    assert.deepEqual([added.length, added[0]!.count], [1, 1]);
+    times.push(now);
+    parts.push(added[0]!.part);
+    trials.tried(spec.id, added[0]!.part, now);
+  }
+  // It is tried at once, then less and less often down to once in the time that a cancellation has.
+  const pauses = times.slice(1).map((at, i) => at - times[i]!);
+  assert.equal(times[0], 0);
+  assert.ok(pauses[0]! <= facts.reportMs * 3);
+  assert.ok(pauses.every((pause, i) => pause >= (pauses[i - 1] ?? 0) - facts.reportMs));
+  assert.ok(pauses.at(-1)! <= facts.cancelMs * 1.1 && pauses.length >= 18);
+  assert.ok(parts.every((part, i) => i === 0 || part !== parts[i - 1]));
+});
+
+test('a trial waits for free room: it stops nobody, and nothing is asked for it', () => {
+  const room = { cpus: 8, gpus: 4, memoryGb: 32 };
+  const { assign } = failingJob(room, NOTHING);
+  assert.deepEqual([assign(0).assignments.length, assign(0).unmet.length], [0, 0]);
+});
+
+test('a job of which a trial runs for long enough is assigned as a whole, and needs a longer one should it fail again', () => {
+  const { jobs, trials, assign } = failingJob();
+  const job = jobs.live.get(spec.id)!;
+  const isLive = (id: string): boolean => jobs.live.has(id);
+  const running = (now: number, tasks: number): void => trials.review(isLive, [spec.id], () => tasks, now);
+  const provenAfter = (from: number): number => {
+    for (let now = from; ; now += facts.reportMs) {
+      running(now, 1);
+      if (trials.isProven(spec.id)) return now - from;
+    }
+  };
+  running(0, 0);
+  assert.equal(isTried(job, trials), true);
+  const first = provenAfter(1000);
+  const { assignments } = assign(9000);
+  assert.ok(assignments.flatMap((a) => a.added).reduce((n, r) => n + r.count, 0) > 1);
+  trials.cleared(spec.id);
+  running(10_000, 0);
+  assert.equal(trials.isProven(spec.id), false);
+  assert.ok(provenAfter(11_000) >= first * 2);
+  // One that is interrupted begins anew.
+  trials.cleared(spec.id);
+  running(60_000, 1);
+  running(61_000, 0);
+  running(62_000, 1);
+  assert.equal(trials.isProven(spec.id), false);
+});
--- a/packages/daemon/src/leader.ts
+++ b/packages/daemon/src/leader.ts
@@ -4,10 +4,12 @@
   assignedUnfinished,
   assignTasks,
   Fleet,
+  isTried,
   type Job,
   joinRounds,
   type PartSummary,
   type Tenure,
+  TrialSchedule,
   type Unmet,
 } from '@gingerlock/core';
 import {
@@ -30,12 +32,13 @@
   readonly need: { cpus: number; gpus: number; memoryGb: number };
 }
 
-function recordWith({ job }: Assignment, added: readonly Round[]): unknown {
+function recordWith(job: Job, failing: boolean, added: readonly Round[]): unknown {
   return jobRecord.write({
     final: null,
     spec: job.spec,
     acceptedAt: job.acceptedAt,
     cancelled: false,
+    failing,
     rounds: joinRounds([...job.rounds, ...added], (task) => job.isFinished(task)),
   });
 }
@@ -63,6 +66,7 @@
   readonly fleet: Fleet;
   readonly cloud: Cloud;
   readonly #since: number;
+  readonly #trials: TrialSchedule;
   #assigning = false;
   #recent: Meant[] = [];
   #unmet: readonly Unmet[] = [];
@@ -82,6 +86,7 @@
     this.fleet = new Fleet(shared.facts, tenure.term, shared.settings.operators);
     this.cloud = new Cloud(http, shared.settings.cloud, shared.facts.reportMs * 2);
     this.#since = shared.clock.now();
+    this.#trials = new TrialSchedule(shared.facts);
     void this.#cloudLoop();
   }
 
@@ -130,11 +135,15 @@
   async #assignOnce(): Promise<boolean> {
     const { shared } = this;
     const { store, facts, settings } = shared;
-    const current = this.#current(shared.clock.now());
+    const now = shared.clock.now();
+    const current = this.#current(now);
+    this.#reviewTrials(current, now);
     const batch = new JobBatch(this.tenure.condition);
     this.#close(batch);
     this.#recent = this.#recent.filter((r) => current.some((s) => s.part === r.part && s.revision < r.revision));
     const { assignments, unmet } = assignTasks({
+      now,
+      trials: this.#trials,
       jobs: store.jobs.live.values(),
       summaries: current,
       recent: this.#recent,
@@ -144,6 +153,7 @@
     });
     this.#unmet = unmet;
     const meant = this.#addAssignments(batch, assignments, current);
+    this.#clearMarks(batch);
     if (batch.changes.length === 0) {
       if (store.leftovers.size === 0) return false;
       for (const key of [...store.leftovers].slice(0, settings.txnOps)) batch.changes.push({ remove: key });
@@ -151,10 +161,43 @@
     const revision = await shared.settle(URGENCY.assign, batch.conditions, batch.changes, () => this.#isLeading());
     if (revision === 0) return false;
     for (const m of meant) this.#recent.push({ ...m, revision });
+    this.#noteTrials(assignments, batch, now);
     shared.log.debug({ jobs: [...batch.jobs] }, 'assigned and closed');
     return true;
   }
 
+  #reviewTrials(current: readonly PartSummary[], now: number): void {
+    const { live } = this.shared.store.jobs;
+    const failing = [...live.values()].filter((job) => job.failing && !job.cancelled).map((job) => job.id);
+    const running = new Map<string, number>();
+    for (const { running: tasks } of current)
+      for (const [job, n] of tasks) running.set(job, (running.get(job) ?? 0) + n);
+    this.#trials.review(
+      (job) => live.has(job),
+      failing,
+      (job) => running.get(job) ?? 0,
+      now,
+    );
+  }
+
+  /** Takes the mark off jobs of which a trial has run for long enough, and which have nothing to assign. */
+  #clearMarks(batch: JobBatch): void {
+    const { store, settings } = this.shared;
+    for (const job of store.jobs.live.values()) {
+      if (batch.changes.length >= settings.txnOps) return;
+      if (!job.failing || job.cancelled || batch.jobs.has(job.id) || isTried(job, this.#trials)) continue;
+      batch.put(job, recordWith(job, false, []));
+    }
+  }
+
+  #noteTrials(assignments: readonly Assignment[], batch: JobBatch, now: number): void {
+    for (const { job, added } of assignments) {
+      if (!batch.jobs.has(job.id) || !job.markedFailing) continue;
+      if (isTried(job, this.#trials)) this.#trials.tried(job.id, added[0]!.part, now);
+    }
+    for (const id of batch.jobs) if (this.#trials.isProven(id)) this.#trials.cleared(id);
+  }
+
   /** Ends the jobs of which all tasks are finished, or, of those that are cancelled, gone. */
   #close(batch: JobBatch): void {
     const { store, settings } = this.shared;
@@ -185,7 +228,7 @@
         log.error({ job: job.id, rounds: job.rounds.length }, 'record too large, not assigned');
         continue;
       }
-      batch.put(job, recordWith(assignment, added));
+      batch.put(job, recordWith(job, isTried(job, this.#trials), added));
       for (const { part } of added) parts.add(part);
       for (const { machine, need } of assignment.meant) {
         const { part } = current.find((s) => s.machines.some((m) => m.name === machine))!;
@@ -202,7 +245,7 @@
   /** As many of the new rounds as the job's record has room for; the other tasks are assigned when it has shrunk. */
   #fittingRounds(assignment: Assignment): Round[] {
     const added = [...assignment.added];
-    while (added.length > 0 && !this.shared.fitsValue(recordWith(assignment, added))) added.pop();
+    while (added.length > 0 && !this.shared.fitsValue(recordWith(assignment.job, true, added))) added.pop();
     return added;
   }
 
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -309,9 +309,9 @@
     const left = withoutTasks(job.rounds, this.part, new Set(slots.map((s) => s.index)));
     // Finished tasks are off their machines: of a cancelled job nothing is left to wait for when only they remain.
     const rounds = joinRounds(left, (task) => job.isFinished(task));
-    return jobRecord.write(
-      cancelled && rounds.length === 0 ? { final: 'cancelled' } : { final: null, spec, acceptedAt, cancelled, rounds },
-    );
+    if (cancelled && rounds.length === 0) return jobRecord.write({ final: 'cancelled' });
+    const failing = this.claimTable.isMarkedOnReturn(job, slots, this.shared.clock.now());
+    return jobRecord.write({ final: null, spec, acceptedAt, cancelled, failing, rounds });
   }
 
   /** Writes the finished tasks of one job; the last ones close it. */
--- a/packages/daemon/src/users.ts
+++ b/packages/daemon/src/users.ts
@@ -146,6 +146,7 @@
       spec: { ...spec, awaits },
       acceptedAt: this.shared.clock.wall(),
       cancelled: false,
+      failing: false,
       rounds: [],
     };
   }
@@ -164,7 +165,7 @@
     // With nothing assigned there is nothing to stop: the record closes at once.
     if (job.rounds.length === 0) return jobRecord.write({ final: 'cancelled' });
     const rounds = outgrown ? coverPerPartition(job.rounds) : job.rounds;
-    return jobRecord.write({ final: null, spec, acceptedAt, cancelled: true, rounds });
+    return jobRecord.write({ final: null, spec, acceptedAt, cancelled: true, failing: job.failing, rounds });
   }
 
   async cancel(id: string): Promise<Reply> {
--- a/packages/testkit/src/faults.ts
+++ b/packages/testkit/src/faults.ts
@@ -1,14 +1,14 @@
 // Troubles as data, so that a generator can draw them and a shrinker can take them away one by one.
 import { KEYS, parseTaskName } from '@gingerlock/wire';
+import { inflictOperations, isOperationsFault, type OperationsFault, operationsFaultMs } from './operations-faults';
 import { PipelineUser } from './pipelines';
 import { type World, ZONES } from './world';
 
 export type Fault =
+  | OperationsFault
   | { readonly kind: 'crash'; readonly nodes: readonly number[]; readonly backMs: number }
   /** Ends again and again, and is back within a fraction of a second. */
   | { readonly kind: 'flapping'; readonly node: number; readonly times: number; readonly everyMs: number }
-  /** Stands still while its clocks run on. */
-  | { readonly kind: 'freeze'; readonly node: number; readonly forMs: number }
   | { readonly kind: 'machines hang'; readonly machine: number; readonly count: number; readonly forMs: number }
   | { readonly kind: 'late peer copies'; readonly share: number; readonly withinMs: number; readonly forMs: number }
   | { readonly kind: 'state outage'; readonly forMs: number }
@@ -129,6 +129,10 @@
     affected.add(name);
     sim.after(forMs, () => affected.delete(name));
   };
+  if (isOperationsFault(fault)) {
+    inflictOperations(world, fault, node);
+    return;
+  }
   switch (fault.kind) {
     case 'crash':
       for (const i of fault.nodes) {
@@ -145,9 +149,6 @@
       }
       return;
     }
-    case 'freeze':
-      network.freeze(node(fault.node), fault.forMs);
-      return;
     case 'machines hang':
       for (let i = 0; i < fault.count; i++) {
         const name = machine(fault.machine + i);
@@ -312,6 +313,7 @@
       const worker = world.workers.get(machine(fault.machine) ?? '');
       if (worker === undefined) return;
       worker.unhealthy = true;
+      world.everUnhealthy.add(worker.name);
       sim.after(fault.forMs, () => {
         worker.unhealthy = false;
       });
@@ -496,6 +498,7 @@
 
 /** How long a trouble lasts, what it leaves under way included. */
 function lastsMs(fault: Fault, controllers: number): number {
+  if (isOperationsFault(fault)) return operationsFaultMs(fault);
   switch (fault.kind) {
     case 'crash':
       return fault.backMs;
--- a/packages/testkit/src/liveness.ts
+++ b/packages/testkit/src/liveness.ts
@@ -33,6 +33,7 @@
       const waits =
         this.#on(id).length + world.doneOf(id) < tasks &&
         !world.users.isUnwanted(told) &&
+        !world.isBroken(id) &&
         world.users.isReady(told) &&
         this.#couldStart(told.spec);
       if (!waits) this.#waiting.delete(id);
--- a/packages/testkit/src/network.ts
+++ b/packages/testkit/src/network.ts
@@ -3,8 +3,17 @@
 
 export type Handler = (method: string, path: string, body: Buffer, from: string) => Promise<HttpAnswer> | HttpAnswer;
 
-/** How a way from one host to another is disturbed. */
-export type Cut = 'lose' | 'hold';
+/** How a way from one host to another is disturbed. Of what is refused its sender hears at once. */
+export type Cut = 'lose' | 'hold' | 'refuse';
+
+/** In which order a host that stood still takes up what it missed. */
+export type WakeOrder = 'as it came' | 'input first' | 'timers first';
+
+/** What happens on a host: something that has come to it, or a timer of its own. */
+export type Occurrence = 'input' | 'timer';
+
+/** How long after what goes first the rest is taken up: longer than anything that waits may take to be spread out. */
+const WAKE_STEP_MS = 5;
 
 export type Between = (from: string, to: string) => boolean;
 
@@ -33,18 +42,19 @@
   /** Hosts that can open no connections: what they ask is lost, what they answer is not. */
   readonly mute = new Set<string>();
   /** Hosts that stand still, and until when: what comes to them is taken then. */
-  readonly #still = new Map<string, number>();
+  readonly #still = new Map<string, { readonly until: number; readonly wakes: WakeOrder }>();
 
   constructor(readonly sim: Sim) {}
 
   /** A host stands still for so long while its clocks run on. */
-  freeze(host: string, forMs: number): void {
-    this.#still.set(host, Math.max(this.#still.get(host) ?? 0, this.sim.now + forMs));
+  freeze(host: string, forMs: number, wakes: WakeOrder = 'as it came'): void {
+    const until = Math.max(this.#still.get(host)?.until ?? 0, this.sim.now + forMs);
+    this.#still.set(host, { until, wakes });
   }
 
   /** Whether a host stands still now. */
   standsStill(host: string): boolean {
-    return (this.#still.get(host) ?? 0) > this.sim.now;
+    return (this.#still.get(host)?.until ?? 0) > this.sim.now;
   }
 
   /** A host that was started anew does not stand still. */
@@ -53,10 +63,15 @@
   }
 
   /** Runs what happens on a host: at once, or when it goes on. */
-  on(host: string, run: () => void): void {
-    const until = this.#still.get(host) ?? 0;
-    if (until <= this.sim.now) run();
-    else this.sim.after(until - this.sim.now, () => this.on(host, run));
+  on(host: string, run: () => void, occurrence: Occurrence = 'input'): void {
+    const still = this.#still.get(host);
+    if (still === undefined || still.until <= this.sim.now) {
+      run();
+      return;
+    }
+    const goesSecond = still.wakes === (occurrence === 'input' ? 'timers first' : 'input first');
+    const step = goesSecond ? WAKE_STEP_MS : 0;
+    this.sim.after(still.until - this.sim.now + step, () => this.on(host, run, occurrence));
   }
 
   cut(from: string, to: string, how: Cut): void {
@@ -106,7 +121,7 @@
   /** Brings one message over; `deliver` may run late or never. */
   pass(from: string, to: string, deliver: () => void): void {
     const how = this.#cutOn(from, to);
-    if (how === 'lose') return;
+    if (how === 'lose' || how === 'refuse') return;
     if (how === 'hold') this.#held.push({ from, to, deliver });
     else this.sim.after(this.#latency(from, to), deliver);
   }
@@ -125,12 +140,27 @@
       new Promise<HttpAnswer>((resolve, reject) => {
         let over = false;
         const giveUp = this.sim.after(timeoutMs, () =>
-          this.on(from, () => {
-            if (over) return;
-            over = true;
-            if (alive()) reject(new NoAnswer('no answer in time'));
-          }),
+          this.on(
+            from,
+            () => {
+              if (over) return;
+              over = true;
+              if (alive()) reject(new NoAnswer('no answer in time'));
+            },
+            'timer',
+          ),
         );
+        if (this.#cutOn(from, addr) === 'refuse') {
+          this.sim.after(this.#latency(from, addr), () =>
+            this.on(from, () => {
+              if (over) return;
+              over = true;
+              giveUp();
+              if (alive()) reject(new NoAnswer('refused'));
+            }),
+          );
+          return;
+        }
         const arrive = (answering: boolean): void => {
           const handler = this.hosts.get(addr);
           if (handler === undefined) {
--- /dev/null
+++ b/packages/testkit/src/operations-audit.ts
@@ -0,0 +1,61 @@
+// What must hold in the troubles that operators met beside the protocol's rules: who is at fault is told apart, what fails is not
+// retried without bound, and no rented machine is forgotten.
+import type { World } from './world';
+
+/** How often the tasks of a broken job may be started: so many times each while it is found out, and a trial in so many reports. */
+const STARTS_PER_TASK = 3;
+const TRIAL_INTERVALS = 2;
+
+/** A machine that has not come up after this many times the usual boot is returned; more is allowed for changes of leader. */
+const MOST_BOOTS = 8;
+
+export class OperationsAudit {
+  readonly #condemned = new Set<string>();
+  readonly #forgotten = new Set<string>();
+
+  constructor(readonly world: World) {}
+
+  /** A task of the job is on a machine now. */
+  started(job: string): void {
+    const { world } = this;
+    const broken = world.brokenJobs.get(job);
+    if (broken === undefined) return;
+    broken.starts++;
+    broken.firstStartAt ??= world.sim.now;
+    const { tasks } = world.job(job)!;
+    const trials = (world.sim.now - broken.firstStartAt) / (world.reportMs * TRIAL_INTERVALS);
+    if (broken.starts > tasks * STARTS_PER_TASK + trials + 1) {
+      world.breach('retried_often', `${job} of ${tasks} tasks was started ${broken.starts} times`);
+    }
+  }
+
+  audit(quietAt: number): void {
+    for (const { controller } of this.world.nodes) {
+      for (const { claimTable } of controller?.owned() ?? []) {
+        for (const machine of claimTable.machines.values()) {
+          if (claimTable.isUnhealthy(machine)) this.#condemns(machine.name);
+        }
+      }
+    }
+    this.#checkRented(quietAt);
+  }
+
+  #condemns(machine: string): void {
+    const { world } = this;
+    world.came('condemned');
+    if (world.everUnhealthy.has(machine) || this.#condemned.has(machine)) return;
+    this.#condemned.add(machine);
+    world.breach('condemned_healthy', machine);
+  }
+
+  #checkRented(quietAt: number): void {
+    const { world } = this;
+    const { now } = world.sim;
+    for (const { name, state, bornAt } of world.rented) {
+      if (state !== 'booting' || now - Math.max(bornAt, quietAt) < world.bootMs * MOST_BOOTS) continue;
+      if (this.#forgotten.has(name)) continue;
+      this.#forgotten.add(name);
+      world.breach('forgotten_machine', `${name} is paid for and never came up`);
+    }
+  }
+}
--- a/packages/testkit/src/rules.ts
+++ b/packages/testkit/src/rules.ts
@@ -7,6 +7,9 @@
  * orphaned:        a job is called queued or running long after its user was told that one before it is cancelled.
  * refused:         the state service refused a change as malformed or beyond its limits.
  * unanswered:      once all troubles are over, no question about an accepted job is answered.
+ * condemned_healthy: a machine that was never at fault is taken for one that is.
+ * retried_often:    a job that fails wherever it runs is started again and again.
+ * forgotten_machine: once all troubles are over, a machine that never comes up stays rented.
  * The statements on which ran_twice and wrong_place rest; see `OwnershipAudit`:
  * deposed_owner:    a worker is answered by a controller whose own copy of the records shows another owner.
  * free_but_running: a task that may be started, or assigned anew, runs.
@@ -30,7 +33,10 @@
   | 'unanswered'
   | 'deposed_owner'
   | 'free_but_running'
-  | 'stale_entry';
+  | 'stale_entry'
+  | 'condemned_healthy'
+  | 'retried_often'
+  | 'forgotten_machine';
 
 export interface Breach {
   readonly rule: Rule;
--- a/packages/testkit/src/users.ts
+++ b/packages/testkit/src/users.ts
@@ -15,6 +15,8 @@
 export interface UsersWorld {
   readonly sim: Sim;
   readonly cancelMs: number;
+  /** Controllers that say nothing to anybody, users included. */
+  readonly silent: ReadonlySet<string>;
   readonly nodes: readonly { readonly controller: Controller | null }[];
   breach(rule: Rule, detail: string): void;
   /** Completed tasks of a job. */
@@ -124,6 +126,10 @@
     if (controller === null) return false;
     const { world } = this;
     const { id } = told.spec;
+    if (world.silent.has(controller.settings.node)) {
+      await this.#pause(PATIENCE_MS);
+      return false;
+    }
     if (what === 'cancel') told.cancelAsked = true;
     // An answer may be as old as its question, and no older.
     const known = { accepted: told.accepted, final: told.final };
--- a/packages/testkit/src/worker.ts
+++ b/packages/testkit/src/worker.ts
@@ -28,6 +28,8 @@
   readonly reportMs: number;
   readonly leaseMs: number;
   job(id: string): JobSpec | undefined;
+  /** Whether the job was submitted with a mistake: its tasks end with an error wherever they run. */
+  isBroken(id: string): boolean;
   /** A task now is on this machine, or no longer is. */
   onTask(task: string, machine: string): void;
   offTask(task: string, machine: string): void;
@@ -255,7 +257,7 @@
       t.state = 'running';
       world.onTask(task, this.name);
       this.#changed();
-      if (this.unhealthy) t.cancelTimer = this.#after(300, () => this.#exit(t, 'error'));
+      if (this.unhealthy || world.isBroken(job.id)) t.cancelTimer = this.#after(300, () => this.#exit(t, 'error'));
       else if (job.kind === 'array') {
         t.cancelTimer = this.#after(job.estimateS * 1000 * (0.5 + sim.random()) * this.slowness, () =>
           this.#exit(t, 'done'),
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -5,7 +5,6 @@
 import { type Amounts, NOTHING } from '@gingerlock/core';
 import { decodePeer, encodePeer, type PeerLink, type PeerMessage } from '@gingerlock/peer';
 import {
-  type CloudMachine,
   decode,
   decodeReport,
   encode,
@@ -22,8 +21,10 @@
   rentRequestOf,
   returnedNamesOf,
 } from '@gingerlock/wire';
+import { CloudRecords, type RentedMachine } from './cloud-records';
 import { Liveness } from './liveness';
 import { Network } from './network';
+import { OperationsAudit } from './operations-audit';
 import { OwnershipAudit } from './ownership-audit';
 import type { Breach, Rule } from './rules';
 import { Sim } from './sim';
@@ -57,6 +58,8 @@
 
 export const ZONES: readonly string[] = ['north', 'south', 'east'];
 const TEAMS = ['red', 'blue'];
+/** A team without a guarantee. */
+const GUESTS = 'green';
 const TYPE: MachineType = {
   name: 'box',
   cpus: 16,
@@ -138,6 +141,18 @@
   cancelAtEnd = 0;
   /** Machines that are rented now are up within two seconds. */
   fastBoots = false;
+  /** Machines that are rented now take so many times as long to come up, and this share of them never does. */
+  boots: { readonly never: number; readonly factor: number } | null = null;
+  /** The cloud lists its machines as they were so long ago. */
+  listAgeMs = 0;
+  /** Controllers that say nothing to anybody. */
+  readonly silent = new Set<string>();
+  readonly guestTeam = GUESTS;
+  /** Jobs that were submitted with a mistake, and how often tasks of them were started. */
+  readonly brokenJobs = new Map<string, { starts: number; firstStartAt: number | null }>();
+  /** Machines that were at fault at any time. */
+  readonly everUnhealthy = new Set<string>();
+  readonly operations = new OperationsAudit(this);
   readonly users = new SimUsers(this);
   readonly liveness = new Liveness(this);
   readonly ownership = new OwnershipAudit(this);
@@ -151,7 +166,7 @@
   /** By task: the machine that it is on. */
   readonly #on = new Map<string, string>();
   readonly #done = new Map<string, Set<string>>();
-  readonly #cloud = new Map<string, CloudMachine & { bornAt: number }>();
+  readonly #cloud = new CloudRecords();
   readonly #requests = new Map<string, string[]>();
   #machineCounter = 0;
   #jobCounter = 0;
@@ -221,7 +236,10 @@
       facts: {
         count: this.nodes.length,
         zones: ZONES,
-        teams: TEAMS.map((name) => ({ name, cpus: 0, cpus_max: 0, gpus: 4, gpus_max: this.gpusMax })),
+        teams: [
+          ...TEAMS.map((name) => ({ name, cpus: 0, cpus_max: 0, gpus: 4, gpus_max: this.gpusMax })),
+          { name: GUESTS, cpus: 0, cpus_max: 0, gpus: 0, gpus_max: this.gpusMax },
+        ],
         workers: { report_s: this.reportMs / 1000, lease_s: this.leaseMs / 1000, cancel_s: this.cancelMs / 1000 },
         state: { rps: 200, write_rps: 100, value_kb: 8, txn_ops: 12, ...this.#nextLimits() },
         cloud: { rps: 8, list_lag_s: 2 },
@@ -246,7 +264,9 @@
     this.network.thaw(name);
     const ports: ControllerPorts = {
       settings: settingsOf(this.settings(name), {}),
-      clock: this.sim.clock(node.drift, (this.sim.random() - 0.5) * 200, alive, (run) => this.network.on(name, run)),
+      clock: this.sim.clock(node.drift, (this.sim.random() - 0.5) * 200, alive, (run) =>
+        this.network.on(name, run, 'timer'),
+      ),
       http: this.network.http(name, alive),
       link,
       log: this.options.log ?? SILENT,
@@ -282,7 +302,8 @@
 
   // --- cloud -------------------------------------------------------------------------------------------------------
 
-  #boot(zone: string, spot: boolean, afterMs: number): string {
+  /** `afterMs` null: it never comes up. */
+  #boot(zone: string, spot: boolean, afterMs: number | null): string {
     const name = `m-${String(++this.#machineCounter).padStart(6, '0')}`;
     const machine = {
       name,
@@ -294,10 +315,11 @@
       ageS: 0,
       bornAt: this.sim.now,
     };
-    this.#cloud.set(name, machine);
+    this.#cloud.set(machine, this.sim.now);
+    if (afterMs === null) return name;
     this.sim.after(afterMs, () => {
-      if (!this.#cloud.has(name)) return;
-      this.#cloud.set(name, { ...machine, state: 'running' });
+      if (this.#cloud.get(name)?.state !== 'booting') return;
+      this.#cloud.set({ ...machine, state: 'running' }, this.sim.now);
       const worker = new SimWorker(this, name, TYPE.name, zone, spot);
       worker.done = (task) => {
         const { job } = parseTaskName(task)!;
@@ -316,8 +338,8 @@
     this.workers.delete(name);
     const entry = this.#cloud.get(name);
     if (entry === undefined) return;
-    if (listedAs === 'failed') this.#cloud.set(name, { ...entry, state: 'failed' });
-    else this.#cloud.delete(name);
+    if (listedAs === 'failed') this.#cloud.set({ ...entry, state: 'failed' }, this.sim.now);
+    else this.#cloud.delete(name, this.sim.now);
   }
 
   #cloudAnswer(method: string, path: string, body: Buffer): HttpAnswer {
@@ -333,18 +355,12 @@
         const r = rentRequestOf(decode(body));
         const known = this.#requests.get(r.request);
         if (known !== undefined) return answer(200, rentedMap(known));
-        const used = [...this.#cloud.values()].filter(
+        const used = this.#cloud.machines.filter(
           (m) => m.zone === r.zone && m.spot === r.spot && m.state !== 'failed',
         ).length;
         const count = Math.min(r.count, (this.options.capacity ?? 4) - used);
         if (count <= 0) return answer(503, { error: 'no capacity' });
-        const names = Array.from({ length: count }, () =>
-          this.#boot(
-            r.zone,
-            r.spot,
-            this.fastBoots ? 100 + 1900 * this.sim.random() : TYPE.bootS * 1000 * (0.6 + this.sim.random()),
-          ),
-        );
+        const names = Array.from({ length: count }, () => this.#boot(r.zone, r.spot, this.#bootMs()));
         this.#requests.set(r.request, names);
         return answer(200, rentedMap(names));
       }
@@ -352,15 +368,31 @@
         for (const name of returnedNamesOf(decode(body))) this.kill(name, 'gone');
         return answer(200, {});
       case 'list': {
-        const all = [...this.#cloud.values()]
-          .filter((m) => m.name > request.after)
-          .sort((a, b) => (a.name < b.name ? -1 : 1));
-        const page = all.slice(0, request.limit).map((m) => ({ ...m, ageS: (this.sim.now - m.bornAt) / 1000 }));
+        const describedAt = this.sim.now - this.listAgeMs;
+        const all = this.#cloud.machinesAt(describedAt).filter((m) => m.name > request.after);
+        const page = all.slice(0, request.limit).map((m) => ({ ...m, ageS: (describedAt - m.bornAt) / 1000 }));
         return answer(200, machineListMap(page, all.length > page.length));
       }
     }
   }
 
+  /** How long a machine that is rented now takes to come up; null: it never does. */
+  #bootMs(): number | null {
+    const { boots } = this;
+    if (this.fastBoots) return 100 + 1900 * this.sim.random();
+    if (boots !== null && this.sim.random() < boots.never) return null;
+    return TYPE.bootS * 1000 * (0.6 + this.sim.random()) * (boots?.factor ?? 1);
+  }
+
+  get bootMs(): number {
+    return TYPE.bootS * 1000;
+  }
+
+  /** What is rented now, as it is. */
+  get rented(): readonly RentedMachine[] {
+    return this.#cloud.machines;
+  }
+
   // --- the rules ---------------------------------------------------------------------------------------------------
 
   /** Notes that something came about, so that a test can show that it brought about what it is for. */
@@ -379,6 +411,7 @@
     const worker = this.workers.get(machine)!;
     const { starts } = this.liveness;
     starts.set(spec.team, (starts.get(spec.team) ?? 0) + 1);
+    this.operations.started(job);
     const other = this.#on.get(task);
     if (other !== undefined && other !== machine) this.breach('ran_twice', `${task} on ${machine} and ${other}`);
     this.#on.set(task, machine);
@@ -429,6 +462,7 @@
     for (const task of this.#on.keys()) this.#checkCancelled(task);
     this.ownership.audit();
     this.liveness.audit(this.quietAt);
+    this.operations.audit(this.quietAt);
   }
 
   // --- users -------------------------------------------------------------------------------------------------------
@@ -464,6 +498,10 @@
     };
   }
 
+  isBroken(id: string): boolean {
+    return this.brokenJobs.has(id);
+  }
+
   isDone(task: string): boolean {
     return this.#done.get(parseTaskName(task)!.job)?.has(task) ?? false;
   }
--- a/packages/testkit/test/mutants.test.ts
+++ b/packages/testkit/test/mutants.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Replica } from '@gingerlock/clients';
-import { DependencyGraph, Job, JobTable, ClaimTable, Ownership } from '@gingerlock/core';
+import { ClaimTable, DependencyGraph, FailureAttribution, Fleet, Job, JobTable, Ownership } from '@gingerlock/core';
 import { Controller, PartOwner } from '@gingerlock/daemon';
 import { encodeJobState, decodeSubmission } from '@gingerlock/wire';
 import { type Fault, playDay, type Rule, World } from '../src/index';
@@ -76,6 +76,8 @@
   );
 }
 
+const BROKEN_JOBS: Fault = { kind: 'broken jobs', count: 3, tasks: 40, everyMs: 3000, cancelAfterMs: 60_000 };
+
 const mutants: Record<Rule, Mutant> = {
   ran_twice: {
     broken: 'claims end after a little more than one report interval of silence',
@@ -273,6 +275,44 @@
           },
       ),
   },
+  condemned_healthy: {
+    broken: 'any two jobs that failed on a machine convict it',
+    faults: [BROKEN_JOBS],
+    apply: () =>
+      patch(
+        FailureAttribution.prototype,
+        'isUnhealthy',
+        () =>
+          function (this: FailureAttribution, machine) {
+            return this.jobsFailedOn(machine) >= 2;
+          },
+      ),
+  },
+  retried_often: {
+    broken: 'each task of a failing job is retried for itself',
+    faults: [BROKEN_JOBS],
+    apply: () => {
+      const held = patch(ClaimTable.prototype, 'isFailing', () => () => false);
+      const marked = patch(ClaimTable.prototype, 'isMarkedOnReturn', () => () => false);
+      return () => {
+        held();
+        marked();
+      };
+    },
+  },
+  forgotten_machine: {
+    broken: 'no machine is ever returned',
+    faults: [{ kind: 'boot trouble', never: 1, factor: 1, forMs: 20_000 }],
+    apply: () =>
+      patch(
+        Fleet.prototype,
+        'plan',
+        (original) =>
+          function (this: Fleet, input) {
+            return { ...original.call(this, input), giveBack: [] };
+          },
+      ),
+  },
   unanswered: {
     broken: 'questions are put off for ever',
     apply: () => {
--- a/packages/testkit/test/state-limits.test.ts
+++ b/packages/testkit/test/state-limits.test.ts
@@ -28,7 +28,14 @@
     const { term } = ownerRecord.read(world.state.data.get(KEYS.owner(String(part)))!.value);
     return { from, count: 1, part, zone: null, term };
   });
-  const value = jobRecord.write({ final: null, spec, acceptedAt: world.sim.now, cancelled: false, rounds });
+  const value = jobRecord.write({
+    final: null,
+    spec,
+    acceptedAt: world.sim.now,
+    cancelled: false,
+    failing: false,
+    rounds,
+  });
   assert.ok(JSON.stringify(value).length > NEXT.valueKb * 1024);
   world.users.adopt(spec);
   void world.state.handle('POST', STATE_PATHS.txn, encode(txnMap([], [{ put: KEYS.job(spec.id), value }])), 'test');
--- a/packages/wire/src/records.ts
+++ b/packages/wire/src/records.ts
@@ -155,6 +155,8 @@
       /** Time of day (ms) at the controller that accepted it: an order of arrival, nothing more. */
       readonly acceptedAt: number;
       readonly cancelled: boolean;
+      /** Its tasks failed on several machines and none was seen to run: at most one at a time is tried. */
+      readonly failing: boolean;
       readonly rounds: readonly Round[];
     };
 
@@ -165,6 +167,7 @@
       s: Type.Unknown(),
       t: Type.Number(),
       c: Type.Integer(),
+      e: Type.Optional(Type.Integer()),
       r: Type.Array(
         Type.Tuple([
           Type.Integer(),
@@ -185,6 +188,8 @@
           s: submissionMap(j.spec),
           t: j.acceptedAt,
           c: j.cancelled ? 1 : 0,
+          // Left out when it does not hold: versions that do not know it drop it, which costs a few more failures.
+          ...(j.failing ? { e: 1 } : {}),
           r: j.rounds.map((r) => [r.from, r.count, r.part, r.zone, r.term]),
         },
   read: (value: unknown): JobRecord => {
@@ -195,6 +200,7 @@
       spec: jobSpecOf(j.s),
       acceptedAt: j.t,
       cancelled: j.c === 1,
+      failing: j.e === 1,
       rounds: j.r.map(([from, count, part, zone, term]) => ({ from, count, part, zone, term })),
     };
   },
