Fleet: an old list of the cloud has no machine returned that it can't show yet

Cause, by reading: a list that describes the past lacks machines that were rented since, and, having gone back in time, machines that a list before it had. Both counted as missing and after two or six list lags were returned while they booted, and rented again. Change: the time that a list describes is bounded by the ages in it; a machine is missed only by a list of a later time than the last that showed it, or than its rental.

--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -31,10 +31,12 @@
   readonly type: string;
   readonly zone: string;
   readonly spot: boolean;
-  readonly bornAt: number;
+  /** When it was rented, at the latest: known for what this leader rented, otherwise bounded by each list that shows it. */
+  bornAt: number;
   /** vanished: not listed any more. Returned once more, for the answer to that is proof. */
   state: 'booting' | 'running' | 'failed' | 'vanished';
-  listed: boolean;
+  /** The latest time that a list describes in which it stood; null: none has. */
+  listedAsOf: number | null;
   /** Since when it is up, as far as lists and reports tell. */
   upSince: number | null;
   /** When it was last seen in a summary, or, if it never was, null. */
@@ -116,7 +118,7 @@
       spot,
       bornAt,
       state: 'booting',
-      listed: false,
+      listedAsOf: null,
       upSince: null,
       heardAt: null,
       missingSince: null,
@@ -126,6 +128,7 @@
   /** Takes a whole list of machines. Returns those that are surely gone. */
   listed(machines: readonly CloudMachine[], now: number): { failed: string[] } {
     const names = new Set(machines.map((m) => m.name));
+    const describedAt = this.#describedAt(machines, now);
     for (const m of machines) {
       // A list may be older than the return.
       if (this.#returned.has(m.name)) continue;
@@ -134,18 +137,18 @@
         k = this.#entry(m.name, m.type, m.zone, m.spot, now - m.ageS * 1000);
         this.known.set(m.name, k);
       }
-      k.listed = true;
+      k.listedAsOf = Math.max(k.listedAsOf ?? -Infinity, describedAt);
       k.missingSince = null;
       if (k.state !== 'failed') k.state = m.state;
       if (m.state === 'running') k.upSince ??= this.#firstList ? now - m.ageS * 1000 : now;
     }
     this.#firstList = false;
     for (const k of this.known.values()) {
-      if (names.has(k.name)) continue;
+      if (names.has(k.name) || !this.#shouldBeListed(k, describedAt)) continue;
       k.missingSince ??= now;
       // Listed once and missing now: deleted or taken. Lists may go back in time, so not at once. It is not just forgotten:
       // its part would show it as silent ever after, and a zone of such machines was taken for cut off and never served.
-      const wait = this.facts.listLagMs * (k.listed ? 2 : 6);
+      const wait = this.facts.listLagMs * (k.listedAsOf !== null ? 2 : 6);
       if (now - k.missingSince > wait && (k.heardAt === null || now - k.heardAt > this.facts.leaseMs))
         k.state = 'vanished';
     }
@@ -153,6 +156,26 @@
     return { failed: [...this.known.values()].filter((k) => k.state === 'failed').map((k) => k.name) };
   }
 
+  /**
+   * The time that a list describes, at the latest; it may be long ago. The age of a machine in it is as of then, and its birth is
+   * known or bounded: the machine whose bound is best tells most.
+   */
+  #describedAt(machines: readonly CloudMachine[], now: number): number {
+    let earliest = Infinity;
+    for (const { name, ageS } of machines) {
+      const known = this.known.get(name);
+      if (known === undefined) continue;
+      known.bornAt = Math.min(known.bornAt, now - ageS * 1000);
+      earliest = Math.min(earliest, known.bornAt + ageS * 1000);
+    }
+    return Math.min(now, earliest);
+  }
+
+  /** Whether a list that describes that time shows the machine if it is not gone. An old list once had machines returned while they booted. */
+  #shouldBeListed({ listedAsOf, bornAt }: Known, describedAt: number): boolean {
+    return describedAt > (listedAsOf ?? bornAt);
+  }
+
   /** Whether the owners have heard every machine that is listed as up. */
   allHeard(summaries: readonly PartSummary[]): boolean {
     const heard = new Set(summaries.flatMap((s) => s.machines.map((m) => m.name)));
--- a/packages/core/test/fleet.test.ts
+++ b/packages/core/test/fleet.test.ts
@@ -186,3 +186,31 @@
     'no room in its zone',
   );
 });
+
+// The cloud's list may be far older than usual. Machines that it did not show yet, or not any more as it had gone back in time, were
+// taken for gone and returned while they booted, and rented again.
+test('a list that describes the past has no machine returned that was rented after that time', () => {
+  const fleet = new Fleet(facts, 1, limits);
+  const plan = (now: number): readonly string[] =>
+    fleet.plan({ now, types, summaries: summaries(1, [used('m-1', 4)]), unmet: [], parts: PARTS }).giveBack;
+  const booting = (name: string, ageS: number): CloudMachine => ({ ...listed(name, ageS), state: 'booting' });
+  fleet.listed([listed('m-1', 100)], 0);
+  fleet.rented(['m-2'], { request: 'r', type: 'box', zone: 'a', spot: false, count: 1 }, 1000);
+  fleet.listed([listed('m-1', 103), booting('m-2', 2)], 3000);
+  // From now on the list stands at its first second, or describes an earlier one than the list before.
+  for (let now = 4000; now <= 1000 + 3 * type.bootS * 1000; now += 1000) {
+    fleet.listed([listed('m-1', now % 2000 === 0 ? 100 : 100.5)], now);
+    assert.deepEqual(plan(now), [], `at ${now}`);
+  }
+});
+
+test('a machine that a list of a later time lacks is returned once more, for the answer proves it gone', () => {
+  const fleet = new Fleet(facts, 1, limits);
+  const plan = (now: number): readonly string[] =>
+    fleet.plan({ now, types, summaries: summaries(1, [used('m-1', 4)]), unmet: [], parts: PARTS }).giveBack;
+  fleet.listed([listed('m-1', 100), { ...listed('m-2', 5), state: 'booting' }], 0);
+  fleet.listed([listed('m-1', 101)], 1000);
+  assert.deepEqual(plan(1000 + facts.listLagMs * 2), []);
+  fleet.listed([listed('m-1', 106)], 6000);
+  assert.deepEqual(plan(6000), ['m-2']);
+});
