Leader: entitlement is looked at before each rental and each repetition of one

Cause, by reading: a plan of several rentals went on to its end although the lead was lost, or the controller had stood still, while the cloud was asked; the next leader rents for the same demand.

--- a/packages/daemon/src/leader.ts
+++ b/packages/daemon/src/leader.ts
@@ -61,11 +61,15 @@
   }
 }
 
+/** How often a rental is sent under one name while its outcome is not known. */
+const RENT_TRIES = 4;
+
 /** The leader: assigns waiting tasks among the parts, closes jobs, and talks to the cloud. It commands no worker. */
 export class Leader {
   readonly fleet: Fleet;
   readonly cloud: Cloud;
-  readonly #since: number;
+  /** Since when it has listened to the owners without standing still. */
+  #since: number;
   readonly #trials: TrialSchedule;
   #assigning = false;
   #recent: Meant[] = [];
@@ -94,10 +98,20 @@
     this.#stopped = true;
   }
 
+  /** This controller stood still: what is free, up and asked for has to be heard anew before the fleet is changed. */
+  resumedAfterStall(now: number): void {
+    this.#since = now;
+  }
+
   #isLeading(): boolean {
     return this.tenure.isCurrent && !this.#stopped;
   }
 
+  /** Whether the cloud may be asked for changes now: looked at again before each request. */
+  #mayManage(): boolean {
+    return this.#isLeading() && this.shared.leaseValid() && this.shared.fresh();
+  }
+
   /** Machines that get no more work, and those that are surely gone: told to the owners again and again. */
   orders(): { drain: readonly string[]; gone: readonly string[] } {
     return { drain: this.#drain, gone: [...this.#gone.keys()] };
@@ -266,7 +280,7 @@
           for (const name of failed) this.#gone.set(name, clock.now());
           this.#listed = true;
         }
-        if (this.#isLeading() && shared.leaseValid() && shared.fresh()) await this.#manage();
+        if (this.#mayManage()) await this.#manage();
       } catch (error) {
         shared.log.info({ error: String(error) }, 'cloud trouble');
       }
@@ -309,7 +323,8 @@
       log.debug(this.fleet.figures(current, store.types), 'fleet');
     }
     if (plan.giveBack.length > 0) await this.#giveBack(plan.giveBack.slice(0, RETURN_MOST));
-    for (const r of plan.rent) await this.#rent(r);
+    // The lead may have been lost, or this controller have stood still, while the cloud was asked: the next leader rents too.
+    for (const r of plan.rent) if (this.#mayManage()) await this.#rent(r);
   }
 
   async #giveBack(names: readonly string[]): Promise<void> {
@@ -323,7 +338,7 @@
   async #rent(r: RentRequest): Promise<void> {
     const { clock, log, facts } = this.shared;
     // An unknown outcome is asked again under the same name: that rents nothing twice.
-    for (let tries = 0; tries < 4 && !this.#stopped; tries++) {
+    for (let tries = 0; tries < RENT_TRIES && this.#mayManage(); tries++) {
       const result = await this.cloud.rent(r);
       if (result.kind === 'rented') {
         this.fleet.rented(result.names, r, clock.now());
