A controller that stood still does not take its machines for silent, nor an answer for several

Cause, by reading: on going on, every machine was silent for as long as its owner had stood still; it got no work and the leader rented its room anew. A stall is noticed by a gap in the ticks; it ends no claim sooner or later, for leases run by the clock. Found beside it by its test: the starts in one lost answer were counted one by one, so a machine that missed a single answer with two starts was left idle for a lease. Answers are counted now. Tests: claims, and operations (both orders of waking, silent controllers, boots, lists, guests).

--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -48,6 +48,12 @@
 /** A worker that may hold earlier tasks and does not take the owner's token is answered so many times. */
 const MOST_UNSYNCHRONISED_ANSWERS = 4;
 
+/**
+ * A machine that did not get so many answers in a row that had starts in them gets no more for a lease. The starts of one lost answer
+ * were once counted one by one: a machine that missed a single answer with two starts was left idle for a whole lease.
+ */
+const DEAF_ANSWERS = 2;
+
 /** A worker takes a higher token as a cause to report once in half of its lease; a little more, for drift. */
 const CALL_EVERY_LEASES = 0.52;
 
@@ -88,6 +94,8 @@
   readonly failures: FailureAttribution;
   #counter = 0;
   #cleared = false;
+  /** Since when this controller has listened without standing still. */
+  #listeningSince = -Infinity;
   /** Machines that were not heard until the fencing period ended. */
   readonly #departed: string[] = [];
   /** Goes up with every change that alters rooms or waiting tasks. */
@@ -294,7 +302,22 @@
   }
 
   isSuspect(machine: Machine, now: number): boolean {
-    return machine.answeredAt === null || now - machine.answeredAt > this.facts.reportMs * SUSPECT_INTERVALS;
+    return this.silentMs(machine, now) > this.facts.reportMs * SUSPECT_INTERVALS;
+  }
+
+  /**
+   * For how long the machine could have been heard and was not: time in which this controller itself stood still says nothing of it.
+   * For suspicion only; a lease runs out by the clock. Infinity: it is not known to have a lease.
+   */
+  silentMs(machine: Machine, now: number): number {
+    return machine.answeredAt === null ? Infinity : now - Math.max(machine.answeredAt, this.#listeningSince);
+  }
+
+  /** This controller stood still and goes on now: what machines have sent meanwhile is yet to be taken in. */
+  resumedAfterStall(now: number): void {
+    this.#listeningSince = now;
+    // Answers from before the stall have come too late, whatever became of them.
+    for (const machine of this.machines.values()) machine.lostAnswers = 0;
   }
 
   /** A machine on which several jobs failed that run elsewhere is itself at fault. */
@@ -457,7 +480,7 @@
       claims: new Map(),
       cache: this.#inherited(r.machine),
       emptySince: now,
-      lostGrants: 0,
+      lostAnswers: 0,
       deafUntil: 0,
     };
     this.machines.set(r.machine, machine);
@@ -496,15 +519,17 @@
     const stop: WorkerCommand[] = [];
     const listed = new Map(r.tasks.map((t) => [`${t.task} ${t.attempt}`, t]));
 
+    let hasLostStarts = false;
     for (const slot of [...m.claims.values()]) {
       const task = listed.get(`${slot.name} ${slot.claim!.attempt}`);
       if (task !== undefined) continue;
       // One report in flight at a time, and an answer is dropped after its time: what the last answer started and this
       // later report lacks has not started and will not.
       const lost = slot.claim!.stage === 'granted';
-      if (lost && ++m.lostGrants >= 2) m.deafUntil = now + this.facts.leaseMs;
+      hasLostStarts ||= lost;
       this.#claimEnded(slot, lost ? 'start was lost' : 'not reported any more', now);
     }
+    if (hasLostStarts && ++m.lostAnswers >= DEAF_ANSWERS) m.deafUntil = now + this.facts.leaseMs;
     for (const task of r.tasks) {
       if (task.state !== 'exited') continue;
       const keep = this.#exited(m, task, now);
@@ -534,7 +559,7 @@
         continue;
       }
       const claim = slot.claim!;
-      if (claim.stage === 'granted') m.lostGrants = 0;
+      if (claim.stage === 'granted') m.lostAnswers = 0;
       if (claim.stage !== task.state) {
         claim.stage = task.state;
         if (task.state === 'running') claim.runningSince ??= now;
--- a/packages/core/src/slots.ts
+++ b/packages/core/src/slots.ts
@@ -93,7 +93,7 @@
   readonly claims: Map<string, Slot>;
   readonly cache: ImageCache;
   emptySince: number;
-  /** Grants in a row that the next report did not show. */
-  lostGrants: number;
+  /** Answers with starts in a row of which the next report showed none. */
+  lostAnswers: number;
   deafUntil: number;
 }
--- a/packages/core/test/claims.test.ts
+++ b/packages/core/test/claims.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { jobRecord, type MachineType, type Round, type WorkerReport } from '@gingerlock/wire';
-import { CALLS_PER_TERM, JobTable, ClaimTable, type Slot } from '../src/index';
+import { CALLS_PER_TERM, ClaimTable, JobTable, pack, type Slot } from '../src/index';
 import { FACTS, specOf } from './fixtures';
 
 const facts = { ...FACTS, controllers: 1 };
@@ -228,3 +228,102 @@
   assert.equal(claimTable.machines.get('m-1')?.seq, 1);
   assert.equal(claimTable.report(report('m-1', 2, token), 3000, true).kind, 'answer');
 });
+
+// A controller that stood still found all its machines silent on going on: they got no work and their room was rented anew.
+test('machines are not silent because their owner stood still, and their leases run out all the same', () => {
+  const jobs = new JobTable(() => 64);
+  const claimTable = claimTableOf(jobs, 0, ['m-1']);
+  claimTable.report(report('m-1', 1, 2 * CALLS_PER_TERM), 1000, true);
+  const machine = claimTable.machines.get('m-1')!;
+  const resumedAt = 1000 + facts.reportMs * 4;
+  assert.equal(claimTable.isSuspect(machine, resumedAt), true);
+  claimTable.resumedAfterStall(resumedAt);
+  assert.equal(claimTable.isSuspect(machine, resumedAt), false);
+  assert.equal(claimTable.silentMs(machine, resumedAt + 500), 500);
+  // It is still not heard.
+  assert.equal(claimTable.isSuspect(machine, resumedAt + facts.reportMs * 3 + 1), true);
+  assert.deepEqual(claimTable.tick(1000 + facts.leaseMs * 2), ['m-1']);
+});
+
+test('an owner that stood still does not hold starts against a machine whose answers came too late for that', () => {
+  const jobs = new JobTable(() => 64);
+  assigned(jobs, 2, 5);
+  const claimTable = claimTableOf(jobs, 0, ['m-1']);
+  claimTable.syncJob(spec.id, 0);
+  const starts = (seq: number): number => {
+    const outcome = claimTable.report(report('m-1', seq, 2 * CALLS_PER_TERM), seq * 1000, true);
+    return outcome.kind === 'answer' ? outcome.commands.filter((c) => c.op === 'start').length : -1;
+  };
+  // Each answer with starts is lost, as the next report shows: the tasks are started anew.
+  assert.equal(starts(1), 4);
+  assert.equal(starts(2), 4);
+  claimTable.resumedAfterStall(2500);
+  assert.equal(starts(3), 4);
+  // Lost twice in a row without a stall, it is the machine that does not hear.
+  assert.equal(starts(4), 0);
+  assert.equal(starts(5), 0);
+});
+
+/** Reports of a machine that carries the owner's token, at the time of its count in seconds. */
+function failedOn(claimTable: ClaimTable, machine: string, seq: number, attempt: number, task = 0): string[] {
+  const failed = {
+    task: `${spec.id}/${task}`,
+    attempt,
+    state: 'exited' as const,
+    cause: 'error' as const,
+    saved: false,
+  };
+  const outcome = claimTable.report({ ...report(machine, seq, 2 * CALLS_PER_TERM), tasks: [failed] }, seq * 1000, true);
+  return outcome.kind === 'answer' ? outcome.commands.map((c) => c.op) : [];
+}
+
+// Sixty tasks of a broken array were each retried for themselves, on every machine, and stopped other work for it.
+test('a job whose tasks failed on two machines starts no more of them, plans for none, and is given back marked', () => {
+  const jobs = new JobTable(() => 64);
+  assigned(jobs, 2, 5);
+  const claimTable = claimTableOf(jobs, 20_000, ['m-1', 'm-2']);
+  claimTable.syncJob(spec.id, 0);
+  const attemptOf = (task: number): number => claimTable.slots.get(spec.id)!.get(task)!.claim!.attempt;
+  claimTable.report(report('m-1', 1, 2 * CALLS_PER_TERM), 1000, true);
+  failedOn(claimTable, 'm-1', 2, attemptOf(0));
+  // The other three are not reported any more: they wait, as does the one that failed.
+  claimTable.report(report('m-2', 3, 2 * CALLS_PER_TERM), 3000, true);
+  failedOn(claimTable, 'm-2', 4, attemptOf(1), 1);
+  claimTable.tick(4100);
+  const job = jobs.live.get(spec.id)!;
+  assert.equal(claimTable.isFailing(job), true);
+  const outcome = claimTable.report(report('m-1', 5, 2 * CALLS_PER_TERM), 5000, true);
+  assert.ok(outcome.kind === 'answer' && outcome.commands.every((c) => c.op !== 'start'));
+  const { stuck } = pack(claimTable, 5200);
+  assert.deepEqual(stuck, []);
+  const back = claimTable.giveBack([], 7000).get(spec.id)!;
+  assert.equal(back.length, 4);
+  assert.equal(claimTable.isMarkedOnReturn(job, back, 7000), true);
+  assert.equal(claimTable.isUnhealthy(claimTable.machines.get('m-1')!), false);
+});
+
+test('of a job that its record marks as failing a task that was assigned alone is started once, by any owner', () => {
+  const jobs = new JobTable(() => 64);
+  const claimTable = claimTableOf(jobs, 0, ['m-1']);
+  const assign = (count: number, version: number): void => {
+    const rounds = [round(0, count, null)];
+    jobs.applyJob(
+      spec.id,
+      jobRecord.write({ final: null, spec, acceptedAt: 0, cancelled: false, failing: true, rounds }),
+      version,
+    );
+    claimTable.syncJob(spec.id, version * 100);
+  };
+  const starts = (seq: number): number => {
+    const outcome = claimTable.report(report('m-1', seq, 2 * CALLS_PER_TERM), seq * 1000, true);
+    return outcome.kind === 'answer' ? outcome.commands.filter((c) => c.op === 'start').length : -1;
+  };
+  assign(4, 5);
+  assert.equal(starts(1), 0);
+  assert.equal(claimTable.giveBack([], 3000).get(spec.id)?.length, 4);
+  assign(1, 6);
+  assert.equal(starts(4), 1);
+  failedOn(claimTable, 'm-1', 5, claimTable.slots.get(spec.id)!.get(0)!.claim!.attempt);
+  assert.equal(starts(6), 0);
+  assert.equal(claimTable.giveBack([], 9000).get(spec.id)?.length, 1);
+});
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -36,6 +36,14 @@
   readonly log: Log;
 }
 
+/** What a peer last said of its contact with the state service. */
+interface PeerContact {
+  readonly ageMs: number;
+  readonly at: number;
+  /** Since when it has had contact without a gap; now, if it has none. */
+  readonly since: number;
+}
+
 export class Controller {
   readonly settings: Settings;
   readonly clock: Clock;
@@ -59,10 +67,11 @@
   readonly #formerOwners: FormerOwnerQueries;
   /** Controllers that this process has heard of, and since when without a gap; null: silent now. */
   readonly #met = new Map<string, number | null>();
-  readonly #peerContact = new Map<string, { ageMs: number; at: number }>();
+  readonly #peerContact = new Map<string, PeerContact>();
   #leader: Leader | null = null;
   #lease: number | null = null;
   #stopped = false;
+  #tickedAt: number;
   #summarySentAt = -Infinity;
   #summaryToAllAt = -Infinity;
   #summaryChanges = -1;
@@ -74,6 +83,7 @@
     this.link = ports.link;
     this.#http = ports.http;
     const { facts } = ports.settings;
+    this.#tickedAt = ports.clock.now();
     this.process = Math.floor(ports.clock.random() * 2 ** 48).toString(36);
     this.#peers = new PeerChannel(ports.link, this.process);
     const share = 0.95 / facts.controllers;
@@ -177,8 +187,21 @@
     });
   }
 
+  /** Timers that fire late by more than a report interval show that this process stood still while its clocks ran on. */
+  #noticeStall(now: number): void {
+    const stalledMs = now - this.#tickedAt;
+    this.#tickedAt = now;
+    if (stalledMs <= this.settings.facts.reportMs) return;
+    this.log.info({ stalledMs: Math.round(stalledMs) }, 'stood still');
+    for (const { claimTable } of this.#owners.values()) claimTable.resumedAfterStall(now);
+    this.#leader?.resumedAfterStall(now);
+    // Nor has any peer been heard without a gap.
+    for (const node of this.#met.keys()) this.#met.set(node, null);
+  }
+
   #tick(): void {
     const now = this.clock.now();
+    this.#noticeStall(now);
     for (const node of this.#met.keys()) if (!this.link.alive(node)) this.#met.set(node, null);
     for (const owner of this.#owners.values()) owner.tick(now);
     this.#formerOwners.tick(now);
@@ -241,10 +264,17 @@
     const { reportMs } = this.settings.facts;
     const metAt = this.#met.get(node) ?? now;
     const contact = this.#peerContact.get(node);
-    if (contact === undefined || now - metAt < forMs) return false;
+    if (contact === undefined || now - metAt < forMs || now - contact.since < forMs) return false;
     return now - contact.at <= reportMs && contact.ageMs <= reportMs;
   }
 
+  /** Notes what a peer says of its contact with the state service, and since when it has had that without a gap. */
+  #notePeerContact(node: string, ageMs: number, now: number): void {
+    const known = this.#peerContact.get(node);
+    const hasContact = ageMs <= this.settings.facts.reportMs;
+    this.#peerContact.set(node, { ageMs, at: now, since: hasContact && known !== undefined ? known.since : now });
+  }
+
   // --- workers -----------------------------------------------------------------------------------------------------
 
   /** Up to when nothing can have been accepted, cancelled or taken that we have not seen. */
@@ -318,7 +348,7 @@
         this.#summaries.sendAll(this.#peers, from);
         return;
       case 'Alive':
-        this.#peerContact.set(from, { ageMs: message.contactAgeMs, at: now });
+        this.#notePeerContact(from, message.contactAgeMs, now);
         this.replica.hint(message.revision);
         return;
       case 'BudgetRequest':
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -50,6 +50,9 @@
 /** How many machines are shown a new owner's term at each tick: all at once would hold up everything else. */
 const CALLS_PER_TICK = 8;
 
+/** What a summary says of a machine that has no lease with its owner: longer than any time that is compared with it. */
+const NEVER_HEARD_MS = 1e9;
+
 /** One part that this controller owns: its claim table, and the writes that follow from it. */
 export class PartOwner {
   readonly claimTable: ClaimTable;
@@ -385,7 +388,7 @@
         unhealthy: claimTable.isUnhealthy(m),
         empty: m.claims.size === 0 && m.synchronised && m.reported.length === 0 && m.answeredAt !== null,
         emptyMs: now - m.emptySince,
-        silentMs: m.answeredAt === null ? 1e9 : now - m.answeredAt,
+        silentMs: Math.min(claimTable.silentMs(m, now), NEVER_HEARD_MS),
       });
     }
     return {
--- a/packages/testkit/test/operations.test.ts
+++ b/packages/testkit/test/operations.test.ts
@@ -10,6 +10,7 @@
 
 /** Settings of the stand-ins. */
 const REPORT = 1000;
+const LEASE = 6000;
 const CANCEL = 20_000;
 const START = 15_000;
 
@@ -64,3 +65,59 @@
   assert.ok(world.sim.now - started < 2 * CANCEL, `${world.sim.now - started} ms`);
   assert.deepEqual(world.breaches, []);
 });
+
+for (const wakes of ['input first', 'timers first'] as const) {
+  test(`controllers stand still for less and more than each time-out, and go on with their ${wakes}`, async () => {
+    // State lease, patience of workers, lease of workers, and the bound on cancellations.
+    const lengths = [REPORT * 1.2, REPORT * 2.2, 4500, LEASE * 0.9, LEASE * 1.5, CANCEL * 1.3];
+    for (const [i, forMs] of lengths.entries()) {
+      const faults = [
+        { at: START, fault: { kind: 'freeze' as const, node: -1, forMs, wakes } },
+        { at: START + forMs + 8000, fault: { kind: 'freeze' as const, node: i, forMs, wakes } },
+        { at: START + forMs + 8500, fault: { kind: 'cancel now' as const, count: 4, hangMs: 0 } },
+      ];
+      await play(20 + i, faults);
+    }
+  });
+}
+
+for (const how of ['lose', 'hold', 'refuse'] as const) {
+  test(`controllers are silent for longer than a cancellation may take, alone and beside one that stands still (${how})`, async () => {
+    const forMs = CANCEL * 1.5;
+    const silent = (node: number): Fault => ({ kind: 'silent controller', node, how, forMs });
+    await play(31, [{ at: START, fault: silent(-1) }]);
+    await play(32, [
+      { at: START, fault: silent(1) },
+      { at: START + 3000, fault: { kind: 'freeze', node: -1, forMs: LEASE * 1.2, wakes: 'timers first' } },
+      { at: START + forMs / 2, fault: { kind: 'cancel now', count: 4, hangMs: 0 } },
+    ]);
+  });
+}
+
+test('machines come late, never or at once while the list is old and leaders change: none is forgotten', async () => {
+  const trouble = (never: number, factor: number): Fault => ({ kind: 'boot trouble', never, factor, forMs: 30_000 });
+  for (const [seed, fault] of [trouble(0.5, 1), trouble(0, 4), trouble(0, 0.05)].entries()) {
+    await play(
+      40 + seed,
+      [
+        { at: 2000, fault },
+        { at: 2000, fault: { kind: 'stale list', ms: 20_000, forMs: 40_000 } },
+        { at: START, fault: { kind: 'leaders end', times: 2, everyMs: 8000, backMs: 3000 } },
+      ],
+      { machines: 3, load: 2 },
+    );
+  }
+});
+
+test('guests flood, submit a huge array and long work, each and all at once, while a controller ends: all are served', async () => {
+  const guests = (what: 'flood' | 'huge array' | 'long work'): Fault => ({
+    kind: 'guests',
+    what,
+    perS: 10,
+    forMs: 15_000,
+  });
+  const crash: TimedFault = { at: START + 5000, fault: { kind: 'crash', nodes: [-1], backMs: 3000 } };
+  const all = (['flood', 'huge array', 'long work'] as const).map((what) => ({ at: START, fault: guests(what) }));
+  for (const [seed, one] of all.entries()) await play(50 + seed, [one, crash]);
+  await play(53, [...all, crash]);
+});
