Peer link: a connection that brings nothing is closed, however much is sent on it

Cause, by reading: the timeout of a socket counts what is sent too, so a half-open connection to a controller that fell silent stood until the system gave it up or a mebibyte was queued. Test: fails on the code before (no second connection), passes now. A stopped link ends its dialling.

--- a/packages/peer/src/link.ts
+++ b/packages/peer/src/link.ts
@@ -33,6 +33,12 @@
  */
 export const MAX_QUEUED_BYTES = MAX_FRAME_BYTES;
 
+/** How often, in the time after which a peer counts as silent, it is looked whether a connection still brings anything. */
+const CHECKS_PER_SILENCE = 4;
+
+/** A connection that has brought nothing for so many checks in a row is closed. */
+const MOST_SILENT_CHECKS = 2 * CHECKS_PER_SILENCE;
+
 interface Connection {
   readonly socket: Socket;
   heardAt: number;
@@ -44,6 +50,7 @@
   onMessage: (from: string, message: PeerMessage) => void = () => undefined;
   readonly #connections = new Map<string, Connection>();
   #server: Server | null = null;
+  #stopped = false;
   #last: { readonly message: PeerMessage; readonly bytes: Buffer } | null = null;
 
   constructor(readonly options: LinkOptions) {
@@ -63,6 +70,7 @@
   }
 
   stop(): void {
+    this.#stopped = true;
     this.#server?.close();
     for (const c of this.#connections.values()) c.socket.destroy();
   }
@@ -83,7 +91,11 @@
 
   async #dial(peer: PeerAddress): Promise<void> {
     const [host, port] = split(peer.address);
-    for (let backoff = this.options.silenceMs / 16; ; backoff = Math.min(backoff * 2, this.options.silenceMs)) {
+    for (
+      let backoff = this.options.silenceMs / 16;
+      !this.#stopped;
+      backoff = Math.min(backoff * 2, this.options.silenceMs)
+    ) {
       const socket = createConnection({ host, port });
       const connected = await this.#connected(socket);
       if (connected) {
@@ -112,12 +124,18 @@
     let node: string | null = null;
     let connection: Connection | null = null;
     socket.setNoDelay(true);
-    // A cut leaves connections that hang without an error.
-    socket.setTimeout(this.options.silenceMs * 2, () => socket.destroy());
+    // A cut leaves connections that hang without an error. A timeout of the socket counts what is sent as well as what comes: while
+    // messages went out, a connection of which the other end was gone stood until the system gave it up. Checks are counted rather
+    // than time: after a stall of this process the first one runs before what has come is read.
+    let silentChecks = 0;
+    const watch = setInterval(() => {
+      if (++silentChecks > MOST_SILENT_CHECKS) socket.destroy();
+    }, this.options.silenceMs / CHECKS_PER_SILENCE);
     socket.on('error', () => socket.destroy());
     socket.write(frame(encodePeer({ kind: 'Hello', version: PEER_VERSION, node: this.options.node })));
     try {
       for await (const payload of frames(socket)) {
+        silentChecks = 0;
         const message = decodePeer(payload);
         if (message.kind === 'Hello') {
           if (
@@ -145,6 +163,7 @@
         error: error instanceof Error ? error.message : 'failed',
       });
     } finally {
+      clearInterval(watch);
       socket.destroy();
       if (node !== null && this.#connections.get(node) === connection) this.#connections.delete(node);
     }
--- a/packages/peer/test/link.test.ts
+++ b/packages/peer/test/link.test.ts
@@ -1,4 +1,6 @@
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { type AddressInfo, createServer, type Socket } from 'node:net';
 import { test } from 'node:test';
 import fc from 'fast-check';
 import {
@@ -9,7 +11,9 @@
   frames,
   MAX_FRAME_BYTES,
   MAX_QUEUED_BYTES,
+  PEER_VERSION,
   type PeerMessage,
+  TcpLink,
 } from '../src/index';
 
 const amounts = { cpus: 1.5, gpus: 2, memoryGb: 0 };
@@ -129,3 +133,34 @@
     { seed: 391, numRuns: 2000 },
   );
 });
+
+// The system keeps a connection to a host that says nothing any more for minutes while there is something to send: a controller that
+// came back was not heard for as long.
+test('a connection that brings nothing is closed and opened anew, however much is sent on it', async () => {
+  const silenceMs = 80;
+  const sockets: Socket[] = [];
+  const server = createServer((socket) => {
+    sockets.push(socket);
+    socket.on('error', () => undefined);
+    // It greets, and never says anything again.
+    socket.write(frame(encodePeer({ kind: 'Hello', version: PEER_VERSION, node: 'b' })));
+    socket.resume();
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  const peers = [{ node: 'b', address: `127.0.0.1:${port}` }];
+  const link = new TcpLink({ node: 'a', listen: '127.0.0.1:0', peers, silenceMs, log: () => undefined });
+  await link.start();
+  const sending = setInterval(() => link.send('b', { kind: 'Hint', revision: 1 }), silenceMs / 10);
+  try {
+    for (let i = 0; i < 100 && sockets.length < 2; i++)
+      await new Promise((resolve) => setTimeout(resolve, silenceMs / 4));
+    assert.ok(sockets.length >= 2, 'the connection still stands');
+  } finally {
+    clearInterval(sending);
+    link.stop();
+    server.close();
+    for (const socket of sockets) socket.destroy();
+  }
+});
