Completed tasks are written in the order of their urgency, overdue ones first

Cause, by reading: completed tasks went to the state service as they came, so those of all teams waited behind hundreds of a flood of one-task jobs for the limit on changes. Test: claims.test.ts.

--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -16,7 +16,7 @@
 import { type Amounts, type Facts, fits, limitAllows, NOTHING, plus, typeAllows, workerLeaseBoundMs } from './facts';
 import { type JobEvidence, FailureAttribution } from './failure-attribution';
 import { ImageCache } from './image-cache';
-import type { Job, JobTable } from './jobs';
+import { type Job, jobOrder, type JobTable } from './jobs';
 import { betterElsewhere } from './placement';
 import { type AssignedTask, tasksAssignedTo } from './rounds';
 import { type Claim, type Machine, type Slot, SLOT_MOVES, type SlotState } from './slots';
@@ -758,19 +758,22 @@
    * Completed tasks that are to be written now, by job. Those of a job are written together: at once when no other task
    * of the job is here, for then somebody may wait for its end, or if its team has a limit, of which a completed task
    * holds a part until it is written; otherwise after `patienceMs`. Written as they came, the tasks of large arrays
-   * used up the changes that users' submissions waited for.
+   * used up the changes that users' submissions waited for. The most urgent jobs come first: with hundreds of one-task jobs of
+   * one team ahead of them, all others' waited for the limit on changes. What has waited for a lease goes before.
    */
   finishing(now: number, patienceMs: number): Map<string, Slot[]> {
-    const byJob = new Map<string, Slot[]>();
-    for (const [id, slots] of this.slots) {
+    const ready: { readonly job: Job; readonly slots: Slot[]; readonly isOverdue: boolean }[] = [];
+    for (const slots of this.slots.values()) {
       const all = [...slots.values()];
       const finished = all.filter((s) => s.state === 'finishing' && !s.job.cancelled);
       if (finished.length === 0) continue;
       const oldest = Math.min(...finished.map((s) => s.since));
       const mayWait = finished.length < all.length && this.#isUnlimited(finished[0]!.job);
-      if (!mayWait || now - oldest >= patienceMs) byJob.set(id, finished);
+      if (mayWait && now - oldest < patienceMs) continue;
+      ready.push({ job: finished[0]!.job, slots: finished, isOverdue: now - oldest > this.facts.leaseMs });
     }
-    return byJob;
+    ready.sort((a, b) => Number(b.isOverdue) - Number(a.isOverdue) || jobOrder(a.job, b.job));
+    return new Map(ready.map(({ job, slots }) => [job.id, slots]));
   }
 
   /** Whether no limit is set on anything that the job's tasks take. */
--- a/packages/core/test/claims.test.ts
+++ b/packages/core/test/claims.test.ts
@@ -327,3 +327,30 @@
   assert.equal(starts(6), 0);
   assert.equal(claimTable.giveBack([], 9000).get(spec.id)?.length, 1);
 });
+
+// With a flood of one-task jobs of a team of guests, the completed tasks of all others waited behind theirs for the limit on changes.
+test('completed tasks are written in the order of their urgency, and those that waited for a lease before all others', () => {
+  const jobs = new JobTable(() => 64);
+  const claimTable = claimTableOf(jobs, 0, ['m-1']);
+  const ids = { guest: 'j-000010', normal: 'j-000011', late: 'j-000012' };
+  const accept = (id: string, priority: 'normal' | 'low', version: number): void => {
+    const one = specOf(id, { priority, tasks: 1, gpus: 0 });
+    const rounds = [{ from: 0, count: 1, part: 0, zone: null, term: 2 }];
+    const record = { final: null, spec: one, acceptedAt: version, cancelled: false, failing: false, rounds } as const;
+    jobs.applyJob(id, jobRecord.write(record), version);
+    claimTable.syncJob(id, 0);
+  };
+  const complete = (id: string, seq: number, now: number): void => {
+    const done = { task: `${id}/0`, attempt: 9, state: 'exited' as const, cause: 'done' as const, saved: false };
+    claimTable.report({ ...report('m-1', seq, 2 * CALLS_PER_TERM), tasks: [done] }, now, false);
+  };
+  const order = (now: number): string[] => [...claimTable.finishing(now, 0).keys()];
+  accept(ids.late, 'low', 5);
+  complete(ids.late, 1, 1000);
+  accept(ids.guest, 'low', 6);
+  complete(ids.guest, 2, 5000);
+  accept(ids.normal, 'normal', 7);
+  complete(ids.normal, 3, 6000);
+  assert.deepEqual(order(6000), [ids.normal, ids.late, ids.guest]);
+  assert.deepEqual(order(1001 + facts.leaseMs), [ids.late, ids.normal, ids.guest]);
+});
