A partition whose workers can't reach its owner for long goes to a controller that they reach

Cause, by reading: an owner that is cut off from workers alone keeps its state lease, so every report of the partition took the way over another controller for as long as the cut lasted. Change: reports that are relayed for a worker lease, with none coming directly, have the owner release the partition, as it is given back home otherwise; others go first for a lease, and a home that gave its partition up so gets it back after six. The fencing argument is that of every release.

--- a/packages/core/src/ownership-timing.ts
+++ b/packages/core/src/ownership-timing.ts
@@ -25,4 +25,6 @@
   silent: 0,
   /** Not heard of since our start: it may be starting, too. */
   unknown: 1,
+  /** Added for a controller that the workers of the partition could not reach. */
+  cutOff: 4,
 } as const;
--- a/packages/core/src/ownership.ts
+++ b/packages/core/src/ownership.ts
@@ -38,6 +38,7 @@
   /** Whether it takes the resource from an owner that may go on. */
   readonly isMove: boolean;
   readonly hadOwner: boolean;
+  readonly releasedBy: string | null;
   readonly formerOwner: FormerOwner | null;
 }
 
@@ -176,6 +177,7 @@
       isMove,
       sentAt: now,
       hadOwner: previous !== null,
+      releasedBy: previous?.released === true ? previous.node : null,
       formerOwner: isMove && isTimed ? { node: previous.node, movedAt: previous.movedAt } : null,
       transaction: {
         conditions: [
@@ -205,8 +207,9 @@
       return null;
     }
     const { resource, facts } = this;
-    const { term, movedAt, hadOwner, formerOwner } = attempt;
-    const options = { facts, resource, term, version, takenAt: now, movedAt, hadOwner, formerOwner, wallNow };
+    const { term, movedAt, hadOwner, releasedBy, formerOwner } = attempt;
+    const previous = { hadOwner, releasedBy, formerOwner };
+    const options = { facts, resource, term, version, takenAt: now, movedAt, wallNow, ...previous };
     const tenure = new Tenure(options);
     this.#enter({ state: 'held', tenure });
     return tenure;
--- a/packages/core/src/tenure.ts
+++ b/packages/core/src/tenure.ts
@@ -36,6 +36,8 @@
   /** Time of day written with the takeover; 0: no earlier owner may go on. */
   readonly movedAt: number;
   readonly hadOwner: boolean;
+  /** The controller that gave the resource up for others before this tenure; null: none did. */
+  readonly releasedBy: string | null;
   readonly formerOwner: FormerOwner | null;
   readonly wallNow: number;
 }
@@ -46,6 +48,7 @@
   readonly term: number;
   readonly version: number;
   readonly takenAt: number;
+  readonly releasedBy: string | null;
   readonly #movedAt: number;
   #state: TenureState = 'held';
   #fencedUntil: number;
@@ -57,6 +60,7 @@
     this.term = options.term;
     this.version = options.version;
     this.takenAt = options.takenAt;
+    this.releasedBy = options.releasedBy;
     this.#movedAt = options.movedAt;
     this.#formerOwner = options.formerOwner;
     const { takenAt, movedAt, wallNow } = options;
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -27,6 +27,7 @@
 import { Store } from './store';
 import { Summaries } from './summaries';
 import { Users } from './users';
+import { WorkerReach } from './worker-reach';
 
 export interface ControllerPorts {
   readonly settings: Settings;
@@ -62,6 +63,7 @@
   readonly #peers: PeerChannel;
   readonly #summaries = new Summaries();
   readonly #relay: ReportRelay;
+  readonly #workerReach: WorkerReach;
   readonly #confirmation: PeerConfirmation;
   readonly #budgetSharing: BudgetSharing;
   readonly #formerOwners: FormerOwnerQueries;
@@ -112,6 +114,7 @@
       onError: (error) => this.log.info({ error: String(error) }, 'state service can not be read'),
     });
     this.shared = new Shared(this.settings, ports.clock, ports.log, this.state, this.replica, this.store, ports.http);
+    this.#workerReach = new WorkerReach(facts, ports.clock.now());
     this.#ownership = new OwnershipManager(
       this.shared,
       this.process,
@@ -120,6 +123,7 @@
         hasMet: (node) => this.#met.has(node),
         isWell: (node, forMs) => this.#isWell(node, forMs),
       },
+      this.#workerReach,
       { opened: (tenure) => this.#opened(tenure), ended: (tenure) => this.#ended(tenure) },
     );
     this.#users = new Users(this.shared, (id) => this.#summaries.runningTasks(id));
@@ -131,6 +135,7 @@
       ownerOf: (part) => this.#ownerOf(part),
       owns: (part) => this.#owners.has(part),
       answer: (part, report) => this.#answer(part, report),
+      onRelayed: (part) => this.#workerReach.relayed(part, this.clock.now()),
       missedByOwner: (part, machine) => this.#missedByOwner(part, machine),
     });
     this.shared.announce = (revision) => {
@@ -205,6 +210,7 @@
     for (const node of this.#met.keys()) if (!this.link.alive(node)) this.#met.set(node, null);
     for (const owner of this.#owners.values()) owner.tick(now);
     this.#formerOwners.tick(now);
+    this.#ownership.releaseCutOff([...this.#owners.values()], now);
     this.#ownership.releaseOne(this.#owners.values(), now);
     this.#summarise(now);
     this.#leader?.tick();
@@ -289,6 +295,7 @@
     } catch (error) {
       return refusal(400, error instanceof Malformed ? error.message : 'malformed');
     }
+    this.#workerReach.direct(this.clock.now());
     const { partition } = this.store;
     if (partition === null) return refusal(503, 'starting');
     const part = partition.of(report.machine, report.zone);
--- a/packages/daemon/src/ownership-manager.ts
+++ b/packages/daemon/src/ownership-manager.ts
@@ -14,6 +14,7 @@
 import type { PartOwner } from './owner';
 import type { Settings } from './settings';
 import type { Shared } from './shared';
+import type { WorkerReach } from './worker-reach';
 
 /** What the manager needs to know of the other controllers. */
 export interface PeerHealth {
@@ -38,16 +39,22 @@
 
 const LEAST_PAGE_TASKS = 64;
 
+/** For how many worker leases a partition stays away from a home that its workers could not reach. */
+const CUT_OFF_RETURN_LEASES = 6;
+
 export class OwnershipManager {
   readonly #ownerships = new Map<string, Ownership>();
   #lease: number | null = null;
   #releasedAt = -Infinity;
+  /** By partition: until when others go first, for its workers could not reach this controller. */
+  readonly #leftToOthersUntil = new Map<number, number>();
   #stopped = false;
 
   constructor(
     readonly shared: Shared,
     readonly process: string,
     readonly peers: PeerHealth,
+    readonly workerReach: WorkerReach,
     readonly listener: TenureListener,
   ) {}
 
@@ -148,7 +155,9 @@
     for (let part = 0; part < parts; part++) {
       const order = this.#orderFor(part);
       const resource = String(part);
-      this.#ownerships.set(resource, new Ownership(resource, facts, me, () => this.#turn(order)));
+      // Given up because its workers do not reach this controller, it is left to others first.
+      const turn = (): number => this.#turn(order) + (this.#isLeftToOthers(part) ? TURN.cutOff : 0);
+      this.#ownerships.set(resource, new Ownership(resource, facts, me, turn));
     }
     const nodes = this.#nodes();
     this.#ownerships.set(LEAD, new Ownership(LEAD, facts, me, () => this.#turn(nodes)));
@@ -235,6 +244,29 @@
     return (ownership?.tenure ?? null) !== null;
   }
 
+  #isLeftToOthers(part: number): boolean {
+    return this.#clock.now() < (this.#leftToOthersUntil.get(part) ?? -Infinity);
+  }
+
+  /**
+   * Gives a partition whose workers have long been unable to reach this controller to one that they do reach. Relaying carries them
+   * meanwhile, but each report takes a way that costs it seconds whenever it is tried directly again.
+   */
+  releaseCutOff(owners: Iterable<PartOwner>, now: number): void {
+    if (!this.shared.fresh() || this.shared.replica.failures > 0) return;
+    for (const { part, tenure, claimTable } of owners) {
+      if (tenure.state !== 'held' || !claimTable.cleared || !this.workerReach.isCutOff(part, now)) continue;
+      if (!this.#settings.peers.some(({ node }) => this.peers.isAlive(node))) continue;
+      const ownership = this.#ownerships.get(tenure.resource)!;
+      const attempt = ownership.release(this.shared.store.view(tenure.resource));
+      if (attempt === null) continue;
+      this.shared.log.info({ part }, 'workers can not reach this controller');
+      this.#leftToOthersUntil.set(part, now + this.shared.facts.leaseMs);
+      this.#ended(tenure);
+      void this.#release(ownership, attempt);
+    }
+  }
+
   /**
    * Gives a partition that was taken over back to its home, once that is well again: after rolling restarts one controller
    * owned most of the fleet, and its end cost the most. One at a time, and not while anything is wrong: workers of the
@@ -246,7 +278,9 @@
     for (const { part, tenure, claimTable } of owners) {
       const home = this.#orderFor(part)[0]!;
       if (home === this.#settings.node || tenure.state !== 'held' || !claimTable.cleared) continue;
-      if (now - tenure.takenAt < leaseMs || !this.peers.isWell(home, leaseMs)) continue;
+      // What its home gave up itself, for its workers did not reach it, it gets back later.
+      const patienceMs = tenure.releasedBy === home ? leaseMs * CUT_OFF_RETURN_LEASES : leaseMs;
+      if (now - tenure.takenAt < patienceMs || !this.peers.isWell(home, leaseMs)) continue;
       const ownership = this.#ownerships.get(tenure.resource)!;
       const attempt = ownership.release(this.shared.store.view(tenure.resource));
       if (attempt === null) continue;
--- a/packages/daemon/src/report-relay.ts
+++ b/packages/daemon/src/report-relay.ts
@@ -37,6 +37,8 @@
   owns(part: number): boolean;
   /** Answers a report as the owner. */
   answer(part: number, report: WorkerReport): Reply;
+  /** A report has come for a partition of ours that its worker could not bring here itself. */
+  onRelayed(part: number): void;
   /** Whether the owner says that it has not heard the machine for a while. */
   missedByOwner(part: number, machine: string): boolean;
 }
@@ -152,6 +154,7 @@
       const report = decodeReport(body);
       const part = this.routing.partitionOf(report);
       if (part === undefined || !this.routing.owns(part)) return refusal(503, 'not the owner');
+      this.routing.onRelayed(part);
       return this.routing.answer(part, report);
     } catch {
       return refusal(400, 'malformed');
--- a/packages/testkit/src/faults.ts
+++ b/packages/testkit/src/faults.ts
@@ -1,6 +1,7 @@
 // Troubles as data, so that a generator can draw them and a shrinker can take them away one by one.
 import { KEYS, parseTaskName } from '@gingerlock/wire';
 import { inflictOperations, isOperationsFault, type OperationsFault, operationsFaultMs } from './operations-faults';
+import type { Cut } from './network';
 import { PipelineUser } from './pipelines';
 import { type World, ZONES } from './world';
 
@@ -52,7 +53,7 @@
       readonly kind: 'node cut';
       readonly node: number;
       readonly from: 'state' | 'peers' | 'both' | 'workers';
-      readonly how: 'hold' | 'lose';
+      readonly how: Cut;
       readonly forMs: number;
     }
   | { readonly kind: 'deaf machines'; readonly machine: number; readonly count: number; readonly forMs: number }
@@ -119,7 +120,7 @@
   world.came(fault.kind);
   const machines = (from: number, count: number): string[] =>
     [...new Set(Array.from({ length: count }, (_, i) => machine(from + i)))].filter((n) => n !== undefined);
-  const during = (ways: readonly (readonly [string, string])[], how: 'hold' | 'lose', forMs: number): void => {
+  const during = (ways: readonly (readonly [string, string])[], how: Cut, forMs: number): void => {
     for (const [from, to] of ways) network.cut(from, to, how);
     sim.after(forMs, () => {
       for (const [from, to] of ways) network.heal(from, to);
@@ -259,8 +260,13 @@
       if (fault.from === 'peers' || fault.from === 'both') {
         for (const o of others) ways.push([`peer:${name}`, `peer:${o}`], [`peer:${o}`, `peer:${name}`]);
       }
-      if (fault.from === 'workers') for (const w of world.workers.keys()) ways.push([w, name], [name, w]);
       during(ways, fault.how, fault.forMs);
+      if (fault.from !== 'workers') return;
+      // Those too that come up during the cut.
+      const isWorker = (host: string): boolean => world.workers.has(host.replace(/:\d+$/, ''));
+      const apart = (from: string, to: string): boolean =>
+        (from === name && isWorker(to)) || (to === name && isWorker(from));
+      sim.after(fault.forMs, network.wall(apart, fault.how));
       return;
     }
     case 'deaf machines': {
--- a/packages/testkit/test/operations.test.ts
+++ b/packages/testkit/test/operations.test.ts
@@ -1,6 +1,7 @@
 // Troubles that on-call met, each played as a whole day of the simulated world: no rule is broken, and all work gets done.
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { KEYS, ownerRecord } from '@gingerlock/wire';
 import { type Fault, playDay, World, type WorldOptions } from '../src/index';
 
 interface TimedFault {
@@ -121,3 +122,25 @@
   for (const [seed, one] of all.entries()) await play(50 + seed, [one, crash]);
   await play(53, [...all, crash]);
 });
+
+// Relaying carried them for as long as the cut lasted, with seconds lost each time a worker tried its owner again.
+test('a partition whose workers can not reach its owner for long goes to a controller that they reach, and home again later', async () => {
+  const cut: TimedFault = {
+    at: START,
+    fault: { kind: 'node cut', node: 1, from: 'workers', how: 'lose', forMs: LEASE * 4 },
+  };
+  const owners: string[] = [];
+  const world = new World({ seed: 61, controllers: 3, machines: 9 });
+  const watch = (): void => {
+    const record = world.state.data.get(KEYS.owner('1'));
+    const owner = record === undefined ? null : ownerRecord.read(record.value);
+    if (owner !== null && !owner.released && owners.at(-1) !== owner.node) owners.push(owner.node);
+    world.sim.after(100, watch);
+  };
+  watch();
+  await playDay(world, { seed: 61, forMs: 150_000, faults: [cut] });
+  assert.deepEqual(world.breaches, []);
+  assert.deepEqual(world.users.open(), []);
+  assert.equal(owners.length, 3, owners.join());
+  assert.deepEqual([owners[0], owners[2]], ['node-1', 'node-1']);
+});
--- a/packages/testkit/test/rules.test.ts
+++ b/packages/testkit/test/rules.test.ts
@@ -119,7 +119,7 @@
     kind: fc.constant('node cut' as const),
     node,
     from: fc.constantFrom('state' as const, 'peers' as const, 'both' as const, 'workers' as const),
-    how,
+    how: fc.constantFrom('hold' as const, 'lose' as const, 'refuse' as const),
     forMs: seconds(1, 45),
   }),
   fc.record({
