For work of a team without a guarantee nothing is rented at the ordinary price

Change: what may run on spot and belongs to a team without a guarantee has only spot rented for it, counts on no ordinary machine that boots, and does not hold up emptying.

--- a/packages/core/src/facts.ts
+++ b/packages/core/src/facts.ts
@@ -10,6 +10,11 @@
   readonly gpusMax: number;
 }
 
+/** Whether nothing is guaranteed to the team: its work takes what others leave. */
+export function hasNoGuarantee({ cpus, gpus }: Team): boolean {
+  return cpus <= 0 && gpus <= 0;
+}
+
 /** What the platform's settings say, in milliseconds wherever it is a time. Every constant is a ratio to one of these. */
 export interface Facts {
   readonly controllers: number;
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -1,7 +1,17 @@
 // What the leader rents, drains and returns. It only plans; the controller talks to the cloud and to the owners.
-import { type CloudMachine, type MachineType, PRIORITIES, type RentRequest } from '@gingerlock/wire';
+import { type CloudMachine, type JobSpec, type MachineType, PRIORITIES, type RentRequest } from '@gingerlock/wire';
 import type { MachineRoom, PartSummary, Unmet } from './assignment';
-import { type Amounts, type Facts, fits, NOTHING, type Partition, plus, typeAllows, workerLeaseBoundMs } from './facts';
+import {
+  type Amounts,
+  type Facts,
+  fits,
+  hasNoGuarantee,
+  NOTHING,
+  type Partition,
+  plus,
+  typeAllows,
+  workerLeaseBoundMs,
+} from './facts';
 
 /** What the operators have set. */
 export interface FleetLimits {
@@ -307,7 +317,8 @@
         (zones === null || zones.includes(zone)) &&
         typeAllows(spec, type.name, zone, spot) &&
         open(type.name, zone, spot) &&
-        belowLimit(spot);
+        belowLimit(spot) &&
+        (spot || !this.#waitsForSpot(spec));
       if (this.#add(bins, perZone, allowed, types) === null) return false;
       const bin = bins.at(-1)!;
       count[bin.spot ? 'spot' : 'ordinary']++;
@@ -335,9 +346,11 @@
       }
     }
     for (const { job, count, zones } of input.unmet) {
+      const onlySpot = this.#waitsForSpot(job.spec);
       for (let i = 0; i < count; i++) {
         const bin = bins.find(
           (b) =>
+            (b.spot || !onlySpot) &&
             (zones === null || zones.includes(b.zone)) &&
             typeAllows(job.spec, b.type, b.zone, b.spot) &&
             fits(job.spec, b.free),
@@ -438,7 +451,17 @@
       // The owner says that it binds nothing there any more and that nothing is there.
       if (m.draining) giveBack.push(m.name);
     }
-    if (!renting && input.unmet.length === 0) this.#vacate(input, rooms, drain, ordinary - headroom);
+    const isShort = input.unmet.some(({ job }) => !this.#waitsForSpot(job.spec));
+    if (!renting && !isShort) this.#vacate(input, rooms, drain, ordinary - headroom);
+  }
+
+  /**
+   * Work of a team without a guarantee that may run on spot machines has none rented at the ordinary price, and keeps none: it takes
+   * what is free there, and what is rented for it is spot. Elsewhere long idle work made the whole fleet dearer.
+   */
+  #waitsForSpot({ team: name, spot }: JobSpec): boolean {
+    const team = this.facts.teams.get(name);
+    return spot && team !== undefined && hasNoGuarantee(team);
   }
 
   /**
--- a/packages/core/test/fleet.test.ts
+++ b/packages/core/test/fleet.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { CloudMachine, MachineType } from '@gingerlock/wire';
-import { Fleet, type MachineRoom, NOTHING, Partition, type PartSummary } from '../src/index';
-import { FACTS, roomOf } from './fixtures';
+import { Fleet, type FleetPlan, Job, type MachineRoom, NOTHING, Partition, type PartSummary } from '../src/index';
+import { FACTS, roomOf, specOf } from './fixtures';
 
 const facts = { ...FACTS, controllers: 2, zones: ['a', 'b'] };
 const type: MachineType = {
@@ -214,3 +214,26 @@
   fleet.listed([listed('m-1', 106)], 6000);
   assert.deepEqual(plan(6000), ['m-2']);
 });
+
+// Long idle work of guests had machines rented at the ordinary price, and kept the leader from emptying any.
+test('for work of a team without a guarantee that may run on spot nothing else is rented, and machines are emptied all the same', () => {
+  const teams = new Map([
+    ['red', { name: 'red', cpus: 0, gpus: 4, cpusMax: 0, gpusMax: 0 }],
+    ['guests', { name: 'guests', cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 }],
+  ]);
+  const rooms = [used('m-1', 1), used('m-2', 2), used('m-3', 2), used('m-4', 3)];
+  const plan = (team: string, spot: boolean): FleetPlan => {
+    const fleet = new Fleet({ ...facts, teams }, 1, { ...limits, headroom: 0.1 });
+    for (const zone of type.zones) fleet.refused({ request: 'r', type: 'box', zone, spot: true, count: 1 }, 0);
+    const job = new Job('j-1');
+    job.spec = specOf('j-1', { team, spot, gpus: 4 });
+    const unmet = [{ job, count: 2, zones: null }];
+    return fleet.plan({ now: 100, types, summaries: summaries(1, rooms), unmet, parts: PARTS });
+  };
+  const rented = ({ rent }: FleetPlan): number => rent.reduce((n, r) => n + r.count, 0);
+  assert.equal(rented(plan('red', true)), 2);
+  assert.equal(rented(plan('guests', false)), 2);
+  assert.equal(rented(plan('guests', true)), 0);
+  assert.deepEqual(plan('guests', true).drain, ['m-1']);
+  assert.deepEqual(plan('red', true).drain, []);
+});
