Failures of a job are not forgotten when others complete on the machine; exits of unknown cause

A completed task clears its machine of what came before, not the job that failed. An exit whose cause is unknown was taken for an error; it is logged now and held against nobody. Tests: failure-attribution, claims.

--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -580,18 +580,21 @@
     if (task.cause === 'done' && slot.job.spec.kind === 'array') {
       if (slot.state === 'finishing') return true;
       if (slot.claim !== null && !ours) return false;
-      this.failures.completed(slot.job.id, m.name);
+      this.failures.completed(slot.job.id, m.name, now);
       this.#move(slot, 'finishing', now);
       return true;
     }
     if (!ours) return false;
-    this.#blame(m, slot, task.cause ?? 'error', now);
+    this.#blame(m, slot, task.cause ?? 'unrecognised', now);
     this.#claimEnded(slot, `exited: ${task.cause}`, now);
     return false;
   }
 
   #blame(m: Machine, slot: Slot, cause: ExitCause, now: number): void {
-    if (cause === 'error' || cause === 'unknown') {
+    // It says neither that the task failed nor why: the task is tried again, and nobody is at fault for it.
+    if (cause === 'unrecognised')
+      this.alarm('unknown cause of an exit', { field: 'cause', task: slot.name, machine: m.name });
+    if (cause === 'error' || cause === 'unknown' || cause === 'unrecognised') {
       const runningSince = slot.claim?.runningSince ?? now;
       if (cause === 'error') this.failures.failed(slot.job.id, m.name, now - runningSince, now);
       slot.failures++;
--- a/packages/core/src/failure-attribution.ts
+++ b/packages/core/src/failure-attribution.ts
@@ -43,6 +43,8 @@
   readonly #jobs = new Map<string, FailedJob>();
   /** By machine: the jobs that run elsewhere and failed there, since a task last completed there. */
   readonly #convictions = new Map<string, Set<string>>();
+  /** By machine: when a task last completed there. */
+  readonly #completedAt = new Map<string, number>();
 
   constructor(readonly facts: Facts) {}
 
@@ -52,15 +54,17 @@
     known.failedAt.set(machine, now);
     known.longestFailedRunMs = Math.max(known.longestFailedRunMs, ranMs);
     this.#jobs.set(job, known);
-    if (known.verdict === 'proven') this.#convict(machine, job);
+    if (known.verdict === 'proven') this.#convict(machine, job, now);
   }
 
-  /** A task of the job completed on the machine: neither is at fault for what came before. */
-  completed(job: string, machine: string): void {
+  /**
+   * A task of the job completed on the machine: neither is at fault for what came before. That other jobs failed there is held against
+   * them all the same: forgotten with the machine's fault, it let a broken array be tried over and over where others completed.
+   */
+  completed(job: string, machine: string, now: number): void {
     this.#convictions.delete(machine);
-    for (const [id, failures] of this.#jobs) if (id !== job) failures.failedAt.delete(machine);
+    this.#completedAt.set(machine, now);
     const own = this.#jobs.get(job);
-    own?.failedAt.delete(machine);
     if (own !== undefined) this.#decide(job, own, 'proven');
   }
 
@@ -84,12 +88,18 @@
   /** The one function that changes a verdict. */
   #decide(job: string, failures: FailedJob, verdict: JobVerdict): void {
     if (verdict === 'proven' && failures.verdict !== 'proven') {
-      for (const machine of failures.failedAt.keys()) this.#convict(machine, job);
+      for (const [machine, at] of failures.failedAt) this.#convict(machine, job, at);
     }
     failures.verdict = verdict;
   }
 
-  #convict(machine: string, job: string): void {
+  /** Whether a failure on the machine is no fault of it, for a task has completed there since. */
+  #isCleared(machine: string, failedAt: number): boolean {
+    return failedAt <= (this.#completedAt.get(machine) ?? -Infinity);
+  }
+
+  #convict(machine: string, job: string, failedAt: number): void {
+    if (this.#isCleared(machine, failedAt)) return;
     const jobs = this.#convictions.get(machine);
     if (jobs === undefined) this.#convictions.set(machine, new Set([job]));
     else jobs.add(job);
@@ -98,6 +108,7 @@
   /** The machine is gone, or has begun anew. */
   forgetMachine(machine: string): void {
     this.#convictions.delete(machine);
+    this.#completedAt.delete(machine);
     for (const failures of this.#jobs.values()) failures.failedAt.delete(machine);
   }
 
@@ -114,7 +125,10 @@
   /** How many jobs failed on the machine since a task last completed there, whoever is at fault. */
   jobsFailedOn(machine: string): number {
     let jobs = 0;
-    for (const { failedAt } of this.#jobs.values()) if (failedAt.has(machine)) jobs++;
+    for (const { failedAt } of this.#jobs.values()) {
+      const at = failedAt.get(machine);
+      if (at !== undefined && !this.#isCleared(machine, at)) jobs++;
+    }
     return jobs;
   }
 
@@ -131,7 +145,8 @@
     let jobs = 0;
     for (const { verdict, failedAt } of this.#jobs.values()) {
       const at = failedAt.get(machine);
-      if (verdict !== 'failing' && at !== undefined && now - at < this.facts.leaseMs) jobs++;
+      if (verdict === 'failing' || at === undefined || this.#isCleared(machine, at)) continue;
+      if (now - at < this.facts.leaseMs) jobs++;
     }
     return jobs >= UNHEALTHY_JOBS;
   }
--- a/packages/core/test/claims.test.ts
+++ b/packages/core/test/claims.test.ts
@@ -354,3 +354,26 @@
   assert.deepEqual(order(6000), [ids.normal, ids.late, ids.guest]);
   assert.deepEqual(order(1001 + facts.leaseMs), [ids.late, ids.normal, ids.guest]);
 });
+
+test('an exit of unknown cause is named in the log, has its task tried again, and is held against nobody', () => {
+  const jobs = new JobTable(() => 64);
+  const alarms: string[] = [];
+  const claimTable = claimTableOf(jobs, 0, ['m-1'], (message) => alarms.push(message));
+  assigned(jobs, 2, 5);
+  claimTable.syncJob(spec.id, 0);
+  claimTable.report(report('m-1', 1, 2 * CALLS_PER_TERM), 1000, true);
+  const { attempt } = claimTable.slots.get(spec.id)!.get(0)!.claim!;
+  const exit = {
+    task: `${spec.id}/0`,
+    attempt,
+    state: 'exited' as const,
+    cause: 'unrecognised' as const,
+    saved: false,
+  };
+  const strange = { ...exit, task: 'j-999999/0' };
+  const outcome = claimTable.report({ ...report('m-1', 2, 2 * CALLS_PER_TERM), tasks: [exit, strange] }, 2000, true);
+  assert.deepEqual(alarms, ['unknown cause of an exit']);
+  assert.ok(outcome.kind === 'answer' && outcome.commands.filter((c) => c.op === 'forget').length === 2);
+  assert.equal(claimTable.failures.verdictOn(spec.id), null);
+  assert.ok(claimTable.slots.get(spec.id)!.get(0)!.claim!.attempt > attempt);
+});
--- a/packages/core/test/failure-attribution.test.ts
+++ b/packages/core/test/failure-attribution.test.ts
@@ -56,13 +56,29 @@
     failures.failed(job, 'm-1', 0, 100);
     failures.failed(job, 'm-2', 0, 100);
   }
-  failures.completed('j-1', 'm-3');
-  failures.completed('j-2', 'm-3');
+  failures.completed('j-1', 'm-3', 200);
+  failures.completed('j-2', 'm-3', 200);
   assert.equal(failures.isUnhealthy('m-1'), true);
-  failures.completed('j-3', 'm-2');
+  failures.completed('j-3', 'm-2', 300);
   assert.equal(failures.isUnhealthy('m-2'), false);
 });
 
+// Tasks of other jobs completed on the only machine where it was tried: its failures there were forgotten each time.
+test('a machine on which others complete is no reason to try a broken job there again', () => {
+  const failures = new FailureAttribution(FACTS);
+  failures.failed('j-1', 'm-1', 0, 100);
+  failures.completed('j-9', 'm-1', 200);
+  failures.review(() => UNKNOWN);
+  assert.equal(failures.isExcluded('j-1', 'm-1', 300), true);
+  failures.failed('j-1', 'm-2', 0, 400);
+  failures.review(() => UNKNOWN);
+  assert.equal(failures.verdictOn('j-1'), 'failing');
+  // Nor does it convict the machine, should it run after all.
+  failures.failed('j-2', 'm-1', 0, 150);
+  for (const job of ['j-1', 'j-2']) failures.completed(job, 'm-3', 500);
+  assert.equal(failures.isUnhealthy('m-1'), false);
+});
+
 test('a job that is over is forgotten, and convicts only if it was done', () => {
   for (const hasCompleted of [true, false]) {
     const failures = new FailureAttribution(FACTS);
@@ -95,7 +111,8 @@
             failed.set(machine, (failed.get(machine) ?? new Set()).add(job));
           } else {
             completed.add(job);
-            failures.completed(job, machine);
+            failed.delete(machine);
+            failures.completed(job, machine, i * 100);
           }
           failures.review((id) => ({ ...UNKNOWN, hasCompleted: completed.has(id) }));
         });
--- a/packages/testkit/test/rules.test.ts
+++ b/packages/testkit/test/rules.test.ts
@@ -285,6 +285,8 @@
     {
       numRuns: Number(process.env.GINGERLOCK_RUNS ?? 25),
       seed: Number(process.env.GINGERLOCK_SEED ?? 391),
+      // One day of a run alone, by the path that the run gave when it failed.
+      ...(process.env.GINGERLOCK_PATH === undefined ? {} : { path: process.env.GINGERLOCK_PATH }),
       endOnFailure: true,
     },
   );
--- a/packages/wire/src/workers.ts
+++ b/packages/wire/src/workers.ts
@@ -4,7 +4,8 @@
 import { isJobId } from './users';
 
 export type TaskState = 'fetching' | 'running' | 'saving' | 'exited';
-export type ExitCause = 'done' | 'stopped' | 'error' | 'no_room' | 'busy' | 'unknown';
+/** `unrecognised`: the worker gave none, or one that the protocol does not name. */
+export type ExitCause = 'done' | 'stopped' | 'error' | 'no_room' | 'busy' | 'unknown' | 'unrecognised';
 
 export interface ReportedTask {
   /** `JOB/INDEX`, as the worker names it. */
@@ -98,7 +99,7 @@
         task: p.parcel,
         attempt: p.try,
         state,
-        cause: state === 'exited' ? (CAUSE_NAMES[p.cause ?? ''] ?? 'error') : null,
+        cause: state === 'exited' ? (CAUSE_NAMES[p.cause ?? ''] ?? 'unrecognised') : null,
         saved: p.stored ?? false,
       };
     }),
