--- /dev/null
+++ b/packages/testkit/src/cloud.ts
@@ -0,0 +1,135 @@
+// A stand-in of the cloud: it rents machines, lists them, maybe as they were a while ago, and takes them back.
+import type { HttpAnswer } from '@gingerlock/clients';
+import {
+  type CloudMachine,
+  decode,
+  encode,
+  machineListMap,
+  type MachineType,
+  machineTypesMap,
+  parseCloudRequest,
+  rentedMap,
+  type RentRequest,
+  rentRequestOf,
+  returnedNamesOf,
+} from '@gingerlock/wire';
+import { CloudRecords, type RentedMachine } from './cloud-records';
+import type { Sim } from './sim';
+
+export interface CloudOptions {
+  readonly sim: Sim;
+  readonly type: MachineType;
+  /** Machines of either kind that each zone has. */
+  readonly capacity: number;
+  /** A machine has come up. */
+  readonly onUp: (machine: RentedMachine) => void;
+  /** A machine was returned: it and all that is on it are gone. */
+  readonly onReturned: (name: string) => void;
+}
+
+/** How boots go wrong: so many times as slow, and this share of them never ends. */
+export interface BootTrouble {
+  readonly never: number;
+  readonly factor: number;
+}
+
+/** Fast boots take at least and at most so long. */
+const FAST_BOOT_MS = { least: 100, most: 2000 };
+
+function answer(status: number, map: unknown): HttpAnswer {
+  return { status, body: encode(map) };
+}
+
+export class SimCloud {
+  outage = false;
+  /** Machines that are rented now are up within two seconds. */
+  fastBoots = false;
+  bootTrouble: BootTrouble | null = null;
+  /** The list describes how machines stood so long ago. */
+  listAgeMs = 0;
+  readonly #records = new CloudRecords();
+  /** By the name of the request: what it was given. */
+  readonly #requests = new Map<string, string[]>();
+  #machines = 0;
+
+  constructor(readonly options: CloudOptions) {}
+
+  /** How long a machine usually takes to come up. */
+  get bootMs(): number {
+    return this.options.type.bootS * 1000;
+  }
+
+  /** What is rented now, as it is. */
+  get rented(): readonly RentedMachine[] {
+    return this.#records.machines;
+  }
+
+  /** Rents a machine that comes up after so long; null: it never does. */
+  boot(zone: string, spot: boolean, afterMs: number | null): string {
+    const { sim, type, onUp } = this.options;
+    const name = `m-${String(++this.#machines).padStart(6, '0')}`;
+    const described = { name, addr: `${name}:9000`, type: type.name, zone, spot, ageS: 0, bornAt: sim.now };
+    this.#records.set({ ...described, state: 'booting' }, sim.now);
+    if (afterMs === null) return name;
+    sim.after(afterMs, () => {
+      if (this.#records.get(name)?.state !== 'booting') return;
+      const machine = { ...described, state: 'running' as const };
+      this.#records.set(machine, sim.now);
+      onUp(machine);
+    });
+    return name;
+  }
+
+  /** The machine has stopped by itself and is listed as failed, or was taken. */
+  end(name: string, listedAs: 'failed' | 'gone'): void {
+    const { now } = this.options.sim;
+    const machine = this.#records.get(name);
+    if (machine === undefined) return;
+    if (listedAs === 'failed') this.#records.set({ ...machine, state: 'failed' }, now);
+    else this.#records.delete(name, now);
+  }
+
+  handle(method: string, path: string, body: Buffer): HttpAnswer {
+    if (this.outage) return answer(503, { error: 'trouble' });
+    const request = parseCloudRequest(method, path);
+    switch (request?.kind) {
+      case undefined:
+        return answer(400, {});
+      case 'types':
+        return answer(200, machineTypesMap([this.options.type]));
+      case 'rent':
+        return this.#rent(rentRequestOf(decode(body)));
+      case 'return':
+        for (const name of returnedNamesOf(decode(body))) this.options.onReturned(name);
+        return answer(200, {});
+      case 'list':
+        return this.#list(request.after, request.limit);
+    }
+  }
+
+  #rent({ request, zone, spot, count }: RentRequest): HttpAnswer {
+    const known = this.#requests.get(request);
+    if (known !== undefined) return answer(200, rentedMap(known));
+    const used = this.rented.filter((m) => m.zone === zone && m.spot === spot && m.state !== 'failed').length;
+    const granted = Math.min(count, this.options.capacity - used);
+    if (granted <= 0) return answer(503, { error: 'no capacity' });
+    const names = Array.from({ length: granted }, () => this.boot(zone, spot, this.#nextBootMs()));
+    this.#requests.set(request, names);
+    return answer(200, rentedMap(names));
+  }
+
+  #nextBootMs(): number | null {
+    const { random } = this.options.sim;
+    const { bootTrouble } = this;
+    if (this.fastBoots) return FAST_BOOT_MS.least + (FAST_BOOT_MS.most - FAST_BOOT_MS.least) * random();
+    if (bootTrouble !== null && random() < bootTrouble.never) return null;
+    return this.bootMs * (0.6 + random()) * (bootTrouble?.factor ?? 1);
+  }
+
+  #list(after: string, limit: number): HttpAnswer {
+    const describedAt = this.options.sim.now - this.listAgeMs;
+    const all = this.#records.machinesAt(describedAt).filter((m) => m.name > after);
+    const page = all.slice(0, limit).map((m): CloudMachine => ({ ...m, ageS: (describedAt - m.bornAt) / 1000 }));
+    return answer(200, machineListMap(page, all.length > page.length));
+  }
+}
--- a/packages/testkit/src/faults.ts
+++ b/packages/testkit/src/faults.ts
@@ -236,9 +236,9 @@
       world.users.closeLooksUntil = Math.max(world.users.closeLooksUntil, sim.now + fault.forMs);
       return;
     case 'fast boots':
-      world.fastBoots = true;
+      world.cloud.fastBoots = true;
       sim.after(fault.forMs, () => {
-        world.fastBoots = false;
+        world.cloud.fastBoots = false;
       });
       return;
     case 'small jobs': {
@@ -326,9 +326,9 @@
       return;
     }
     case 'cloud outage':
-      world.cloudOutage = true;
+      world.cloud.outage = true;
       sim.after(fault.forMs, () => {
-        world.cloudOutage = false;
+        world.cloud.outage = false;
       });
       return;
     case 'events forgotten':
--- a/packages/testkit/src/operations-faults.ts
+++ b/packages/testkit/src/operations-faults.ts
@@ -89,15 +89,15 @@
       return;
     }
     case 'boot trouble':
-      world.boots = { never: fault.never, factor: fault.factor };
+      world.cloud.bootTrouble = { never: fault.never, factor: fault.factor };
       sim.after(fault.forMs, () => {
-        world.boots = null;
+        world.cloud.bootTrouble = null;
       });
       return;
     case 'stale list':
-      world.listAgeMs = fault.ms;
+      world.cloud.listAgeMs = fault.ms;
       sim.after(fault.forMs, () => {
-        world.listAgeMs = 0;
+        world.cloud.listAgeMs = 0;
       });
       return;
     case 'guests':
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -1,27 +1,11 @@
 // A whole deployment in simulated time: controllers as they run for real, stand-ins for all the rest, and the rules of
 // the protocol checked against what really runs where.
 import { Controller, type ControllerPorts, type Log, type Reply, settingsOf, SILENT } from '@gingerlock/daemon';
-import type { HttpAnswer } from '@gingerlock/clients';
 import { type Amounts, NOTHING } from '@gingerlock/core';
 import { decodePeer, encodePeer, type PeerLink, type PeerMessage } from '@gingerlock/peer';
-import {
-  decode,
-  decodeReport,
-  encode,
-  type JobSpec,
-  holdRecord,
-  KEYS,
-  LEAD,
-  machineListMap,
-  machineTypesMap,
-  type MachineType,
-  parseCloudRequest,
-  parseTaskName,
-  rentedMap,
-  rentRequestOf,
-  returnedNamesOf,
-} from '@gingerlock/wire';
-import { CloudRecords, type RentedMachine } from './cloud-records';
+import { decodeReport, type JobSpec, holdRecord, KEYS, LEAD, type MachineType, parseTaskName } from '@gingerlock/wire';
+import { SimCloud } from './cloud';
+import type { RentedMachine } from './cloud-records';
 import { Liveness } from './liveness';
 import { Network } from './network';
 import { OperationsAudit } from './operations-audit';
@@ -126,25 +110,19 @@
   readonly sim: Sim;
   readonly network: Network;
   readonly state: SimStateService;
+  readonly cloud: SimCloud;
   readonly nodes: Node[];
   readonly workers = new Map<string, SimWorker>();
   readonly breaches: Breach[] = [];
   readonly reportMs: number;
   readonly leaseMs: number;
   readonly cancelMs: number;
-  cloudOutage = false;
   /** What the controllers have told each other. */
   peerBytes = 0;
   peerMessages = 0;
   startsSeen = 0;
   /** Share of the jobs that end now which are called off at that very moment. */
   cancelAtEnd = 0;
-  /** Machines that are rented now are up within two seconds. */
-  fastBoots = false;
-  /** Machines that are rented now take so many times as long to come up, and this share of them never does. */
-  boots: { readonly never: number; readonly factor: number } | null = null;
-  /** The cloud lists its machines as they were so long ago. */
-  listAgeMs = 0;
   /** Controllers that say nothing to anybody. */
   readonly silent = new Set<string>();
   readonly guestTeam = GUESTS;
@@ -166,9 +144,6 @@
   /** By task: the machine that it is on. */
   readonly #on = new Map<string, string>();
   readonly #done = new Map<string, Set<string>>();
-  readonly #cloud = new CloudRecords();
-  readonly #requests = new Map<string, string[]>();
-  #machineCounter = 0;
   #jobCounter = 0;
 
   constructor(readonly options: WorldOptions) {
@@ -187,8 +162,15 @@
       drift: (this.sim.random() - 0.5) * 0.001,
     }));
     this.network.hosts.set('state:1', (method, path, body, from) => this.state.handle(method, path, body, from));
-    this.network.hosts.set('cloud:1', (method, path, body) => this.#cloudAnswer(method, path, body));
-    for (let i = 0; i < (options.machines ?? 6); i++) this.#boot(ZONES[i % ZONES.length]!, false, 0);
+    this.cloud = new SimCloud({
+      sim: this.sim,
+      type: TYPE,
+      capacity: options.capacity ?? 4,
+      onUp: (machine) => this.#up(machine),
+      onReturned: (name) => this.kill(name, 'gone'),
+    });
+    this.network.hosts.set('cloud:1', (method, path, body) => this.cloud.handle(method, path, body));
+    for (let i = 0; i < (options.machines ?? 6); i++) this.cloud.boot(ZONES[i % ZONES.length]!, false, 0);
     for (const node of this.nodes) this.startNode(node.name);
   }
 
@@ -302,95 +284,22 @@
 
   // --- cloud -------------------------------------------------------------------------------------------------------
 
-  /** `afterMs` null: it never comes up. */
-  #boot(zone: string, spot: boolean, afterMs: number | null): string {
-    const name = `m-${String(++this.#machineCounter).padStart(6, '0')}`;
-    const machine = {
-      name,
-      addr: `${name}:9000`,
-      type: TYPE.name,
-      zone,
-      spot,
-      state: 'booting' as const,
-      ageS: 0,
-      bornAt: this.sim.now,
+  #up({ name, type, zone, spot }: RentedMachine): void {
+    const worker = new SimWorker(this, name, type, zone, spot);
+    worker.done = (task) => {
+      const { job } = parseTaskName(task)!;
+      const done = this.#done.get(job) ?? new Set();
+      this.#done.set(job, done.add(task));
+      if (done.size === this.job(job)!.tasks && this.sim.random() < this.cancelAtEnd) void this.users.cancel(job);
     };
-    this.#cloud.set(machine, this.sim.now);
-    if (afterMs === null) return name;
-    this.sim.after(afterMs, () => {
-      if (this.#cloud.get(name)?.state !== 'booting') return;
-      this.#cloud.set({ ...machine, state: 'running' }, this.sim.now);
-      const worker = new SimWorker(this, name, TYPE.name, zone, spot);
-      worker.done = (task) => {
-        const { job } = parseTaskName(task)!;
-        const done = this.#done.get(job) ?? new Set();
-        this.#done.set(job, done.add(task));
-        if (done.size === this.job(job)!.tasks && this.sim.random() < this.cancelAtEnd) void this.users.cancel(job);
-      };
-      this.workers.set(name, worker);
-    });
-    return name;
+    this.workers.set(name, worker);
   }
 
   /** The machine is gone with all that is on it. */
   kill(name: string, listedAs: 'failed' | 'gone'): void {
     this.workers.get(name)?.die();
     this.workers.delete(name);
-    const entry = this.#cloud.get(name);
-    if (entry === undefined) return;
-    if (listedAs === 'failed') this.#cloud.set({ ...entry, state: 'failed' }, this.sim.now);
-    else this.#cloud.delete(name, this.sim.now);
-  }
-
-  #cloudAnswer(method: string, path: string, body: Buffer): HttpAnswer {
-    const answer = (status: number, map: unknown): HttpAnswer => ({ status, body: encode(map) });
-    if (this.cloudOutage) return answer(503, { error: 'trouble' });
-    const request = parseCloudRequest(method, path);
-    switch (request?.kind) {
-      case undefined:
-        return answer(400, {});
-      case 'types':
-        return answer(200, machineTypesMap([TYPE]));
-      case 'rent': {
-        const r = rentRequestOf(decode(body));
-        const known = this.#requests.get(r.request);
-        if (known !== undefined) return answer(200, rentedMap(known));
-        const used = this.#cloud.machines.filter(
-          (m) => m.zone === r.zone && m.spot === r.spot && m.state !== 'failed',
-        ).length;
-        const count = Math.min(r.count, (this.options.capacity ?? 4) - used);
-        if (count <= 0) return answer(503, { error: 'no capacity' });
-        const names = Array.from({ length: count }, () => this.#boot(r.zone, r.spot, this.#bootMs()));
-        this.#requests.set(r.request, names);
-        return answer(200, rentedMap(names));
-      }
-      case 'return':
-        for (const name of returnedNamesOf(decode(body))) this.kill(name, 'gone');
-        return answer(200, {});
-      case 'list': {
-        const describedAt = this.sim.now - this.listAgeMs;
-        const all = this.#cloud.machinesAt(describedAt).filter((m) => m.name > request.after);
-        const page = all.slice(0, request.limit).map((m) => ({ ...m, ageS: (describedAt - m.bornAt) / 1000 }));
-        return answer(200, machineListMap(page, all.length > page.length));
-      }
-    }
-  }
-
-  /** How long a machine that is rented now takes to come up; null: it never does. */
-  #bootMs(): number | null {
-    const { boots } = this;
-    if (this.fastBoots) return 100 + 1900 * this.sim.random();
-    if (boots !== null && this.sim.random() < boots.never) return null;
-    return TYPE.bootS * 1000 * (0.6 + this.sim.random()) * (boots?.factor ?? 1);
-  }
-
-  get bootMs(): number {
-    return TYPE.bootS * 1000;
-  }
-
-  /** What is rented now, as it is. */
-  get rented(): readonly RentedMachine[] {
-    return this.#cloud.machines;
+    this.cloud.end(name, listedAs);
   }
 
   // --- the rules ---------------------------------------------------------------------------------------------------
