Claim table: what follows from it for others is a module of its own; a returned task is listed once

The list of tasks to give back was searched for each task that joined it: with a cancelled array of 25,000 waiting tasks that is 300 million steps. It is a set now. No other change of behaviour.

--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -13,10 +13,11 @@
   type WorkerReport,
 } from '@gingerlock/wire';
 import { assignedUnfinished } from './assignment';
-import { type Amounts, type Facts, fits, limitAllows, NOTHING, plus, typeAllows, workerLeaseBoundMs } from './facts';
+import { type Amounts, type Facts, fits, NOTHING, plus, typeAllows, workerLeaseBoundMs } from './facts';
+import { isMovingOn, missingServices, returnableTasks, runningTasks, tasksToFinish } from './claim-queries';
 import { type JobEvidence, FailureAttribution } from './failure-attribution';
 import { ImageCache } from './image-cache';
-import { type Job, jobOrder, type JobTable } from './jobs';
+import type { Job, JobTable } from './jobs';
 import { betterElsewhere } from './placement';
 import { type AssignedTask, tasksAssignedTo } from './rounds';
 import { type Claim, type Machine, type Slot, SLOT_MOVES, type SlotState } from './slots';
@@ -40,10 +41,7 @@
 }
 
 /** DESIGN's grant lease: a machine silent for three report intervals is suspect. */
-const SUSPECT_INTERVALS = 3;
-
-/** A part of which most machines have not been heard for so many report intervals after its takeover is cut off. */
-const CUT_INTERVALS = 4;
+export const SUSPECT_INTERVALS = 3;
 
 /** A worker that may hold earlier tasks and does not take the owner's token is answered so many times. */
 const MOST_UNSYNCHRONISED_ANSWERS = 4;
@@ -120,6 +118,10 @@
     return this.#cleared;
   }
 
+  get types(): ReadonlyMap<string, MachineType> {
+    return this.#types();
+  }
+
   typeOf(machine: Machine): MachineType | undefined {
     return this.#types().get(machine.type);
   }
@@ -703,43 +705,14 @@
     return [...lapsed, ...this.#departed.splice(0)];
   }
 
-  /**
-   * Tasks that can be given back to the leader, by job: those of cancelled jobs that surely run nowhere, and those that
-   * have waited a while for room that this part does not have.
-   */
+  /** The tasks that can be given back to the leader, by job; see `returnableTasks`. */
   giveBack(stuck: readonly Slot[], now: number): Map<string, Slot[]> {
-    const back = new Map<string, Slot[]>();
-    const add = (slot: Slot): void => {
-      const list = back.get(slot.job.id);
-      if (list === undefined) back.set(slot.job.id, [slot]);
-      else if (!list.includes(slot)) list.push(slot);
-    };
-    for (const slots of this.slots.values()) {
-      for (const slot of slots.values()) {
-        if (slot.job.cancelled && (slot.state === 'waiting' || slot.state === 'finishing')) add(slot);
-      }
-    }
-    for (const job of this.wakes()) {
-      if (!this.isFailing(job)) continue;
-      for (const slot of this.waitingSlots(job)) {
-        if (!this.mayStart(slot) && now - slot.since > this.facts.reportMs) add(slot);
-      }
-    }
-    const patience = this.facts.reportMs / 2;
-    for (const slot of stuck) {
-      if (slot.state === 'waiting' && (now - slot.since > patience || slot.moving)) add(slot);
-    }
-    for (const job of this.wakes()) {
-      for (const slot of this.waitingSlots(job)) {
-        const cached = slot.plan?.machine.cache.has(job.spec.image) ?? true;
-        if (!cached && this.#movesOn(slot, now)) add(slot);
-      }
-    }
-    return back;
+    return returnableTasks(this, stuck, now);
   }
 
+  /** Whether a replica that was moved waits for a machine here that has its image. */
   #movesOn(slot: Slot, now: number): boolean {
-    return slot.moving && now - slot.since < this.facts.reportMs * 2;
+    return isMovingOn(slot, now, this.facts);
   }
 
   /** The record's change is on its way: until its outcome is known nobody may be granted these. */
@@ -757,66 +730,18 @@
       if (slot.state === 'leaving' && this.slotOf(slot.name) === slot) this.#move(slot, 'waiting', now);
   }
 
-  /**
-   * Completed tasks that are to be written now, by job. Those of a job are written together: at once when no other task
-   * of the job is here, for then somebody may wait for its end, or if its team has a limit, of which a completed task
-   * holds a part until it is written; otherwise after `patienceMs`. Written as they came, the tasks of large arrays
-   * used up the changes that users' submissions waited for. The most urgent jobs come first: with hundreds of one-task jobs of
-   * one team ahead of them, all others' waited for the limit on changes. What has waited for a lease goes before.
-   */
+  /** The completed tasks that are to be written now, by job; see `tasksToFinish`. */
   finishing(now: number, patienceMs: number): Map<string, Slot[]> {
-    const ready: { readonly job: Job; readonly slots: Slot[]; readonly isOverdue: boolean }[] = [];
-    for (const slots of this.slots.values()) {
-      const all = [...slots.values()];
-      const finished = all.filter((s) => s.state === 'finishing' && !s.job.cancelled);
-      if (finished.length === 0) continue;
-      const oldest = Math.min(...finished.map((s) => s.since));
-      const mayWait = finished.length < all.length && this.#isUnlimited(finished[0]!.job);
-      if (mayWait && now - oldest < patienceMs) continue;
-      ready.push({ job: finished[0]!.job, slots: finished, isOverdue: now - oldest > this.facts.leaseMs });
-    }
-    ready.sort((a, b) => Number(b.isOverdue) - Number(a.isOverdue) || jobOrder(a.job, b.job));
-    return new Map(ready.map(({ job, slots }) => [job.id, slots]));
-  }
-
-  /** Whether no limit is set on anything that the job's tasks take. */
-  #isUnlimited({ spec }: Job): boolean {
-    const team = this.facts.teams.get(spec.team);
-    return team !== undefined && limitAllows(team, NOTHING, spec) === Infinity;
+    return tasksToFinish(this, now, patienceMs);
   }
 
-  /**
-   * What the services' tasks add up to that no machine has reported though it should have. While most machines of the
-   * part have yet to find their new owner, that says nothing of any of them: a new leader once asked for 44 machines. If
-   * that lasts, their zone is cut off. Room for them is asked for so that it has booted when the part is cleared: waiting
-   * for that first cost a boot more of every long cut, and a short one may be over before.
-   */
+  /** What services lack whose tasks nobody has reported; see `missingServices`. */
   missing(now: number): Amounts {
-    let sum = NOTHING;
-    if (this.#cleared) return sum;
-    let synchronised = 0;
-    for (const m of this.machines.values()) if (m.synchronised) synchronised++;
-    if (this.unheard.size > synchronised) {
-      const bootMs = Math.max(0, ...[...this.#types().values()].map((t) => t.bootS * 1000));
-      if (now < Math.max(this.openedAt + this.facts.reportMs * CUT_INTERVALS, this.fencedUntil - bootMs)) return sum;
-    }
-    for (const slots of this.slots.values()) {
-      for (const slot of slots.values()) {
-        if (slot.state !== 'uncertain' || slot.job.spec.kind !== 'service' || slot.job.cancelled) continue;
-        if (now - slot.since > this.facts.reportMs * SUSPECT_INTERVALS) sum = plus(sum, slot.job.spec);
-      }
-    }
-    return sum;
+    return missingServices(this, now);
   }
 
   /** How many tasks of each job run here, for display. */
   running(): Map<string, number> {
-    const counts = new Map<string, number>();
-    for (const [id, slots] of this.slots) {
-      let n = 0;
-      for (const slot of slots.values()) if (slot.claim?.stage === 'running' || slot.claim?.stage === 'saving') n++;
-      if (n > 0) counts.set(id, n);
-    }
-    return counts;
+    return runningTasks(this);
   }
 }
