Bounds below 4,000 machines: summaries in pieces, calls, terms, transactions, sockets

Need: users run about 4,000 machines, all of them maybe on one surviving controller. Found by reading, each reached in a test by a small bound: a summary of some 2,500 machines outgrew a frame and ended the connection; what waited in a connection was bounded at 1 MiB, less than a full round of summaries takes; of the machines that a new owner calls, only the first 120 were ever called while those did not answer; attempts of a term could run out and repeat those of the next; twelve large records outgrew a transaction's 64 KiB, which was refused for good and tried again for ever; changes of more than 8 MiB could never be followed; more workers than sockets kept the last ones out.

Change: a summary that does not fit a frame is sent in pieces (a message appended to the union, all others keep their bytes; older controllers end the connection over it as they did over the large frame); a group of messages may wait beside the bound; calls go in whole rounds, each within half a lease; a partition whose term is nearly used up is released and taken anew; transactions count their bytes; changes that are too many are read by pages; a crowded server keeps no connection of workers. A machine of unknown type or zone in the cloud's list is logged by field and ignored.

--- a/packages/clients/src/http.ts
+++ b/packages/clients/src/http.ts
@@ -1,7 +1,10 @@
 import { Agent, request } from 'node:http';
-import { type Http, type HttpAnswer, NoAnswer } from './ports';
+import { AnswerTooLarge, type Http, type HttpAnswer, NoAnswer } from './ports';
 
-/** Largest answer that is read: a list of the state service holds 512 KiB, a watch more. */
+/**
+ * Largest answer that is read. A page of a list holds 512 KiB; changes to follow have no limit, and when they are more than this, all is
+ * read again by pages.
+ */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
 /**
@@ -28,7 +31,7 @@
           let size = 0;
           res.on('data', (chunk: Buffer) => {
             size += chunk.length;
-            if (size > MAX_ANSWER_BYTES) req.destroy(new NoAnswer('answer too large'));
+            if (size > MAX_ANSWER_BYTES) req.destroy(new AnswerTooLarge(MAX_ANSWER_BYTES));
             else chunks.push(chunk);
           });
           res.on('end', () => {
--- a/packages/clients/src/ports.ts
+++ b/packages/clients/src/ports.ts
@@ -31,6 +31,14 @@
   }
 }
 
+/** The answer is larger than is read: asked again, it would be as large. */
+export class AnswerTooLarge extends NoAnswer {
+  constructor(bytes: number) {
+    super(`answer of more than ${bytes} bytes`);
+    this.name = 'AnswerTooLarge';
+  }
+}
+
 export function sleep(clock: Clock, ms: number): Promise<void> {
   return new Promise((resolve) => {
     clock.after(ms, resolve);
--- a/packages/clients/src/state.ts
+++ b/packages/clients/src/state.ts
@@ -14,7 +14,7 @@
   txnMap,
 } from '@gingerlock/wire';
 import { type Budget, Overloaded, type Urgency, URGENCY } from './budget';
-import { type Clock, type Http, type HttpAnswer, NoAnswer } from './ports';
+import { AnswerTooLarge, type Clock, type Http, type HttpAnswer, NoAnswer } from './ports';
 
 export type TxnResult =
   | { readonly kind: 'done'; readonly revision: number }
@@ -92,16 +92,26 @@
     return { items, revision };
   }
 
-  /** Changes after a revision; null if that is too long ago and all has to be read again. */
+  /** Changes after a revision; null if that is too long ago, or they are too many, and all has to be read again. */
   async follow(prefix: string, after: number): Promise<{ events: StateEvent[]; revision: number } | null> {
-    const answer = await this.#send(URGENCY.cancel, 0, 'GET', STATE_PATHS.follow(prefix, after, 0), null);
-    if (answer.status === 410) return null;
+    const answer = await this.#changesAfter(prefix, after);
+    if (answer === null || answer.status === 410) return null;
     if (answer.status !== 200) throw new StateRefused(answer.status, 'follow');
     const followed = eventsOf(decode(answer.body));
     this.#saw(followed.revision);
     return followed;
   }
 
+  /** Null: they are more than an answer may hold. Asked for again and again, they only became more. */
+  async #changesAfter(prefix: string, after: number): Promise<HttpAnswer | null> {
+    try {
+      return await this.#send(URGENCY.cancel, 0, 'GET', STATE_PATHS.follow(prefix, after, 0), null);
+    } catch (error) {
+      if (error instanceof AnswerTooLarge) return null;
+      throw error;
+    }
+  }
+
   async txn(
     urgency: Urgency,
     conditions: readonly Condition[],
--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -33,6 +33,9 @@
 /** Attempts of one term are numbered below this; a term times this is far below 2^53. */
 export const ATTEMPTS_PER_TERM = 2 ** 20;
 
+/** Once this share of a term's attempts is used, the partition is taken anew, under another term. */
+const NEW_TERM_SHARE = 0.75;
+
 /** A token is its owner's term times this, plus how often the owner has called the machine. */
 export const CALLS_PER_TERM = 2 ** 20;
 
@@ -65,6 +68,8 @@
   readonly jobs: JobTable;
   readonly types: () => ReadonlyMap<string, MachineType>;
   readonly membership: Iterable<readonly [string, string]>;
+  /** How many tasks may be granted under this term. */
+  readonly attemptsPerTerm?: number;
   /** By machine: the images that an earlier owner believed to be cached there. */
   readonly images?: ReadonlyMap<string, readonly string[]>;
   readonly log?: (message: string, detail: Record<string, unknown>) => void;
@@ -90,6 +95,7 @@
   readonly alarm: (message: string, detail: Record<string, unknown>) => void;
   readonly #wakes = new WakeQueue();
   readonly failures: FailureAttribution;
+  readonly #attemptsPerTerm: number;
   #counter = 0;
   #cleared = false;
   /** Since when this controller has listened without standing still. */
@@ -109,6 +115,7 @@
     this.#types = options.types;
     this.unheard = new Map(options.membership);
     this.#images = options.images ?? new Map();
+    this.#attemptsPerTerm = options.attemptsPerTerm ?? ATTEMPTS_PER_TERM;
     this.failures = new FailureAttribution(options.facts);
     this.log = options.log ?? (() => undefined);
     this.alarm = options.alarm ?? (() => undefined);
@@ -118,6 +125,11 @@
     return this.#cleared;
   }
 
+  /** Whether so many tasks were granted under this term that the next one should begin before the numbers run out. */
+  get needsNewTerm(): boolean {
+    return this.#counter > this.#attemptsPerTerm * NEW_TERM_SHARE;
+  }
+
   get types(): ReadonlyMap<string, MachineType> {
     return this.#types();
   }
@@ -629,7 +641,8 @@
       if (!typeAllows(job.spec, m.type, m.zone, m.spot)) continue;
       if (this.failures.isExcluded(job.id, m.name, now)) continue;
       for (const slot of this.waitingSlots(job)) {
-        if (!fits(job.spec, room)) break;
+        // A number that was given out is never given out again: it would be taken for the task of the next term.
+        if (!fits(job.spec, room) || this.#counter >= this.#attemptsPerTerm - 1) break;
         if (slot.notBefore > now || (slot.zone !== null && slot.zone !== m.zone)) continue;
         if (!this.mayStart(slot)) continue;
         if (betterElsewhere(this, slot, m, now)) continue;
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -23,7 +23,7 @@
 import { refusal, type Reply } from './reply';
 import { ReportRelay } from './report-relay';
 import type { Settings } from './settings';
-import { DISPLAY_LAG_MS, Shared } from './shared';
+import { type ControllerLimits, DISPLAY_LAG_MS, Shared } from './shared';
 import { Store } from './store';
 import { Summaries } from './summaries';
 import { Users } from './users';
@@ -35,6 +35,7 @@
   readonly http: Http;
   readonly link: PeerLink;
   readonly log: Log;
+  readonly limits?: Partial<ControllerLimits>;
 }
 
 /** What a peer last said of its contact with the state service. */
@@ -113,7 +114,16 @@
       onSync: () => this.#ownership.synced(this.#lease),
       onError: (error) => this.log.info({ error: String(error) }, 'state service can not be read'),
     });
-    this.shared = new Shared(this.settings, ports.clock, ports.log, this.state, this.replica, this.store, ports.http);
+    this.shared = new Shared(
+      this.settings,
+      ports.clock,
+      ports.log,
+      this.state,
+      this.replica,
+      this.store,
+      ports.http,
+      ports.limits,
+    );
     this.#workerReach = new WorkerReach(facts, ports.clock.now());
     this.#ownership = new OwnershipManager(
       this.shared,
@@ -182,7 +192,7 @@
 
   #tickLater(): void {
     if (this.#stopped) return;
-    this.clock.after(this.settings.facts.reportMs / 15, () => {
+    this.clock.after(this.shared.tickMs, () => {
       try {
         this.#tick();
       } catch (error) {
@@ -211,6 +221,7 @@
     for (const owner of this.#owners.values()) owner.tick(now);
     this.#formerOwners.tick(now);
     this.#ownership.releaseCutOff([...this.#owners.values()], now);
+    this.#ownership.renewTerms(this.#owners.values());
     this.#ownership.releaseOne(this.#owners.values(), now);
     this.#summarise(now);
     this.#leader?.tick();
@@ -374,6 +385,9 @@
       case 'Summary':
         if (!this.#owners.has(message.part)) this.#summaries.onSummary(message, now);
         return;
+      case 'SummaryPiece':
+        if (!this.#owners.has(message.part)) this.#summaries.onPiece(from, message, now);
+        return;
       case 'FleetOrders':
         if (this.store.owners.get(LEAD)?.record.term === message.term) this.#obey(message.drain, message.gone);
         return;
--- a/packages/daemon/src/leader.ts
+++ b/packages/daemon/src/leader.ts
@@ -14,9 +14,11 @@
 } from '@gingerlock/core';
 import {
   type Change,
+  type CloudMachine,
   type Condition,
   jobRecord,
   KEYS,
+  type MachineType,
   machineTypesMap,
   type RentRequest,
   RETURN_MOST,
@@ -24,6 +26,7 @@
 } from '@gingerlock/wire';
 import type { Shared } from './shared';
 import type { SeenSummary } from './summaries';
+import type { TransactionRoom } from './transaction-room';
 
 interface Meant {
   readonly revision: number;
@@ -43,24 +46,65 @@
   });
 }
 
+/** How the job's record is to end now: all tasks are finished or, of a job that is cancelled, gone; null: not yet. */
+function finalOf(job: Job): 'done' | 'cancelled' | null {
+  if (job.cancelled) return assignedUnfinished(job) === 0 ? 'cancelled' : null;
+  return job.spec.kind === 'array' && job.complete ? 'done' : null;
+}
+
 /** Changes of job records in one transaction, each against the version that was read. */
 class JobBatch {
-  readonly conditions: Condition[];
+  readonly conditions: Condition[] = [];
   readonly changes: Change[] = [];
   readonly jobs = new Set<string>();
+  readonly #owners = new Set<string>();
 
-  constructor(entitlement: Condition) {
-    this.conditions = [entitlement];
+  constructor(
+    entitlement: Condition,
+    readonly room: TransactionRoom,
+  ) {
+    this.#add([entitlement], []);
+  }
+
+  #add(conditions: readonly Condition[], changes: readonly Change[]): boolean {
+    if (!this.room.add(conditions, changes)) return false;
+    this.conditions.push(...conditions);
+    this.changes.push(...changes);
+    return true;
   }
 
-  put(job: Job, record: unknown): void {
+  /** False: the transaction has no room for it. */
+  put(job: Job, record: unknown): boolean {
     const key = KEYS.job(job.id);
-    this.conditions.push({ key, version: job.version });
-    this.changes.push({ put: key, value: record });
+    if (!this.#add([{ key, version: job.version }], [{ put: key, value: record }])) return false;
     this.jobs.add(job.id);
+    return true;
+  }
+
+  /** False: the transaction has no room for it. */
+  remove(key: string): boolean {
+    return this.#add([], [{ remove: key }]);
+  }
+
+  /** Makes the transaction rest on the partition's owner; false: it has no room for that. */
+  requireOwner(condition: Condition): boolean {
+    if (this.#owners.has(condition.key)) return true;
+    if (!this.#add([condition], [])) return false;
+    this.#owners.add(condition.key);
+    return true;
   }
 }
 
+/** The field of a listed machine that names no type or zone of the deployment; null: there is none. */
+function oddField(
+  machine: CloudMachine,
+  types: ReadonlyMap<string, MachineType>,
+  zones: readonly string[],
+): 'breed' | 'yard' | null {
+  if (types.size > 0 && !types.has(machine.type)) return 'breed';
+  return zones.includes(machine.zone) ? null : 'yard';
+}
+
 /** How often a rental is sent under one name while its outcome is not known. */
 const RENT_TRIES = 4;
 
@@ -76,6 +120,7 @@
   #unmet: readonly Unmet[] = [];
   #drain: readonly string[] = [];
   readonly #gone = new Map<string, number>();
+  readonly #oddMachines = new Set<string>();
   #stopped = false;
   #listed = false;
   #typesAt = -Infinity;
@@ -152,7 +197,7 @@
     const now = shared.clock.now();
     const current = this.#current(now);
     this.#reviewTrials(current, now);
-    const batch = new JobBatch(this.tenure.condition);
+    const batch = new JobBatch(this.tenure.condition, shared.transactionRoom());
     this.#close(batch);
     this.#recent = this.#recent.filter((r) => current.some((s) => s.part === r.part && s.revision < r.revision));
     const { assignments, unmet } = assignTasks({
@@ -170,7 +215,7 @@
     this.#clearMarks(batch);
     if (batch.changes.length === 0) {
       if (store.leftovers.size === 0) return false;
-      for (const key of [...store.leftovers].slice(0, settings.txnOps)) batch.changes.push({ remove: key });
+      for (const key of store.leftovers) if (!batch.remove(key)) break;
     }
     const revision = await shared.settle(URGENCY.assign, batch.conditions, batch.changes, () => this.#isLeading());
     if (revision === 0) return false;
@@ -200,7 +245,7 @@
     for (const job of store.jobs.live.values()) {
       if (batch.changes.length >= settings.txnOps) return;
       if (!job.failing || job.cancelled || batch.jobs.has(job.id) || isTried(job, this.#trials)) continue;
-      batch.put(job, recordWith(job, false, []));
+      if (!batch.put(job, recordWith(job, false, []))) return;
     }
   }
 
@@ -214,14 +259,9 @@
 
   /** Ends the jobs of which all tasks are finished, or, of those that are cancelled, gone. */
   #close(batch: JobBatch): void {
-    const { store, settings } = this.shared;
-    for (const job of store.jobs.live.values()) {
-      if (batch.changes.length >= settings.txnOps) return;
-      if (job.cancelled) {
-        if (assignedUnfinished(job) === 0) batch.put(job, jobRecord.write({ final: 'cancelled' }));
-      } else if (job.spec.kind === 'array' && job.complete) {
-        batch.put(job, jobRecord.write({ final: 'done' }));
-      }
+    for (const job of this.shared.store.jobs.live.values()) {
+      const final = finalOf(job);
+      if (final !== null && !batch.put(job, jobRecord.write({ final }))) return;
     }
   }
 
@@ -231,8 +271,7 @@
     assignments: readonly Assignment[],
     current: readonly PartSummary[],
   ): Omit<Meant, 'revision'>[] {
-    const { store, log } = this.shared;
-    const parts = new Set<number>();
+    const { log } = this.shared;
     const meant: Omit<Meant, 'revision'>[] = [];
     for (const assignment of assignments) {
       const { job } = assignment;
@@ -242,20 +281,24 @@
         log.error({ job: job.id, rounds: job.rounds.length }, 'record too large, not assigned');
         continue;
       }
-      batch.put(job, recordWith(job, isTried(job, this.#trials), added));
-      for (const { part } of added) parts.add(part);
+      if (!this.#requireOwners(batch, added)) return meant;
+      if (!batch.put(job, recordWith(job, isTried(job, this.#trials), added))) return meant;
       for (const { machine, need } of assignment.meant) {
         const { part } = current.find((s) => s.machines.some((m) => m.name === machine))!;
         meant.push({ part, machine, need });
       }
     }
-    for (const part of parts) {
-      const owner = store.owners.get(String(part));
-      if (owner !== undefined) batch.conditions.push({ key: KEYS.owner(String(part)), version: owner.version });
-    }
     return meant;
   }
 
+  /** Makes the batch rest on the owners of the partitions that the rounds name; false: it has no room for that. */
+  #requireOwners(batch: JobBatch, rounds: readonly Round[]): boolean {
+    return rounds.every(({ part }) => {
+      const owner = this.shared.store.owners.get(String(part));
+      return owner === undefined || batch.requireOwner({ key: KEYS.owner(String(part)), version: owner.version });
+    });
+  }
+
   /** As many of the new rounds as the job's record has room for; the other tasks are assigned when it has shrunk. */
   #fittingRounds(assignment: Assignment): Round[] {
     const added = [...assignment.added];
@@ -276,7 +319,7 @@
         if (now - this.#typesAt > facts.listLagMs * 10 || shared.store.types.size === 0) await this.#types();
         if (now - listAt > Math.max(facts.listLagMs / 2, pace)) {
           listAt = now;
-          const { failed } = this.fleet.listed(await this.cloud.list(), clock.now());
+          const { failed } = this.fleet.listed(this.#knownKinds(await this.cloud.list()), clock.now());
           for (const name of failed) this.#gone.set(name, clock.now());
           this.#listed = true;
         }
@@ -289,6 +332,19 @@
     }
   }
 
+  /** The machines of a list that this deployment can have; of others the field that is odd is logged, once for each machine. */
+  #knownKinds(listed: readonly CloudMachine[]): CloudMachine[] {
+    const { store, facts, log } = this.shared;
+    return listed.filter((machine) => {
+      const field = oddField(machine, store.types, facts.zones);
+      if (field === null || this.fleet.known.has(machine.name)) return true;
+      if (!this.#oddMachines.has(machine.name))
+        log.error({ field, machine: machine.name }, "odd machine in the cloud's list");
+      this.#oddMachines.add(machine.name);
+      return false;
+    });
+  }
+
   async #types(): Promise<void> {
     const { shared } = this;
     const types = await this.cloud.types();
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -47,8 +47,11 @@
 /** How long at the most they then wait, in report intervals. */
 const SHORT_FINISH_INTERVALS = 2;
 
-/** How many machines are shown a new owner's term at each tick: all at once would hold up everything else. */
-const CALLS_PER_TICK = 8;
+/** How many machines are shown a new owner's term at each tick at the least: all at once would hold up everything else. */
+const LEAST_CALLS_PER_TICK = 8;
+
+/** All machines that are not heard have been called once within this share of a worker's lease, however many they are. */
+const CALL_ROUND_LEASES = 0.5;
 
 /** What a summary says of a machine that has no lease with its owner: longer than any time that is compared with it. */
 const NEVER_HEARD_MS = 1e9;
@@ -63,8 +66,9 @@
   #packedAt = -Infinity;
   #packedChange = -1;
   readonly #membershipRemovals = new Set<string>();
-  /** Machines of the membership that are to be shown our term, and when the last round of that began. */
+  /** Machines of the membership that are to be shown our term, how many at each tick, and when the last round of that began. */
   #toCall: string[] = [];
+  #callsPerTick = LEAST_CALLS_PER_TICK;
   #calledAt = -Infinity;
   /** By machine: what an earlier owner told of it. Good for the first call only. */
   #before: ReadonlyMap<string, MachineRoom>;
@@ -87,6 +91,7 @@
       jobs: store.jobs,
       types: () => store.types,
       membership: store.membership(part),
+      attemptsPerTerm: shared.limits.attemptsPerTerm,
       images: new Map([...before].map(([name, m]) => [name, m.images])),
       log: (message, detail) => log.debug({ part, ...detail }, message),
       alarm: (message, detail) => log.error({ part, term: tenure.term, ...detail }, message),
@@ -94,6 +99,25 @@
     for (const id of store.jobs.live.keys()) this.claimTable.syncJob(id, clock.now());
   }
 
+  /**
+   * Shows our term to the machines that are not heard, in rounds. A round is finished before the next begins: begun anew after each
+   * report interval, it once left out all but the first hundred or so while those did not answer.
+   */
+  #callUnheard(now: number): void {
+    const { facts, tickMs } = this.shared;
+    if (this.#toCall.length === 0 && now - this.#calledAt > facts.reportMs) {
+      if (this.#calledAt !== -Infinity) this.#before = new Map();
+      this.#calledAt = now;
+      this.#toCall = [...this.claimTable.unheard.keys()];
+      const ticks = Math.max(1, Math.floor((facts.leaseMs * CALL_ROUND_LEASES) / tickMs));
+      this.#callsPerTick = Math.max(LEAST_CALLS_PER_TICK, Math.ceil(this.#toCall.length / ticks));
+    }
+    for (const name of this.#toCall.splice(0, this.#callsPerTick)) {
+      const addr = this.claimTable.unheard.get(name);
+      if (addr !== undefined) void this.#call(name, addr, this.#before.get(name)?.session);
+    }
+  }
+
   /** Stops of a cancelled job go out at once: its room is wanted, and nobody has any use for what it does now. */
   jobChanged(id: string): void {
     this.#pushAll(this.claimTable.syncJob(id, this.shared.clock.now()));
@@ -101,16 +125,7 @@
 
   tick(now: number): void {
     for (const name of this.claimTable.tick(now)) this.#membershipRemovals.add(name);
-    if (now - this.#calledAt > this.shared.facts.reportMs) {
-      const first = this.#calledAt === -Infinity;
-      this.#calledAt = now;
-      this.#toCall = [...this.claimTable.unheard.keys()];
-      if (!first) this.#before = new Map();
-    }
-    for (const name of this.#toCall.splice(0, CALLS_PER_TICK)) {
-      const addr = this.claimTable.unheard.get(name);
-      if (addr !== undefined) void this.#call(name, addr, this.#before.get(name)?.session);
-    }
+    this.#callUnheard(now);
     if (now - this.#scannedAt > this.shared.scanMs) {
       this.#scannedAt = now;
       this.claimTable.scan();
@@ -348,7 +363,7 @@
     if (!this.isOwner() || !shared.fresh()) return false;
     const { writes, urgency } = this.#writes(shared.clock.now());
     if (writes.length === 0) return false;
-    const batch = writes.slice(0, shared.settings.txnOps);
+    const batch = this.#fittingWrites(writes);
     for (const w of batch) w.prepare?.();
     const conditions = [this.tenure.condition, ...batch.flatMap((w) => w.conditions)];
     const changes = batch.map((w) => w.change);
@@ -363,6 +378,18 @@
     return done > 0 && this.tenure.isCurrent;
   }
 
+  /** As many of the writes, from the first on, as one transaction may hold. */
+  #fittingWrites(writes: readonly Write[]): Write[] {
+    const room = this.shared.transactionRoom();
+    room.add([this.tenure.condition], []);
+    const fitting: Write[] = [];
+    for (const write of writes) {
+      if (!room.add(write.conditions, [write.change])) break;
+      fitting.push(write);
+    }
+    return fitting;
+  }
+
   // --- what others are told ----------------------------------------------------------------------------------------
 
   summary(now: number): PartSummary {
--- a/packages/daemon/src/ownership-manager.ts
+++ b/packages/daemon/src/ownership-manager.ts
@@ -267,6 +267,20 @@
     }
   }
 
+  /** Gives up partitions whose terms run out of attempts: whoever takes them, mostly this controller, does so under a new term. */
+  renewTerms(owners: Iterable<PartOwner>): void {
+    if (!this.shared.fresh()) return;
+    for (const { part, tenure, claimTable } of owners) {
+      if (tenure.state !== 'held' || !claimTable.needsNewTerm) continue;
+      const ownership = this.#ownerships.get(tenure.resource)!;
+      const attempt = ownership.release(this.shared.store.view(tenure.resource));
+      if (attempt === null) continue;
+      this.shared.log.info({ part, term: tenure.term }, 'term used up');
+      this.#ended(tenure);
+      void this.#release(ownership, attempt);
+    }
+  }
+
   /**
    * Gives a partition that was taken over back to its home, once that is well again: after rolling restarts one controller
    * owned most of the fleet, and its end cost the most. One at a time, and not while anything is wrong: workers of the
--- a/packages/daemon/src/peer-channel.ts
+++ b/packages/daemon/src/peer-channel.ts
@@ -23,6 +23,11 @@
     return this.link.send(node, message);
   }
 
+  /** All of the messages or none; see `PeerLink.sendGroup`. */
+  sendGroup(node: string, messages: readonly PeerMessage[]): boolean {
+    return this.link.sendGroup(node, messages);
+  }
+
   broadcast(message: PeerMessage): void {
     for (const node of this.nodes) this.link.send(node, message);
   }
--- a/packages/daemon/src/server.ts
+++ b/packages/daemon/src/server.ts
@@ -4,11 +4,22 @@
 import type { Log } from './log';
 import type { Reply } from './reply';
 
+/** Share of the sockets for users and workers: some stay free for the state service, the cloud and the peers. */
+const SOCKETS_SHARE = 0.85;
+
+/** Above this share of the connections that it takes, the server keeps none of workers open between two reports. */
+const CROWDED_SHARE = 0.75;
+
 /** The users' and workers' interface. It knows HTTP and nothing else. */
 export function openServer(controller: Controller, log: Log, sockets: number): FastifyInstance {
   const app = fastify({ logger: false, bodyLimit: MAX_BODY_BYTES, exposeHeadRoutes: false, trustProxy: false });
-  // Some sockets stay free for the state service, the cloud and the peers, whatever comes from users.
-  app.server.maxConnections = Math.floor(sockets * 0.85);
+  const mostConnections = Math.floor(sockets * SOCKETS_SHARE);
+  app.server.maxConnections = mostConnections;
+  let connections = 0;
+  app.server.on('connection', (socket) => {
+    connections++;
+    socket.once('close', () => connections--);
+  });
 
   const send = (reply: FastifyReply, answer: Reply): FastifyReply => {
     void reply.code(answer.status);
@@ -31,7 +42,12 @@
   const id = (params: unknown): string => (params as { id: string }).id;
 
   app.get('/up', (_request, reply) => send(reply, controller.up()));
-  app.post('/checkin', async (request, reply) => send(reply, await controller.checkin(body(request.body))));
+  app.post('/checkin', async (request, reply) => {
+    const answer = await controller.checkin(body(request.body));
+    // With more workers than sockets each keeps its connection for one report only: else those that come last never get one.
+    if (connections > mostConnections * CROWDED_SHARE) void reply.header('connection', 'close');
+    return send(reply, answer);
+  });
   app.post('/submissions', async (request, reply) => send(reply, await controller.submit(body(request.body))));
   app.get('/submissions/:id', async (request, reply) => send(reply, await controller.poll(id(request.params))));
   app.post('/submissions/:id/cancel', async (request, reply) =>
--- a/packages/daemon/src/shared.ts
+++ b/packages/daemon/src/shared.ts
@@ -1,20 +1,35 @@
-import type { Facts, SpareCapacity } from '@gingerlock/core';
+import { ATTEMPTS_PER_TERM, type Facts, type SpareCapacity } from '@gingerlock/core';
 import { type Clock, type Http, type Replica, sleep, type StateService, type Urgency } from '@gingerlock/clients';
 import type { Change, Condition } from '@gingerlock/wire';
 import type { Log } from './log';
 import type { Settings } from './settings';
 import type { Store } from './store';
+import { TransactionRoom } from './transaction-room';
 
 /** DESIGN's recovery scan: every 5 seconds. */
 const SCAN_MS = 5000;
 
+/** How often a controller looks at everything, in parts of a report interval. */
+const TICKS_PER_REPORT = 15;
+
 /** What users are shown of a job that is not over may lag by this much, says the protocol. */
 export const DISPLAY_LAG_MS = 3000;
 
+/** Bounds that stand for other reasons than the settings; tests make them small. */
+export interface ControllerLimits {
+  /** How many tasks an owner may start under one term. */
+  readonly attemptsPerTerm: number;
+}
+
+const LIMITS: ControllerLimits = { attemptsPerTerm: ATTEMPTS_PER_TERM };
+
 /** What the parts of one controller have in common. */
 export class Shared {
   readonly facts: Facts;
+  readonly limits: ControllerLimits;
   readonly scanMs = SCAN_MS;
+  /** Time between two ticks of a controller. */
+  readonly tickMs: number;
   /** Until when our state lease surely lasts, by our own clock. */
   leaseUntil = -Infinity;
   /** Since when we have it. What is read later shows whether our holds ended with the one before. */
@@ -34,8 +49,11 @@
     readonly replica: Replica,
     readonly store: Store,
     readonly http: Http,
+    limits: Partial<ControllerLimits> = {},
   ) {
+    this.limits = { ...LIMITS, ...limits };
     this.facts = settings.facts;
+    this.tickMs = settings.facts.reportMs / TICKS_PER_REPORT;
   }
 
   leaseValid(): boolean {
@@ -47,6 +65,11 @@
     return Buffer.byteLength(JSON.stringify(value)) <= this.settings.valueBytes;
   }
 
+  /** Counts what a transaction holds against what the state service takes at once. */
+  transactionRoom(): TransactionRoom {
+    return new TransactionRoom(this.settings.txnOps);
+  }
+
   /** The replica is complete and was read lately. */
   fresh(): boolean {
     const { loaded, contactAt } = this.replica;
--- a/packages/daemon/test/questions.test.ts
+++ b/packages/daemon/test/questions.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { NoAnswer, URGENCY } from '@gingerlock/clients';
-import type { PeerLink, PeerMessage } from '@gingerlock/peer';
+import { MAX_FRAME_BYTES, type PeerLink, type PeerMessage } from '@gingerlock/peer';
 import { Sim } from '@gingerlock/testkit';
 import { Controller } from '../src/controller';
 import { SILENT } from '../src/log';
@@ -13,8 +13,10 @@
   const told: PeerMessage[] = [];
   const link: PeerLink = {
     nodes: ['n1'],
+    frameBytes: MAX_FRAME_BYTES,
     alive: () => true,
     send: (_node, message) => told.push(message) > 0,
+    sendGroup: (_node, messages) => told.push(...messages) > 0,
     onMessage: () => undefined,
   };
   const controller = new Controller({
--- a/packages/daemon/test/settle.test.ts
+++ b/packages/daemon/test/settle.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import { type Http, NoAnswer } from '@gingerlock/clients';
 import { KEYS, membershipRecord, STATE_PATHS } from '@gingerlock/wire';
+import { MAX_FRAME_BYTES } from '@gingerlock/peer';
 import { Sim, SimStateService } from '@gingerlock/testkit';
 import { Controller } from '../src/controller';
 import { SILENT } from '../src/log';
@@ -31,7 +32,14 @@
         resolve(answer);
       });
     });
-  const link = { nodes: ['n1'], alive: () => true, send: () => true, onMessage: () => undefined };
+  const link = {
+    nodes: ['n1'],
+    frameBytes: MAX_FRAME_BYTES,
+    alive: () => true,
+    send: () => true,
+    sendGroup: () => true,
+    onMessage: () => undefined,
+  };
   const settings = settingsOf(platform, {});
   const clock = sim.clock(0, 0, () => true);
   const controller = new Controller({ settings, clock, http, link, log: SILENT });
--- a/packages/peer/src/link.ts
+++ b/packages/peer/src/link.ts
@@ -12,8 +12,12 @@
   readonly nodes: readonly string[];
   /** Whether anything has come from that controller lately. */
   alive(node: string): boolean;
+  /** The largest message that is taken, in bytes. */
+  readonly frameBytes: number;
   /** Sends if the controller can be reached now; false: it was dropped. */
   send(node: string, message: PeerMessage): boolean;
+  /** Sends messages that are of use together only: all of them or, if the controller is slow to take what it was sent, none. */
+  sendGroup(node: string, messages: readonly PeerMessage[]): boolean;
   onMessage: (from: string, message: PeerMessage) => void;
 }
 
@@ -27,9 +31,8 @@
 }
 
 /**
- * Bytes that may wait in a socket before messages are dropped: they are all repeated or may be lost. One controller that
- * owns every part of 900 machines tells of them in one go, 360 KB in all; 256 were once the bound
- * here, and what came after the summaries, such as the leader's orders, could have been dropped each time.
+ * Bytes that may wait in a socket before messages are dropped: they are all repeated or may be lost. A group of messages may wait
+ * beside them, whatever its size, so that what a fleet of any size takes is told whole, and what comes after it is not dropped.
  */
 export const MAX_QUEUED_BYTES = MAX_FRAME_BYTES;
 
@@ -42,16 +45,20 @@
 interface Connection {
   readonly socket: Socket;
   heardAt: number;
+  /** Size of the last group that was sent: so much more may wait in the socket. */
+  groupBytes: number;
 }
 
 /** One TCP connection per pair of controllers; the one with the lower name dials. */
 export class TcpLink implements PeerLink {
   readonly nodes: readonly string[];
+  readonly frameBytes = MAX_FRAME_BYTES;
   onMessage: (from: string, message: PeerMessage) => void = () => undefined;
   readonly #connections = new Map<string, Connection>();
   #server: Server | null = null;
   #stopped = false;
-  #last: { readonly message: PeerMessage; readonly bytes: Buffer } | null = null;
+  /** Frames of messages that mostly go to several peers, one after the other. */
+  readonly #framed = new WeakMap<PeerMessage, Buffer>();
 
   constructor(readonly options: LinkOptions) {
     this.nodes = options.peers.map((p) => p.node);
@@ -81,14 +88,30 @@
   }
 
   send(node: string, message: PeerMessage): boolean {
+    const c = this.#connections.get(node);
+    if (c === undefined || c.socket.destroyed || c.socket.writableLength > MAX_QUEUED_BYTES + c.groupBytes)
+      return false;
+    c.socket.write(this.#frameOf(message));
+    return true;
+  }
+
+  sendGroup(node: string, messages: readonly PeerMessage[]): boolean {
     const c = this.#connections.get(node);
     if (c === undefined || c.socket.destroyed || c.socket.writableLength > MAX_QUEUED_BYTES) return false;
-    // The same message mostly goes to several peers, one after the other.
-    if (this.#last?.message !== message) this.#last = { message, bytes: frame(encodePeer(message)) };
-    c.socket.write(this.#last.bytes);
+    const framed = messages.map((message) => this.#frameOf(message));
+    c.groupBytes = framed.reduce((sum, bytes) => sum + bytes.length, 0);
+    for (const bytes of framed) c.socket.write(bytes);
     return true;
   }
 
+  #frameOf(message: PeerMessage): Buffer {
+    const known = this.#framed.get(message);
+    if (known !== undefined) return known;
+    const bytes = frame(encodePeer(message));
+    this.#framed.set(message, bytes);
+    return bytes;
+  }
+
   async #dial(peer: PeerAddress): Promise<void> {
     const [host, port] = split(peer.address);
     for (
@@ -148,7 +171,7 @@
           }
           node = message.node;
           this.#connections.get(node)?.socket.destroy();
-          connection = { socket, heardAt: performance.now() };
+          connection = { socket, heardAt: performance.now(), groupBytes: 0 };
           this.#connections.set(node, connection);
           this.onMessage(node, message);
           continue;
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -13,13 +13,13 @@
 
 const amounts = record('Amounts', { cpus: 'double', gpus: 'double', memoryGb: 'double' });
 
+/** What both a summary and a piece of one say; the named records are defined where they stand first. */
+const SUMMARY_HEAD = { owner: 'string', part: 'int', term: 'long', revision: 'long' };
+
 const schema = [
   record('Hello', { version: 'int', node: 'string' }),
   record('Summary', {
-    owner: 'string',
-    part: 'int',
-    term: 'long',
-    revision: 'long',
+    ...SUMMARY_HEAD,
     machines: {
       type: 'array',
       items: record('MachineRoom', {
@@ -66,6 +66,19 @@
   /** So many changes wait at the sender for room in the state service's limit; a peer with room to spare lends some. */
   record('BudgetRequest', { id: 'string', writes: 'int' }),
   record('BudgetGrant', { id: 'string', writes: 'int' }),
+  /**
+   * One of the `pieces` messages that a summary takes which is too large for a frame. All of one summary have the same `sequence`. Older
+   * versions end the connection over it, as they did over the frame that was too large.
+   */
+  record('SummaryPiece', {
+    ...SUMMARY_HEAD,
+    sequence: 'long',
+    index: 'int',
+    pieces: 'int',
+    machines: { type: 'array', items: 'MachineRoom' },
+    missing: 'Amounts',
+    running: { type: 'array', items: 'Running' },
+  }),
 ];
 
 export interface PeerAmounts {
@@ -74,33 +87,38 @@
   memoryGb: number;
 }
 
+export interface PeerMachineRoom {
+  name: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  session: number;
+  free: PeerAmounts;
+  byRank: PeerAmounts[];
+  images: string[];
+  takesWork: boolean;
+  draining: boolean;
+  evictionNotice: boolean;
+  unhealthy: boolean;
+  empty: boolean;
+  emptyMs: number;
+  silentMs: number;
+}
+
+/** How a partition stands, or a part of that. */
+export interface PeerSummary {
+  owner: string;
+  part: number;
+  term: number;
+  revision: number;
+  machines: PeerMachineRoom[];
+  missing: PeerAmounts;
+  running: { job: string; tasks: number }[];
+}
+
 export interface PeerMessages {
   Hello: { version: number; node: string };
-  Summary: {
-    owner: string;
-    part: number;
-    term: number;
-    revision: number;
-    machines: {
-      name: string;
-      type: string;
-      zone: string;
-      spot: boolean;
-      session: number;
-      free: PeerAmounts;
-      byRank: PeerAmounts[];
-      images: string[];
-      takesWork: boolean;
-      draining: boolean;
-      evictionNotice: boolean;
-      unhealthy: boolean;
-      empty: boolean;
-      emptyMs: number;
-      silentMs: number;
-    }[];
-    missing: PeerAmounts;
-    running: { job: string; tasks: number }[];
-  };
+  Summary: PeerSummary;
   Hint: { revision: number };
   JobCancelled: { job: string };
   FleetOrders: { term: number; drain: string[]; gone: string[] };
@@ -113,6 +131,7 @@
   Alive: { contactAgeMs: number; revision: number };
   BudgetRequest: { id: string; writes: number };
   BudgetGrant: { id: string; writes: number };
+  SummaryPiece: PeerSummary & { sequence: number; index: number; pieces: number };
 }
 
 export type PeerMessage = { [K in keyof PeerMessages]: { kind: K } & PeerMessages[K] }[keyof PeerMessages];
--- a/packages/peer/test/link.test.ts
+++ b/packages/peer/test/link.test.ts
@@ -59,6 +59,19 @@
     missing: { cpus: 1, gpus: 0.5, memoryGb: 2 },
     running: [{ job: 'j-1', tasks: 3 }],
   },
+  {
+    kind: 'SummaryPiece',
+    owner: 'node-1',
+    part: 1,
+    term: 5,
+    revision: 6,
+    sequence: 7,
+    index: 1,
+    pieces: 2,
+    machines: [],
+    missing: amounts,
+    running: [{ job: 'j-2', tasks: 1 }],
+  },
 ];
 
 async function* pieces(bytes: Buffer, cuts: readonly number[]): AsyncGenerator<Buffer> {
@@ -164,3 +177,47 @@
     for (const socket of sockets) socket.destroy();
   }
 });
+
+test('a group is sent whole however large it is, and what follows it is not dropped', async () => {
+  const listening = createServer(() => undefined).listen(0, '127.0.0.1');
+  await once(listening, 'listening');
+  const { port } = listening.address() as AddressInfo;
+  listening.close();
+  await once(listening, 'close');
+  const open = (node: string, peer: string, own: number, other: number): TcpLink =>
+    new TcpLink({
+      node,
+      listen: `127.0.0.1:${own}`,
+      peers: [{ node: peer, address: `127.0.0.1:${other}` }],
+      silenceMs: 2000,
+      log: () => undefined,
+    });
+  const receiver = open('b', 'a', port, 1);
+  const sender = open('a', 'b', 0, port);
+  const got: PeerMessage[] = [];
+  await receiver.start();
+  await sender.start();
+  try {
+    while (!sender.alive('b') || !receiver.alive('a')) await new Promise((resolve) => setTimeout(resolve, 10));
+    receiver.onMessage = (_from, message) => got.push(message);
+    const body = Buffer.alloc(MAX_FRAME_BYTES / 2);
+    // Four times what may wait in a connection otherwise.
+    const group = Array.from({ length: 8 }, (_, i): PeerMessage => ({
+      kind: 'Relay',
+      id: `r-${i}`,
+      from: 'a',
+      to: 'b',
+      body,
+    }));
+    assert.equal(sender.sendGroup('b', group), true);
+    assert.equal(sender.send('b', { kind: 'Hint', revision: 9 }), true);
+    while (got.at(-1)?.kind !== 'Hint') await new Promise((resolve) => setTimeout(resolve, 10));
+    assert.deepEqual(
+      got.flatMap((message) => (message.kind === 'Relay' ? [message.id] : [])),
+      group.map((message) => (message.kind === 'Relay' ? message.id : '')),
+    );
+  } finally {
+    sender.stop();
+    receiver.stop();
+  }
+});
--- a/packages/testkit/src/cloud-records.ts
+++ b/packages/testkit/src/cloud-records.ts
@@ -8,6 +8,8 @@
 
 export class CloudRecords {
   readonly #machines = new Map<string, RentedMachine>();
+  /** When something changed that the history does not have yet. */
+  #changedAt: number | null = null;
   #history: { readonly at: number; readonly machines: readonly RentedMachine[] }[] = [];
 
   get(name: string): RentedMachine | undefined {
@@ -15,25 +17,36 @@
   }
 
   set(machine: RentedMachine, now: number): void {
+    this.#changeAt(now);
     this.#machines.set(machine.name, machine);
-    this.#changed(now);
   }
 
   delete(name: string, now: number): void {
+    this.#changeAt(now);
     this.#machines.delete(name);
-    this.#changed(now);
   }
 
   /** In the order of their names. */
   get machines(): readonly RentedMachine[] {
+    this.#keep();
     return this.#history.at(-1)?.machines ?? [];
   }
 
   machinesAt(at: number): readonly RentedMachine[] {
+    this.#keep();
     return this.#history.findLast((entry) => entry.at <= at)?.machines ?? [];
   }
 
-  #changed(now: number): void {
+  /** What changes at one moment is kept once: a fleet of thousands comes up together. */
+  #changeAt(now: number): void {
+    if (this.#changedAt !== now) this.#keep();
+    this.#changedAt = now;
+  }
+
+  #keep(): void {
+    const now = this.#changedAt;
+    if (now === null) return;
+    this.#changedAt = null;
     const machines = [...this.#machines.values()].sort((a, b) => (a.name < b.name ? -1 : 1));
     this.#history = this.#history.filter((_, i) => (this.#history[i + 1]?.at ?? now) > now - KEPT_MS);
     this.#history.push({ at: now, machines });
--- a/packages/testkit/src/cloud.ts
+++ b/packages/testkit/src/cloud.ts
@@ -80,6 +80,14 @@
     return name;
   }
 
+  /** Lists a machine of a type or in a zone that the deployment does not have. */
+  addOdd(name: string, odd: 'type' | 'zone'): void {
+    const { sim, type } = this.options;
+    const machine = { name, addr: `${name}:9000`, type: type.name, zone: type.zones[0]!, spot: false, ageS: 0 };
+    const strange = odd === 'type' ? { ...machine, type: 'no such type' } : { ...machine, zone: 'no such zone' };
+    this.#records.set({ ...strange, state: 'running', bornAt: sim.now }, sim.now);
+  }
+
   /** The machine has stopped by itself and is listed as failed, or was taken. */
   end(name: string, listedAs: 'failed' | 'gone'): void {
     const { now } = this.options.sim;
--- a/packages/testkit/src/rules.ts
+++ b/packages/testkit/src/rules.ts
@@ -10,6 +10,7 @@
  * condemned_healthy: a machine that was never at fault is taken for one that is.
  * retried_often:    a job that fails wherever it runs is started again and again.
  * forgotten_machine: once all troubles are over, a machine that never comes up stays rented.
+ * frame_too_large: a controller sends another one a message that its link does not take.
  * The statements on which ran_twice and wrong_place rest; see `OwnershipAudit`:
  * deposed_owner:    a worker is answered by a controller whose own copy of the records shows another owner.
  * free_but_running: a task that may be started, or assigned anew, runs.
@@ -34,6 +35,7 @@
   | 'deposed_owner'
   | 'free_but_running'
   | 'stale_entry'
+  | 'frame_too_large'
   | 'condemned_healthy'
   | 'retried_often'
   | 'forgotten_machine';
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -1,8 +1,16 @@
 // A whole deployment in simulated time: controllers as they run for real, stand-ins for all the rest, and the rules of
 // the protocol checked against what really runs where.
-import { Controller, type ControllerPorts, type Log, type Reply, settingsOf, SILENT } from '@gingerlock/daemon';
+import {
+  Controller,
+  type ControllerLimits,
+  type ControllerPorts,
+  type Log,
+  type Reply,
+  settingsOf,
+  SILENT,
+} from '@gingerlock/daemon';
 import { type Amounts, NOTHING } from '@gingerlock/core';
-import { decodePeer, encodePeer, type PeerLink, type PeerMessage } from '@gingerlock/peer';
+import { decodePeer, encodePeer, MAX_FRAME_BYTES, type PeerLink, type PeerMessage } from '@gingerlock/peer';
 import { decodeReport, type JobSpec, holdRecord, KEYS, LEAD, type MachineType, parseTaskName } from '@gingerlock/wire';
 import { SimCloud } from './cloud';
 import type { RentedMachine } from './cloud-records';
@@ -36,6 +44,10 @@
   readonly nextLimits?: StateLimits;
   /** What all jobs have in common. */
   readonly jobs?: Partial<JobSpec>;
+  /** The largest message between controllers; a small one makes a small fleet tell of itself in pieces. */
+  readonly frameBytes?: number;
+  /** Bounds of the controllers that only long or large days would reach. */
+  readonly limits?: Partial<ControllerLimits>;
   /** Falsifies what controllers tell each other; null: it is lost. */
   readonly falsify?: (message: PeerMessage) => PeerMessage | null;
 }
@@ -69,11 +81,14 @@
   onMessage: (from: string, message: PeerMessage) => void = () => undefined;
   readonly #heard = new Map<string, { link: SimLink; at: number }>();
 
+  readonly frameBytes: number;
+
   constructor(
     readonly world: World,
     readonly node: string,
   ) {
     this.nodes = world.nodes.map((n) => n.name).filter((n) => n !== node);
+    this.frameBytes = world.options.frameBytes ?? MAX_FRAME_BYTES;
   }
 
   alive(node: string): boolean {
@@ -88,6 +103,8 @@
     const message = falsify === undefined ? told : falsify(told);
     if (message === null) return true;
     const bytes = encodePeer(message);
+    if (bytes.length > this.frameBytes) this.world.breach('frame_too_large', `${message.kind}: ${bytes.length} bytes`);
+    if (message.kind === 'SummaryPiece') this.world.came('summary piece');
     const to = this.world.nodes.find((n) => n.name === node)!;
     const { link } = to;
     // A connection ends with its process: nothing goes over from one process to the next.
@@ -104,6 +121,10 @@
     );
     return true;
   }
+
+  sendGroup(node: string, messages: readonly PeerMessage[]): boolean {
+    return messages.every((message) => this.send(node, message));
+  }
 }
 
 export class World implements WorkerWorld {
@@ -252,6 +273,7 @@
       http: this.network.http(name, alive),
       link,
       log: this.options.log ?? SILENT,
+      ...(this.options.limits === undefined ? {} : { limits: this.options.limits }),
     };
     const controller = new Controller(ports);
     node.controller = controller;
--- /dev/null
+++ b/packages/testkit/test/large-fleet.test.ts
@@ -0,0 +1,91 @@
+// Bounds that only a large fleet or a long day would reach, made so small that a few machines cross them.
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { LEAD } from '@gingerlock/wire';
+import { type Fault, playDay, World, type WorldOptions } from '../src/index';
+
+interface TimedFault {
+  readonly at: number;
+  readonly fault: Fault;
+}
+
+const FRAME_BYTES = 900;
+
+async function play(seed: number, faults: readonly TimedFault[], options: Partial<WorldOptions>): Promise<World> {
+  const world = new World({ seed, controllers: 5, machines: 20, capacity: 12, load: 2, ...options });
+  await playDay(world, { seed, forMs: 150_000, faults });
+  assert.deepEqual(world.breaches, []);
+  assert.deepEqual(world.users.open(), []);
+  return world;
+}
+
+test('summaries are told in pieces while controllers start, take over and restart, also when copies of pieces come late', async () => {
+  const faults: TimedFault[] = [
+    { at: 0, fault: { kind: 'late peer copies', share: 0.3, withinMs: 3000, forMs: 60_000 } },
+    { at: 15_000, fault: { kind: 'crash', nodes: [-1], backMs: 6000 } },
+    { at: 30_000, fault: { kind: 'rolling restarts', everyMs: 5000, backMs: 2000 } },
+  ];
+  const world = await play(51, faults, { frameBytes: FRAME_BYTES });
+  assert.ok((world.happened.get('summary piece') ?? 0) > 100);
+});
+
+test('a leader goes on while every tenth piece of a summary is lost', async () => {
+  let pieces = 0;
+  const world = await play(52, [], {
+    frameBytes: FRAME_BYTES,
+    falsify: (message) => (message.kind === 'SummaryPiece' && ++pieces % 10 === 0 ? null : message),
+  });
+  assert.ok(pieces > 100);
+  assert.ok(world.users.finished() > 0);
+});
+
+test('a partition whose term runs out of attempts is taken anew under another one, and no number is given out twice', async () => {
+  const limits = { attemptsPerTerm: 16 };
+  const faults: TimedFault[] = [{ at: 20_000, fault: { kind: 'crash', nodes: [-1], backMs: 3000 } }];
+  const world = await play(53, faults, { limits, load: 4 });
+  const terms = world.nodes
+    .flatMap((node) => [...node.controller!.store.owners])
+    .filter(([resource]) => resource !== LEAD)
+    .map(([, { record }]) => record.term);
+  // Five partitions, the lead and what the crash cost: the terms beyond are those that were used up.
+  assert.ok(Math.max(...terms) > 15, `terms up to ${Math.max(...terms)}`);
+});
+
+test('all machines of the membership are called within a lease of a takeover, though many of them never answer', async () => {
+  const world = new World({ seed: 54, controllers: 1, machines: 300, capacity: 300, reportS: 1, leaseS: 6 });
+  const crashAt = 15_000;
+  await world.sim.run(3000);
+  // None is returned for being idle.
+  world.cloud.outage = true;
+  await world.sim.run(crashAt);
+  const called = new Set<string>();
+  const deaf = [...world.state.data.keys()].filter((key) => key.startsWith('g/r/0/')).map((key) => key.slice(6));
+  assert.ok(deaf.length > 200, `${deaf.length} members`);
+  world.crash('node-0');
+  for (const name of deaf) world.network.hosts.delete(`${name}:9000`);
+  world.network.wall((from) => deaf.includes(from), 'lose');
+  world.network.onSent = (_from, addr, path) => {
+    if (path === '/commands' || path === '/inspect') called.add(addr);
+  };
+  world.startNode('node-0');
+  await world.sim.run(crashAt + world.leaseMs * 1.5);
+  for (const name of deaf) assert.ok(called.has(`${name}:9000`), `${name} was not called`);
+  assert.deepEqual(world.breaches, []);
+});
+
+for (const odd of ['type', 'zone'] as const) {
+  test(`a machine of an unknown ${odd} in the list of the cloud is logged by field, once, and has no other effect`, async () => {
+    const lines: unknown[] = [];
+    const log = {
+      error: (detail: object, message: string) => lines.push({ ...detail, message }),
+      info: () => undefined,
+      debug: () => undefined,
+    };
+    const world = new World({ seed: 55, controllers: 1, machines: 3, log: log as never });
+    world.sim.after(5000, () => world.cloud.addOdd('m-900000', odd));
+    await world.sim.run(60_000);
+    const field = odd === 'type' ? 'breed' : 'yard';
+    assert.deepEqual(lines, [{ field, machine: 'm-900000', message: "odd machine in the cloud's list" }]);
+    assert.deepEqual(world.breaches, []);
+  });
+}
--- a/packages/testkit/test/mutants.test.ts
+++ b/packages/testkit/test/mutants.test.ts
@@ -4,6 +4,7 @@
 import { Replica } from '@gingerlock/clients';
 import { ClaimTable, DependencyGraph, FailureAttribution, Fleet, Job, JobTable, Ownership } from '@gingerlock/core';
 import { Controller, PartOwner } from '@gingerlock/daemon';
+import { MAX_FRAME_BYTES } from '@gingerlock/peer';
 import { encodeJobState, decodeSubmission } from '@gingerlock/wire';
 import { type Fault, playDay, type Rule, World } from '../src/index';
 
@@ -79,6 +80,20 @@
 const BROKEN_JOBS: Fault = { kind: 'broken jobs', count: 3, tasks: 40, everyMs: 3000, cancelAfterMs: 60_000 };
 
 const mutants: Record<Rule, Mutant> = {
+  frame_too_large: {
+    broken: 'a machine is told of with an image whose name is longer than a frame',
+    apply: () =>
+      patch(
+        PartOwner.prototype,
+        'summary',
+        (original) =>
+          function (this: PartOwner, now) {
+            const summary = original.call(this, now);
+            const images = ['i'.repeat(MAX_FRAME_BYTES)];
+            return { ...summary, machines: summary.machines.slice(0, 1).map((machine) => ({ ...machine, images })) };
+          },
+      ),
+  },
   ran_twice: {
     broken: 'claims end after a little more than one report interval of silence',
     apply: () =>
