--- /dev/null
+++ b/packages/borrowing/src/accounts.ts
@@ -0,0 +1,106 @@
+// What each team uses, lends and borrows, in cores and accelerators.
+import {
+  type Amounts,
+  type Facts,
+  hasNoGuarantee,
+  type Job,
+  NOTHING,
+  plus,
+  type Team,
+  teamUse,
+} from '@gingerlock/core';
+
+/** Sums of decimal amounts are compared with this much slack. */
+const EPSILON = 1e-6;
+
+/** How one team stands. */
+export interface TeamAccount {
+  readonly team: Team;
+  /** What surely runs and will not be stopped by a reclaim that is decided. */
+  readonly low: Amounts;
+  /** What may run: all tasks that are assigned and not finished. */
+  readonly high: Amounts;
+  /** What its tasks that have no room would use besides, within its limit. */
+  readonly waiting: Amounts;
+}
+
+/** The kinds of amounts of which teams are guaranteed something. */
+export const KINDS = ['cpus', 'gpus'] as const;
+export type Kind = (typeof KINDS)[number];
+
+/** What the team uses beyond its guarantee, or 0. Counted from below. */
+export function borrowed({ team, low }: TeamAccount, kind: Kind): number {
+  return team[kind] > 0 ? Math.max(0, low[kind] - team[kind]) : hasNoGuarantee(team) ? low[kind] : 0;
+}
+
+/** What of its guarantee the team leaves to others. Counted from above. */
+export function lent({ team, high }: TeamAccount, kind: Kind): number {
+  return Math.max(0, team[kind] - high[kind]);
+}
+
+/** What of its guarantee the team can claim: no more than it has work for. */
+export function floorOf({ team, high, waiting }: TeamAccount, kind: Kind): number {
+  return Math.min(team[kind], high[kind] + waiting[kind]);
+}
+
+/** Whether the team's use stays within its guarantee with the task. A kind of which nothing is guaranteed does not count. */
+export function isWithinGuarantee({ team, high }: TeamAccount, need: Amounts): boolean {
+  const counted = KINDS.filter((kind) => team[kind] > 0);
+  return (
+    counted.some((kind) => need[kind] > 0) && counted.every((kind) => high[kind] + need[kind] <= team[kind] + EPSILON)
+  );
+}
+
+/** Whether the team has as much as it can claim of its guarantee without what is stopped. */
+export function canSpare(account: TeamAccount, stopped: Amounts): boolean {
+  return KINDS.every(
+    (kind) => stopped[kind] <= 0 || account.low[kind] - stopped[kind] >= floorOf(account, kind) - EPSILON,
+  );
+}
+
+/** The accounts of all teams, kept up while reclaims are planned. */
+export class Accounts {
+  readonly #accounts = new Map<string, TeamAccount>();
+
+  constructor(
+    facts: Facts,
+    jobs: Iterable<Job>,
+    surelyRunning: ReadonlyMap<string, Amounts>,
+    waiting: ReadonlyMap<string, Amounts>,
+  ) {
+    const high = teamUse(jobs);
+    for (const team of facts.teams.values()) {
+      const { name } = team;
+      const of = (use: ReadonlyMap<string, Amounts>): Amounts => use.get(name) ?? NOTHING;
+      this.#accounts.set(name, { team, low: of(surelyRunning), high: of(high), waiting: of(waiting) });
+    }
+  }
+
+  /** Undefined: no such team in the settings. */
+  of(team: string): TeamAccount | undefined {
+    return this.#accounts.get(team);
+  }
+
+  all(): readonly TeamAccount[] {
+    return [...this.#accounts.values()];
+  }
+
+  /** A reclaim that stops so much of the team is decided. */
+  stop(team: string, amounts: Amounts): void {
+    this.#change(team, (account) => ({ ...account, low: plus(account.low, amounts, -1) }));
+  }
+
+  /** So much that waited is assigned to the room of a reclaim. */
+  assign(team: string, amounts: Amounts): void {
+    this.#change(team, (account) => ({
+      ...account,
+      high: plus(account.high, amounts),
+      waiting: plus(account.waiting, amounts, -1),
+    }));
+  }
+
+  #change(team: string, change: (account: TeamAccount) => TeamAccount): void {
+    const account = this.#accounts.get(team);
+    if (account !== undefined) this.#accounts.set(team, change(account));
+  }
+}
--- /dev/null
+++ b/packages/borrowing/src/planner.ts
@@ -0,0 +1,320 @@
+// The leader's decisions: for which waiting tasks others are stopped, which ones and where.
+import {
+  type Amounts,
+  type Facts,
+  type Job,
+  limitAllows,
+  type MachineRoom,
+  NOTHING,
+  type PartSummary,
+  type Place,
+  plus,
+  SUSPECT_INTERVALS,
+  typeAllows,
+  type Unmet,
+  ZoneChoice,
+} from '@gingerlock/core';
+import { parseTaskName, type ReclaimRecord } from '@gingerlock/wire';
+import { Accounts, type TeamAccount } from './accounts';
+import type { MachineClaims, PartClaims, TaskAttempt } from './claims';
+import type { BorrowingSettings } from './settings';
+import {
+  addLoss,
+  type Candidate,
+  chooseVictims,
+  compareLoss,
+  isStoppable,
+  type Loss,
+  type ReclaimReason,
+  reasonToStop,
+  type VictimChoice,
+} from './victims';
+
+/** Room on one machine is got for some tasks of one job. */
+export interface Decision {
+  readonly job: Job;
+  readonly tasks: readonly number[];
+  /** Where each task goes, in the same order. */
+  readonly places: readonly Place[];
+  readonly machine: string;
+  readonly victims: readonly TaskAttempt[];
+  readonly reason: ReclaimReason;
+  readonly loss: Loss;
+}
+
+/** Why tasks of a team that wait for room get none from others. */
+export type Refusal =
+  | 'no task may be stopped for it'
+  | 'others would fall below their guarantees'
+  | 'renting is sooner'
+  | 'enough reclaims under way'
+  | 'what machines hold is not known';
+
+export interface Refused {
+  readonly job: Job;
+  readonly tasks: number;
+  readonly why: Refusal;
+  readonly account: TeamAccount;
+}
+
+export interface PlannerInput {
+  readonly facts: Facts;
+  readonly settings: BorrowingSettings;
+  readonly jobs: ReadonlyMap<string, Job>;
+  readonly unmet: readonly Unmet[];
+  readonly summaries: readonly PartSummary[];
+  /** By machine that takes work: what is left there after all assignments. */
+  readonly free: ReadonlyMap<string, Amounts>;
+  /** What machines hold, of the partitions of which that is known. */
+  readonly claims: readonly PartClaims[];
+  /** Reclaims that are under way. */
+  readonly pending: readonly ReclaimRecord[];
+  /** How many may be decided now. */
+  readonly most: number;
+  /** How long until a machine that is rented now could run a task of the job, in milliseconds. */
+  readonly rentMs: (job: Job) => number;
+  /** How long until a stopped task is known to be gone, what it takes to save left aside. */
+  readonly stopMs: number;
+}
+
+export interface Plan {
+  readonly decisions: readonly Decision[];
+  readonly refused: readonly Refused[];
+  readonly accounts: readonly TeamAccount[];
+}
+
+/** A machine on which tasks may be stopped. */
+interface Source {
+  readonly room: MachineRoom;
+  readonly part: number;
+  readonly term: number;
+  readonly candidates: readonly Candidate[];
+  readonly free: Amounts;
+}
+
+export function planReclaims(input: PlannerInput): Plan {
+  return new Planner(input).run();
+}
+
+class Planner {
+  readonly #input: PlannerInput;
+  readonly #accounts: Accounts;
+  readonly #sources: Map<string, Source>;
+  readonly #decisions: Decision[] = [];
+  readonly #refused: Refused[] = [];
+  readonly #machines: number;
+
+  constructor(input: PlannerInput) {
+    this.#input = input;
+    const view = new ClaimsView(input);
+    this.#accounts = new Accounts(input.facts, input.jobs.values(), view.surelyRunning, waitingOf(input.unmet));
+    this.#sources = view.sources;
+    this.#machines = input.summaries.reduce((sum, summary) => sum + summary.machines.length, 0);
+  }
+
+  run(): Plan {
+    for (const unmet of this.#input.unmet) this.#plan(unmet);
+    return { decisions: this.#decisions, refused: this.#refused, accounts: this.#accounts.all() };
+  }
+
+  /** How many reclaims may be under way at once. */
+  get #allowed(): number {
+    const atOnce = Math.max(1, Math.floor(this.#machines * this.#input.settings.maxShare));
+    return Math.min(this.#input.most, atOnce - this.#input.pending.length);
+  }
+
+  #plan({ job, count }: Unmet): void {
+    if (this.#accounts.of(job.spec.team) === undefined) return;
+    let left = count;
+    const tasks = waitingTasks(job, count);
+    const zones = new ZoneChoice(job, () => this.#richestZone(job));
+    while (left > 0) {
+      if (this.#decisions.length >= this.#allowed) return this.#refuse(job, left, 'enough reclaims under way');
+      const source = this.#cheapest(job, zones);
+      if (source === null) return this.#refuse(job, left, this.#whyNone(job));
+      const taken = this.#take(job, source, tasks.splice(0, left), zones);
+      tasks.unshift(...taken.unused);
+      if (taken.count === 0) return this.#refuse(job, left, 'renting is sooner');
+      left -= taken.count;
+    }
+  }
+
+  #refuse(job: Job, tasks: number, why: Refusal): void {
+    this.#refused.push({ job, tasks, why, account: this.#accounts.of(job.spec.team)! });
+  }
+
+  #choose(job: Job, source: Source): VictimChoice | null {
+    return chooseVictims(job, job.spec, source.free, source.candidates, this.#accounts);
+  }
+
+  /** The machine on which room for one task of the job costs least. */
+  #cheapest(job: Job, zones: ZoneChoice): Source | null {
+    let best: Source | null = null;
+    let bestLoss: Loss | null = null;
+    for (const source of this.#sources.values()) {
+      const { room } = source;
+      if (!zones.allows(room.zone) || !typeAllows(job.spec, room.type, room.zone, room.spot)) continue;
+      const choice = this.#choose(job, source);
+      if (choice === null || choice.victims.length === 0) continue;
+      const order = bestLoss === null ? -1 : compareLoss(choice.loss, bestLoss);
+      const isCachedHere = room.images.includes(job.spec.image) && best?.room.images.includes(job.spec.image) !== true;
+      if (order < 0 || (order === 0 && isCachedHere)) {
+        best = source;
+        bestLoss = choice.loss;
+      }
+    }
+    return best;
+  }
+
+  /** Decides on room for as many of the tasks as the machine can be made to hold. */
+  #take(job: Job, source: Source, tasks: readonly number[], zones: ZoneChoice): { count: number; unused: number[] } {
+    const { room, part, term } = source;
+    const places: Place[] = [];
+    const victims: Candidate[] = [];
+    let reason: ReclaimReason | null = null;
+    let loss: Loss | null = null;
+    let left = source;
+    while (places.length < tasks.length) {
+      const choice = this.#mayTake(job, room.zone, zones) ? this.#choose(job, left) : null;
+      if (choice === null || this.#isRentSooner(job, choice)) break;
+      places.push({ part, zone: zones.take(room.zone), term });
+      victims.push(...choice.victims);
+      reason = choice.reason === 'guarantee' ? 'guarantee' : (reason ?? choice.reason);
+      loss = loss === null ? choice.loss : addLoss(loss, choice.loss);
+      this.#settle(job, choice);
+      left = withoutVictims(left, choice, job);
+    }
+    const count = places.length;
+    if (count > 0) {
+      this.#sources.delete(room.name);
+      const taken = victims.map(({ held: { task, attempt } }) => ({ task, attempt }));
+      const machine = room.name;
+      this.#decisions.push({
+        job,
+        tasks: tasks.slice(0, count),
+        places,
+        machine,
+        victims: taken,
+        reason: reason ?? 'priority',
+        loss: loss!,
+      });
+    }
+    return { count, unused: tasks.slice(count) };
+  }
+
+  #mayTake(job: Job, zone: string, zones: ZoneChoice): boolean {
+    const { team, high } = this.#accounts.of(job.spec.team)!;
+    return zones.allows(zone) && limitAllows(team, high, job.spec) > 0;
+  }
+
+  #isRentSooner(job: Job, { victims, graceS }: VictimChoice): boolean {
+    return victims.length > 0 && this.#input.rentMs(job) <= this.#input.stopMs + graceS * 1000;
+  }
+
+  #settle(job: Job, { victims }: VictimChoice): void {
+    for (const { job: victim } of victims) this.#accounts.stop(victim.spec.team, victim.spec);
+    this.#accounts.assign(job.spec.team, job.spec);
+  }
+
+  #whyNone(job: Job): Refusal {
+    const { claims, summaries } = this.#input;
+    if (claims.length < summaries.length) return 'what machines hold is not known';
+    let hasCandidate = false;
+    for (const { candidates, room } of this.#sources.values()) {
+      if (!typeAllows(job.spec, room.type, room.zone, room.spot)) continue;
+      hasCandidate ||= candidates.some((c) => isStoppable(c) && reasonToStop(job, c.job, this.#accounts) !== null);
+    }
+    return hasCandidate ? 'others would fall below their guarantees' : 'no task may be stopped for it';
+  }
+
+  /** The zone in which most could be got for a job of one zone that has no task yet. */
+  #richestZone(job: Job): string | null {
+    const byZone = new Map<string, number>();
+    for (const source of this.#sources.values()) {
+      const { room } = source;
+      if (!typeAllows(job.spec, room.type, room.zone, room.spot) || this.#choose(job, source) === null) continue;
+      byZone.set(room.zone, (byZone.get(room.zone) ?? 0) + 1);
+    }
+    const richest = [...byZone].sort((a, b) => b[1] - a[1])[0];
+    return job.spec.zone ?? richest?.[0] ?? null;
+  }
+}
+
+/** What machines hold, as far as it matters: what surely runs, and where something may be stopped. */
+class ClaimsView {
+  readonly surelyRunning = new Map<string, Amounts>();
+  readonly sources = new Map<string, Source>();
+  readonly #victims: ReadonlySet<string>;
+  /** Machines with a reclaim under way: a second one could count on the same room. */
+  readonly #busy: ReadonlySet<string>;
+
+  constructor(readonly input: PlannerInput) {
+    this.#victims = new Set(input.pending.flatMap((reclaim) => reclaim.victims.map(keyOf)));
+    this.#busy = new Set(input.pending.map((reclaim) => reclaim.machine));
+    const byPart = new Map(input.claims.map((claims) => [claims.part, claims]));
+    for (const summary of input.summaries) {
+      const claims = byPart.get(summary.part);
+      if (claims?.term !== summary.term) continue;
+      const rooms = new Map(summary.machines.map((room) => [room.name, room]));
+      for (const machine of claims.machines) this.#add(machine, rooms.get(machine.machine), summary);
+    }
+  }
+
+  #add({ machine, held }: MachineClaims, room: MachineRoom | undefined, { part, term }: PartSummary): void {
+    if (room === undefined || !isWell(room, this.input.facts)) return;
+    const candidates = held.flatMap((task): Candidate[] => {
+      const name = parseTaskName(task.task);
+      const job = this.input.jobs.get(name?.job ?? '');
+      // The record of a finished task is newer than the list: counted as running, it made its team seem to have one to spare.
+      if (name === null || job === undefined || job.isFinished(name.index)) return [];
+      return this.#victims.has(keyOf(task)) ? [] : [{ held: task, job }];
+    });
+    for (const candidate of candidates) {
+      if (!isStoppable(candidate)) continue;
+      const { spec } = candidate.job;
+      this.surelyRunning.set(spec.team, plus(this.surelyRunning.get(spec.team) ?? NOTHING, spec));
+    }
+    const free = this.input.free.get(machine);
+    if (free === undefined || this.#busy.has(machine)) return;
+    this.sources.set(machine, { room, part, term, candidates, free });
+  }
+}
+
+/** A machine that goes on for all that is known: what others hold may not run. */
+function isWell(room: MachineRoom, facts: Facts): boolean {
+  const isHeard = room.silentMs <= facts.reportMs * SUSPECT_INTERVALS;
+  return isHeard && !room.draining && !room.evictionNotice && !room.unhealthy;
+}
+
+function keyOf({ task, attempt }: TaskAttempt): string {
+  return `${task} ${attempt}`;
+}
+
+function withoutVictims(source: Source, { victims }: VictimChoice, job: Job): Source {
+  const stopped = new Set(victims);
+  const freed = victims.reduce((sum, victim) => plus(sum, victim.job.spec), source.free);
+  return {
+    ...source,
+    candidates: source.candidates.filter((candidate) => !stopped.has(candidate)),
+    free: plus(freed, job.spec, -1),
+  };
+}
+
+function waitingTasks(job: Job, count: number): number[] {
+  const tasks: number[] = [];
+  for (const [from, length] of job.unassigned()) {
+    for (let task = from; task < from + length && tasks.length < count; task++) {
+      if (!job.isFinished(task)) tasks.push(task);
+    }
+  }
+  return tasks;
+}
+
+function waitingOf(unmet: readonly Unmet[]): Map<string, Amounts> {
+  const waiting = new Map<string, Amounts>();
+  for (const { job, count } of unmet) {
+    const { team } = job.spec;
+    waiting.set(team, plus(waiting.get(team) ?? NOTHING, job.spec, count));
+  }
+  return waiting;
+}
--- /dev/null
+++ b/packages/borrowing/test/execution.test.ts
@@ -0,0 +1,191 @@
+// The states of a reclaim at the owner of its machine, driven by what a claim table knows.
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ClaimTable, JobTable, type Slot } from '@gingerlock/core';
+import { jobRecord, type ReclaimRecord, type ReportedTask, type WorkerReport } from '@gingerlock/wire';
+import { PartReclaims, type Reclaim, reclaimBoundMs } from '../src/index';
+import { factsOf, jobOf, teamOf } from './fixtures';
+
+const FACTS = factsOf([teamOf('red', 4), teamOf('blue', 4)]);
+const BOX = {
+  name: 'box',
+  cpus: 100,
+  gpus: 4,
+  memoryGb: 100,
+  cacheGb: 100,
+  fetchGbPerS: 10,
+  price: 1,
+  spotPrice: 1,
+  bootS: 10,
+  zones: ['a', 'b'],
+};
+const TERM = 3;
+
+/** One machine full of a batch job's tasks, and a service of two replicas that is to get room there. */
+class Scene {
+  readonly jobs = new JobTable(() => 64);
+  readonly table: ClaimTable;
+  readonly moves: string[] = [];
+  readonly reclaims = new PartReclaims({ moved: (reclaim) => this.moves.push(moveOf(reclaim)) });
+  now = 1000;
+  #seq = 0;
+  #tasks: ReportedTask[] = [];
+
+  constructor(readonly saves = 0) {
+    const batch = jobOf('j-000001', { team: 'blue', checkpointS: saves > 0 ? 10 : 0, saveS: saves });
+    this.store('j-000001', batch.spec, 4);
+    this.table = new ClaimTable({
+      facts: FACTS,
+      part: 0,
+      term: TERM,
+      fencedUntil: 0,
+      openedAt: 0,
+      jobs: this.jobs,
+      types: () => new Map([[BOX.name, BOX]]),
+      membership: [],
+      reservations: this.reclaims,
+      preempts: false,
+    });
+    this.reclaims.table = this.table;
+    this.table.syncJob('j-000001', this.now);
+    this.report();
+    this.table.setMember('m', true);
+    this.report();
+    this.report();
+    this.store('j-000002', jobOf('j-000002', { kind: 'service', priority: 'high', tasks: 2 }).spec, 2);
+    this.table.syncJob('j-000002', this.now);
+  }
+
+  store(id: string, spec: Parameters<typeof jobOf>[1] & object, assigned: number): void {
+    const rounds = assigned === 0 ? [] : [{ from: 0, count: assigned, part: 0, zone: null, term: TERM }];
+    const full = jobOf(id, spec).spec;
+    const record = { final: null, spec: full, acceptedAt: 0, cancelled: false, failing: false, rounds } as const;
+    this.jobs.applyJob(id, jobRecord.write(record), ++this.now);
+  }
+
+  /** The machine reports all it has, and does as the answer says. */
+  report(): void {
+    this.now += 100;
+    const report: WorkerReport = {
+      machine: 'm',
+      addr: 'm:1',
+      type: 'box',
+      zone: 'a',
+      spot: false,
+      session: 1,
+      seq: ++this.#seq,
+      token: this.#seq === 1 ? 0 : this.table.token(this.table.machines.get('m')),
+      noticeS: null,
+      tasks: this.#tasks,
+    };
+    const outcome = this.table.report(report, this.now, true);
+    assert.equal(outcome.kind, 'answer');
+    for (const command of outcome.kind === 'answer' ? outcome.commands : []) {
+      const isIt = (t: ReportedTask): boolean => t.task === command.task && t.attempt === command.attempt;
+      if (command.op === 'start') {
+        const { task, attempt } = command;
+        this.#tasks = [...this.#tasks, { task, attempt, state: 'running', cause: null, saved: false }];
+      } else if (command.op === 'forget') this.#tasks = this.#tasks.filter((t) => !isIt(t));
+      else this.#tasks = this.#tasks.map((t) => (isIt(t) ? { ...t, state: 'exited', cause: 'stopped' } : t));
+    }
+  }
+
+  held(): Slot[] {
+    return [...this.table.machines.get('m')!.claims.values()];
+  }
+
+  recordOf(victims: number, over: Partial<ReclaimRecord> = {}): ReclaimRecord {
+    const taken = this.held().slice(0, victims);
+    return {
+      machine: 'm',
+      job: 'j-000002',
+      tasks: [0, 1],
+      victims: taken.map((slot) => ({ task: slot.name, attempt: slot.claim!.attempt })),
+      decidedAt: 0,
+      reason: 'priority',
+      ...over,
+    };
+  }
+
+  step(record: ReclaimRecord, wall = 0): readonly Slot[] {
+    this.reclaims.sync(new Map([['1-1', record]]));
+    return this.reclaims.step(this.table, wall, this.now);
+  }
+}
+
+function moveOf({ state, why }: Reclaim): string {
+  return why === null ? state : `${state}: ${why}`;
+}
+
+test('victims are stopped with the time that they need to save, and the freed room goes to no one else', () => {
+  const scene = new Scene(4);
+  const record = scene.recordOf(2);
+  const stopped = scene.step(record);
+  assert.deepEqual(
+    stopped.map((slot) => [slot.name, slot.claim!.stopGraceS]),
+    record.victims.map(({ task }) => [task, 5]),
+  );
+  // Work that is as urgent and came earlier waits for room, too.
+  scene.store('j-000000', jobOf('j-000000', { kind: 'service', priority: 'production' }).spec, 4);
+  scene.table.syncJob('j-000000', scene.now);
+  assert.deepEqual(scene.step(record), []);
+  scene.report();
+  scene.report();
+  scene.step(record);
+  scene.report();
+  scene.step(record);
+  const names = scene.held().map((slot) => slot.job.id);
+  assert.deepEqual(names.filter((id) => id !== 'j-000001').sort(), ['j-000002', 'j-000002']);
+  assert.deepEqual(scene.moves, ['stopping', 'granted']);
+});
+
+test('a new owner goes on with a reclaim from the record and the reports alone', () => {
+  const scene = new Scene();
+  const record = scene.recordOf(2);
+  scene.step(record);
+  scene.report();
+  const successor = new PartReclaims({ moved: (reclaim) => scene.moves.push(reclaim.state) });
+  successor.table = scene.table;
+  scene.table.reservations = successor;
+  successor.sync(new Map([['1-1', record]]));
+  successor.step(scene.table, 0, scene.now);
+  scene.report();
+  successor.step(scene.table, 0, scene.now);
+  scene.report();
+  successor.step(scene.table, 0, scene.now);
+  assert.equal(successor.all[0]!.state, 'granted');
+});
+
+test('nobody is stopped in vain: with too few victims, or another attempt of one, the reclaim is withdrawn', () => {
+  const few = new Scene();
+  assert.deepEqual(few.step(few.recordOf(1)), []);
+  const other = new Scene();
+  const record = other.recordOf(2);
+  const victims = record.victims.map((victim) => ({ ...victim, attempt: victim.attempt + 1 }));
+  assert.deepEqual(other.step({ ...record, victims }), []);
+  for (const scene of [few, other]) {
+    assert.deepEqual(scene.moves, ['withdrawn: its room was taken']);
+    assert.equal(scene.table.reservations.keptOn('m').gpus, 0);
+  }
+});
+
+test('a reclaim ends when its job is cancelled, its machine takes no more work, or its time is over', () => {
+  const cancelled = new Scene();
+  const record = cancelled.recordOf(2);
+  cancelled.step(record);
+  cancelled.jobs.markCancelled('j-000002');
+  cancelled.step(record);
+  assert.deepEqual(cancelled.moves, ['stopping', 'withdrawn: its tasks are gone']);
+
+  const drained = new Scene();
+  drained.table.machines.get('m')!.draining = true;
+  assert.deepEqual(drained.step(drained.recordOf(2)), []);
+  assert.deepEqual(drained.moves, ['withdrawn: its machine takes no work']);
+
+  const late = new Scene(4);
+  const bound = reclaimBoundMs(FACTS, 5);
+  late.step(late.recordOf(2), bound);
+  assert.deepEqual(late.moves, ['stopping']);
+  late.step(late.recordOf(2), bound + 1);
+  assert.deepEqual(late.moves, ['stopping', 'withdrawn: it took too long']);
+});
--- /dev/null
+++ b/packages/borrowing/test/fixtures.ts
@@ -0,0 +1,73 @@
+import { type Facts, Job, type MachineRoom, NOTHING, type Team } from '@gingerlock/core';
+import type { JobSpec } from '@gingerlock/wire';
+import { PRIORITIES } from '@gingerlock/wire';
+
+export function teamOf(name: string, gpus: number, gpusMax = 1000): Team {
+  return { name, cpus: 0, cpusMax: 0, gpus, gpusMax };
+}
+
+export function factsOf(teams: readonly Team[]): Facts {
+  return {
+    controllers: 3,
+    zones: ['a', 'b'],
+    teams: new Map(teams.map((team) => [team.name, team])),
+    reportMs: 1000,
+    leaseMs: 6000,
+    cancelMs: 20_000,
+    skewMs: 100,
+    listLagMs: 2000,
+  };
+}
+
+/** A job of which so many tasks are assigned to partition 0. */
+export function jobOf(id: string, over: Partial<JobSpec> = {}, assigned = 0): Job {
+  const job = new Job(id);
+  job.spec = {
+    id,
+    jobClass: 'any',
+    team: 'red',
+    kind: 'array',
+    priority: 'normal',
+    tasks: 4,
+    cpus: 1,
+    gpus: 1,
+    memoryGb: 1,
+    image: 'img',
+    imageGb: 1,
+    types: null,
+    zone: null,
+    oneZone: false,
+    spread: false,
+    spot: true,
+    estimateS: 60,
+    checkpointS: 0,
+    saveS: 0,
+    deadlineS: null,
+    awaits: [],
+    ...over,
+  };
+  job.rank = PRIORITIES.indexOf(job.spec.priority);
+  if (assigned > 0) job.rounds = [{ from: 0, count: assigned, part: 0, zone: null, term: 3 }];
+  return job;
+}
+
+export function roomOf(name: string, over: Partial<MachineRoom> = {}): MachineRoom {
+  return {
+    name,
+    type: 'box',
+    zone: 'a',
+    spot: false,
+    session: 1,
+    free: NOTHING,
+    byRank: [NOTHING, NOTHING, NOTHING, NOTHING],
+    images: [],
+    takesWork: true,
+    draining: false,
+    evictionNotice: false,
+    unhealthy: false,
+    empty: false,
+    emptyMs: 0,
+    silentMs: 0,
+    ...over,
+  };
+}
--- /dev/null
+++ b/packages/borrowing/test/planner.test.ts
@@ -0,0 +1,282 @@
+// Decisions of the leader on generated fleets: whatever is waiting and running, what is stopped is allowed to be and is no more than needed.
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { type Amounts, fits, type Job, NOTHING, plus } from '@gingerlock/core';
+import { parseTaskName, PRIORITIES, taskName } from '@gingerlock/wire';
+import { type HeldTask, type Plan, type PlannerInput, planReclaims } from '../src/index';
+import { factsOf, jobOf, roomOf, teamOf } from './fixtures';
+
+interface Fleet {
+  readonly input: PlannerInput;
+  readonly held: ReadonlyMap<string, readonly HeldTask[]>;
+  readonly jobs: ReadonlyMap<string, Job>;
+}
+
+interface RunningTask {
+  readonly job: Job;
+  readonly runMs?: number;
+  readonly stage?: HeldTask['stage'];
+}
+
+const MACHINE: Amounts = { cpus: 100, gpus: 4, memoryGb: 100 };
+
+/** Machines that hold the given tasks, numbered within their jobs in this order, and a job that waits. */
+function fleetOf(
+  teams: Parameters<typeof factsOf>[0],
+  machines: readonly (readonly RunningTask[])[],
+  waiting: readonly Job[],
+  over: Partial<PlannerInput> = {},
+): Fleet {
+  const next = new Map<Job, number>();
+  const held = new Map(
+    machines.map((tasks, i) => [
+      `m-${i}`,
+      tasks.map(({ job, runMs = 60_000, stage = 'running' }): HeldTask => {
+        const index = next.get(job) ?? 0;
+        next.set(job, index + 1);
+        return { task: taskName(job.id, index), attempt: 7, stage, runMs, stopping: false };
+      }),
+    ]),
+  );
+  const jobs = new Map([...next.keys(), ...waiting].map((job) => [job.id, job]));
+  for (const [job, count] of next) job.rounds = [{ from: 0, count, part: 0, zone: null, term: 3 }];
+  const free = new Map(
+    machines.map((tasks, i) => [`m-${i}`, tasks.reduce((sum, { job }) => plus(sum, job.spec, -1), MACHINE)]),
+  );
+  const rooms = machines.map((_, i) => roomOf(`m-${i}`));
+  const summary = { part: 0, term: 3, revision: 1, machines: rooms, missing: NOTHING, running: [] };
+  const claims = [...held].map(([machine, tasks]) => ({ machine, held: tasks }));
+  const input: PlannerInput = {
+    facts: factsOf(teams),
+    settings: { maxShare: 1 },
+    jobs,
+    unmet: waiting.map((job) => ({ job, count: job.spec.tasks, zones: null })),
+    summaries: [summary],
+    free,
+    claims: [{ part: 0, term: 3, revision: 1, machines: claims }],
+    pending: [],
+    most: 100,
+    rentMs: () => Infinity,
+    stopMs: 1000,
+    ...over,
+  };
+  return { input, held, jobs };
+}
+
+function victimsOf(plan: Plan): string[] {
+  return plan.decisions.flatMap(({ victims }) => victims.map(({ task }) => task));
+}
+
+const RED = teamOf('red', 4);
+const BLUE = teamOf('blue', 4);
+
+test('batch work goes before replicas, and of batch work what loses least', () => {
+  const service = jobOf('j-000001', { team: 'blue', kind: 'service', priority: 'low' });
+  const old = jobOf('j-000002', { team: 'blue' });
+  const young = jobOf('j-000003', { team: 'blue' });
+  const surge = jobOf('j-000006', { kind: 'service', priority: 'high', tasks: 1 });
+  const machine = [{ job: service }, { job: old, runMs: 500_000 }, { job: young, runMs: 40_000 }, { job: service }];
+  const { input } = fleetOf([RED, teamOf('blue', 0)], [machine], [surge]);
+  assert.deepEqual(victimsOf(planReclaims(input)), ['j-000003/0']);
+});
+
+test('work that saves when it is stopped loses least', () => {
+  const saving = jobOf('j-000004', { team: 'blue', checkpointS: 30, saveS: 2 });
+  const other = jobOf('j-000005', { team: 'blue' });
+  const surge = jobOf('j-000006', { kind: 'service', priority: 'high', tasks: 1 });
+  const machine = [other, other, saving, other].map((job) => ({ job, runMs: job === saving ? 900_000 : 45_000 }));
+  const { input } = fleetOf([RED, teamOf('blue', 0)], [machine], [surge]);
+  assert.deepEqual(victimsOf(planReclaims(input)), ['j-000004/0']);
+});
+
+test('of two teams exactly at their guarantees neither gets anything of the other, and the log says why', () => {
+  const blue = jobOf('j-000007', { team: 'blue' });
+  const red = jobOf('j-000008', { team: 'red' });
+  const surge = jobOf('j-000006', { team: 'red', kind: 'service', priority: 'high', tasks: 2, gpus: 4 });
+  const { input } = fleetOf(
+    [RED, BLUE],
+    [
+      [blue, blue, blue, blue].map((job) => ({ job })),
+      [red, red, red, red].map((job) => ({ job, stage: 'saving' as const })),
+    ],
+    [surge],
+  );
+  const plan = planReclaims(input);
+  assert.deepEqual(plan.decisions, []);
+  assert.deepEqual(
+    plan.refused.map(({ why, account }) => [why, account.low.gpus, account.high.gpus]),
+    [['others would fall below their guarantees', 0, 4]],
+  );
+});
+
+test('a team below its guarantee gets it back from a surge of higher priority, and no more than that', () => {
+  const surge = jobOf('j-000006', { team: 'red', kind: 'service', priority: 'high' });
+  const batch = jobOf('j-000009', { team: 'blue', tasks: 20 });
+  const full = [surge, surge, surge, surge].map((job) => ({ job }));
+  const { input } = fleetOf([RED, BLUE], [full, full, full], [batch]);
+  const plan = planReclaims(input);
+  assert.equal(victimsOf(plan).length, 4);
+  assert.ok(plan.decisions.every(({ reason }) => reason === 'guarantee'));
+});
+
+test('replicas of production are stopped for nobody', () => {
+  const production = jobOf('j-000010', { team: 'red', kind: 'service', priority: 'production' });
+  const batch = jobOf('j-000009', { team: 'blue' });
+  const surge = jobOf('j-000006', { team: 'blue', kind: 'service', priority: 'high' });
+  const full = [production, production, production, production].map((job) => ({ job }));
+  const { input } = fleetOf([RED, BLUE], [full, full], [surge, batch]);
+  const plan = planReclaims(input);
+  assert.deepEqual(plan.decisions, []);
+  assert.deepEqual([...new Set(plan.refused.map(({ why }) => why))], ['no task may be stopped for it']);
+});
+
+test('nothing is stopped where renting is sooner, while too many are under way, or of partitions that are not known', () => {
+  const batch = jobOf('j-000009', { team: 'blue', checkpointS: 10, saveS: 20 });
+  const surge = jobOf('j-000006', { kind: 'service', priority: 'high', tasks: 1 });
+  const full = [batch, batch, batch, batch].map((job) => ({ job }));
+  const whyOf = (over: Partial<PlannerInput>): string[] => {
+    const plan = planReclaims(fleetOf([RED, teamOf('blue', 0)], [full], [surge], over).input);
+    return [...victimsOf(plan), ...plan.refused.map(({ why }) => why)];
+  };
+  assert.deepEqual(whyOf({ rentMs: () => 20_000 }), ['renting is sooner']);
+  assert.deepEqual(whyOf({ claims: [] }), ['what machines hold is not known']);
+  assert.deepEqual(whyOf({ most: 0 }), ['enough reclaims under way']);
+  const pending = { machine: 'm-9', job: 'x', tasks: [0], victims: [], decidedAt: 0, reason: 'priority' as const };
+  assert.deepEqual(whyOf({ pending: [pending], settings: { maxShare: 0.1 } }), ['enough reclaims under way']);
+  assert.deepEqual(whyOf({ rentMs: () => 40_000 }), ['j-000009/0']);
+});
+
+test('a machine with a reclaim under way, and victims of one, are left alone', () => {
+  const batch = jobOf('j-000009', { team: 'blue' });
+  const surge = jobOf('j-000006', { kind: 'service', priority: 'high', tasks: 8 });
+  const full = [batch, batch, batch, batch].map((job) => ({ job }));
+  const pending = [
+    { machine: 'm-0', job: 'x', tasks: [0], victims: [], decidedAt: 0, reason: 'priority' as const },
+    {
+      machine: 'm-7',
+      job: 'x',
+      tasks: [1],
+      victims: [{ task: 'j-000009/5', attempt: 7 }],
+      decidedAt: 0,
+      reason: 'priority' as const,
+    },
+  ];
+  const plan = planReclaims(fleetOf([RED, teamOf('blue', 0)], [full, full, []], [surge], { pending }).input);
+  assert.deepEqual(victimsOf(plan).sort(), ['j-000009/4', 'j-000009/6', 'j-000009/7']);
+});
+
+// --- generated fleets ------------------------------------------------------------------------------------------------
+
+const anyJob = fc.record({
+  team: fc.constantFrom('red', 'blue', 'guests', 'gone'),
+  kind: fc.constantFrom('array' as const, 'service' as const),
+  priority: fc.constantFrom(...PRIORITIES),
+  gpus: fc.constantFrom(0.1, 1, 2, 4),
+  spread: fc.boolean(),
+  checkpointS: fc.constantFrom(0, 10),
+  saveS: fc.constantFrom(1, 5),
+});
+
+const anyFleet = fc.record({
+  guarantees: fc.tuple(fc.integer({ min: 0, max: 12 }), fc.integer({ min: 0, max: 12 })),
+  limit: fc.integer({ min: 12, max: 60 }),
+  jobs: fc.array(anyJob, { minLength: 1, maxLength: 8 }),
+  machines: fc.array(fc.array(fc.record({ job: fc.nat(7), runMs: fc.nat(100_000) }), { maxLength: 12 }), {
+    maxLength: 12,
+  }),
+  waiting: fc.array(fc.tuple(anyJob, fc.integer({ min: 1, max: 12 })), { minLength: 1, maxLength: 5 }),
+});
+
+/** Fills machines with as many of the drawn tasks as fit. */
+function fleetFrom(drawn: typeof anyFleet extends fc.Arbitrary<infer T> ? T : never): Fleet {
+  const teams = [
+    teamOf('red', drawn.guarantees[0], drawn.limit),
+    teamOf('blue', drawn.guarantees[1], drawn.limit),
+    teamOf('guests', 0, drawn.limit),
+  ];
+  const jobs = drawn.jobs.map((spec, i) => jobOf(`j-00010${i}`, { ...spec, tasks: 200 }));
+  const machines = drawn.machines.map((tasks) => {
+    const fitting: RunningTask[] = [];
+    let left = MACHINE;
+    for (const { job: index, runMs } of tasks) {
+      const job = jobs[index % jobs.length]!;
+      if (!fits(job.spec, left)) continue;
+      left = plus(left, job.spec, -1);
+      fitting.push({ job, runMs });
+    }
+    return fitting;
+  });
+  const waiting = drawn.waiting.map(([spec, tasks], i) => jobOf(`j-00020${i}`, { ...spec, tasks }));
+  return fleetOf(teams, machines, waiting);
+}
+
+function useOf(fleet: Fleet, without: ReadonlySet<string>): Map<string, number> {
+  const use = new Map<string, number>();
+  for (const tasks of fleet.held.values()) {
+    for (const { task } of tasks) {
+      const { team, gpus } = fleet.jobs.get(parseTaskName(task)!.job)!.spec;
+      if (!without.has(task)) use.set(team, (use.get(team) ?? 0) + gpus);
+    }
+  }
+  return use;
+}
+
+test('on any fleet: room suffices, nobody is stopped in vain or twice, and no team is left below its guarantee', () => {
+  let decided = 0;
+  fc.assert(
+    fc.property(anyFleet, (drawn) => {
+      const fleet = fleetFrom(drawn);
+      const plan = planReclaims(fleet.input);
+      decided += plan.decisions.length;
+      const stopped = new Set(victimsOf(plan));
+      assert.equal(stopped.size, victimsOf(plan).length);
+      assert.equal(new Set(plan.decisions.map(({ machine }) => machine)).size, plan.decisions.length);
+      for (const { job, machine, victims, tasks, places } of plan.decisions) {
+        const held = fleet.held.get(machine)!;
+        const specs = victims.map(({ task }) => {
+          assert.ok(held.some((h) => h.task === task));
+          return fleet.jobs.get(parseTaskName(task)!.job)!.spec;
+        });
+        const room = specs.reduce((sum, spec) => plus(sum, spec), fleet.input.free.get(machine)!);
+        assert.ok(fits(plus(NOTHING, job.spec, tasks.length), room));
+        for (const spec of specs)
+          assert.ok(!fits(plus(NOTHING, job.spec, tasks.length), plus(room, spec, -1)) || tasks.length > 1);
+        assert.equal(tasks.length, places.length);
+        for (const spec of specs) assert.ok(spec.team !== 'gone');
+      }
+      const before = useOf(fleet, new Set());
+      for (const account of plan.accounts) {
+        const { name, gpus } = account.team;
+        const foreign = plan.decisions
+          .filter(({ job }) => job.spec.team !== name)
+          .flatMap(({ victims }) => victims.map((v) => v.task));
+        const left = useOf(fleet, new Set(foreign)).get(name) ?? 0;
+        assert.ok(left >= Math.min(gpus, before.get(name) ?? 0) - 1e-6, `${name}: ${left} of ${before.get(name)}`);
+        assert.ok(account.high.gpus <= Math.max(account.team.gpusMax, before.get(name) ?? 0) + 1e-6);
+      }
+    }),
+    { seed: 391, numRuns: 500 },
+  );
+  assert.ok(decided > 300, `${decided} decisions`);
+});
+
+test('what planning costs grows no faster than the machines', () => {
+  const timesLooked = (machines: number): number => {
+    const batch = jobOf('j-000009', { team: 'blue', gpus: 0.1, tasks: 40 * machines });
+    const surge = jobOf('j-000006', { kind: 'service', priority: 'high', tasks: 4, gpus: 1 });
+    const full = Array.from({ length: 40 }, () => ({ job: batch }));
+    const fleet = fleetOf(
+      [RED, teamOf('blue', 0)],
+      Array.from({ length: machines }, () => full),
+      [surge],
+    );
+    let looked = 0;
+    const rank = batch.rank;
+    Object.defineProperty(batch, 'rank', { get: () => (looked++, rank) });
+    assert.ok(planReclaims(fleet.input).decisions.length > 0);
+    return looked;
+  };
+  const [small, large] = [timesLooked(20), timesLooked(200)] as [number, number];
+  assert.ok(large <= small * 12, `${small}, then ${large}`);
+});
--- a/packages/core/src/assignment.ts
+++ b/packages/core/src/assignment.ts
@@ -73,6 +73,16 @@
   readonly facts: Facts;
   readonly types: ReadonlyMap<string, MachineType>;
   readonly most: number;
+  /** Whether tasks may be assigned to room that is got by stopping work of lower priority. */
+  readonly preempts: boolean;
+}
+
+/** What one assignment of all jobs came to. */
+export interface AssignmentResult {
+  readonly assignments: readonly Assignment[];
+  readonly unmet: readonly Unmet[];
+  /** By machine that takes work: what it has left. */
+  readonly free: ReadonlyMap<string, Amounts>;
 }
 
 interface Bin {
@@ -128,11 +138,11 @@
 }
 
 /** Finds room for the waiting tasks of all jobs, the most urgent first, within the limits of their teams. */
-export function assignTasks(input: AssignmentInput): { assignments: Assignment[]; unmet: Unmet[] } {
+export function assignTasks(input: AssignmentInput): AssignmentResult {
   const jobs = [...input.jobs];
   const run = new AssignmentRun(input, jobs);
   for (const job of jobs.filter((j) => j.ready && !j.cancelled).sort(jobOrder)) run.assign(job);
-  return run;
+  return { assignments: run.assignments, unmet: run.unmet, free: run.free() };
 }
 
 /** What is free on the machines that take work, less what earlier assignments will take there. */
@@ -161,19 +171,20 @@
 }
 
 /** Which zones one job's tasks may go to, given those that it has tasks in. */
-class ZoneChoice {
+export class ZoneChoice {
   readonly #counts: Map<string, number>;
   readonly #cap: number;
   /** The only zone; null: none is chosen. */
   #only: string | null;
 
+  /** `bestZone` is where a job of one zone goes that has no task in any yet. */
   constructor(
     readonly job: Job,
-    bins: readonly Bin[],
+    bestZone: () => string | null,
   ) {
     this.#counts = zoneCounts(job);
     this.#cap = spreadCap(job);
-    this.#only = job.spec.oneZone ? ([...this.#counts.keys()][0] ?? bestZone(job, bins)) : null;
+    this.#only = job.spec.oneZone ? ([...this.#counts.keys()][0] ?? bestZone()) : null;
   }
 
   allows(zone: string): boolean {
@@ -219,6 +230,10 @@
     this.#use = teamUse(jobs);
   }
 
+  free(): ReadonlyMap<string, Amounts> {
+    return new Map(this.#bins.map((bin) => [bin.room.name, bin.free]));
+  }
+
   assign(job: Job): void {
     const ranges = job.unassigned();
     const team = this.input.facts.teams.get(job.spec.team);
@@ -227,7 +242,7 @@
     const used = this.#use.get(team.name) ?? NOTHING;
     const allowed = limitAllows(team, used, job.spec);
     if (allowed === 0) return;
-    const zones = new ZoneChoice(job, this.#bins);
+    const zones = new ZoneChoice(job, () => bestZone(job, this.#bins));
     if (isTried(job, this.input.trials)) {
       this.#assignTrial(job, ranges, zones);
       return;
@@ -290,13 +305,13 @@
 }
 
 /** Where one more task of a job is to run. */
-type Place = Omit<Round, 'from' | 'count'>;
+export type Place = Omit<Round, 'from' | 'count'>;
 
 /**
  * Shares out the tasks, which are all alike, so that those of one place follow each other: one round for each place
  * instead of one for each task keeps the record of a large job within the limit on values.
  */
-function roundsOf(indices: readonly number[], places: readonly Place[]): Round[] {
+export function roundsOf(indices: readonly number[], places: readonly Place[]): Round[] {
   const sorted = [...places].sort((a, b) => a.part - b.part || (a.zone ?? '').localeCompare(b.zone ?? ''));
   return joinRounds(sorted.map((place, i) => ({ from: indices[i]!, count: 1, ...place })));
 }
@@ -356,6 +371,7 @@
     let c = cost(job, bin, input, lastPart);
     if (c >= bestCost) continue;
     if (!fits(job.spec, bin.free)) {
+      if (!input.preempts) continue;
       let room = bin.free;
       let rank = bin.byRank.length - 1;
       for (; rank > job.ownRank && !fits(job.spec, room); rank--) room = plus(room, bin.byRank[rank]!);
--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -19,6 +19,7 @@
 import { ImageCache } from './image-cache';
 import type { Job, JobTable } from './jobs';
 import { betterElsewhere } from './placement';
+import { NO_RESERVATIONS, type Reservations } from './reservations';
 import { type AssignedTask, tasksAssignedTo } from './rounds';
 import { type Claim, type Machine, type Slot, SLOT_MOVES, type SlotState } from './slots';
 import { WakeQueue } from './wake-queue';
@@ -68,6 +69,10 @@
   readonly jobs: JobTable;
   readonly types: () => ReadonlyMap<string, MachineType>;
   readonly membership: Iterable<readonly [string, string]>;
+  /** Room that is kept for certain tasks. */
+  readonly reservations?: Reservations;
+  /** Whether waiting tasks may have work of lower priority stopped. */
+  readonly preempts?: boolean;
   /** How many tasks may be granted under this term. */
   readonly attemptsPerTerm?: number;
   /** By machine: the images that an earlier owner believed to be cached there. */
@@ -95,6 +100,8 @@
   readonly alarm: (message: string, detail: Record<string, unknown>) => void;
   readonly #wakes = new WakeQueue();
   readonly failures: FailureAttribution;
+  reservations: Reservations;
+  readonly preempts: boolean;
   readonly #attemptsPerTerm: number;
   #counter = 0;
   #cleared = false;
@@ -115,6 +122,8 @@
     this.#types = options.types;
     this.unheard = new Map(options.membership);
     this.#images = options.images ?? new Map();
+    this.reservations = options.reservations ?? NO_RESERVATIONS;
+    this.preempts = options.preempts ?? true;
     this.#attemptsPerTerm = options.attemptsPerTerm ?? ATTEMPTS_PER_TERM;
     this.failures = new FailureAttribution(options.facts);
     this.log = options.log ?? (() => undefined);
@@ -636,13 +645,17 @@
   /** Binds waiting tasks to the machine that reports now. */
   #grant(m: Machine, now: number, commands: WorkerCommand[]): void {
     if (!m.isMember || !this.takesWork(m, now)) return;
-    let room = this.room(m);
+    const room = new GrantRoom(this.room(m), this.reservations, m.name);
     for (const job of this.wakes()) {
       if (!typeAllows(job.spec, m.type, m.zone, m.spot)) continue;
       if (this.failures.isExcluded(job.id, m.name, now)) continue;
       for (const slot of this.waitingSlots(job)) {
         // A number that was given out is never given out again: it would be taken for the task of the next term.
-        if (!fits(job.spec, room) || this.#counter >= this.#attemptsPerTerm - 1) break;
+        if (this.#counter >= this.#attemptsPerTerm - 1) return;
+        if (!room.hasFor(slot)) {
+          if (room.keepsAny) continue;
+          break;
+        }
         if (slot.notBefore > now || (slot.zone !== null && slot.zone !== m.zone)) continue;
         if (!this.mayStart(slot)) continue;
         if (betterElsewhere(this, slot, m, now)) continue;
@@ -667,7 +680,7 @@
           waitedMs: Math.round(waited),
         });
         this.#useImage(m, job);
-        room = plus(room, job.spec, -1);
+        room.take(slot);
         commands.push({ op: 'start', task: slot.name, attempt });
       }
     }
@@ -758,3 +771,36 @@
     return runningTasks(this);
   }
 }
+
+/** What a machine that reports has for tasks: for most of them without the room that is kept there for others. */
+class GrantRoom {
+  /** Whether room is kept here for any task. */
+  readonly keepsAny: boolean;
+  #free: Amounts;
+  #open: Amounts;
+
+  constructor(
+    free: Amounts,
+    readonly reservations: Reservations,
+    readonly machine: string,
+  ) {
+    const kept = reservations.keptOn(machine);
+    this.keepsAny = kept !== NOTHING;
+    this.#free = free;
+    this.#open = this.keepsAny ? plus(free, kept, -1) : free;
+  }
+
+  hasFor(slot: Slot): boolean {
+    return fits(slot.job.spec, this.#isKeptFor(slot) ? this.#free : this.#open);
+  }
+
+  /** Counts a task in that is claimed here now; what was kept for it is kept no more. */
+  take(slot: Slot): void {
+    this.#free = plus(this.#free, slot.job.spec, -1);
+    if (!this.#isKeptFor(slot)) this.#open = plus(this.#open, slot.job.spec, -1);
+  }
+
+  #isKeptFor(slot: Slot): boolean {
+    return this.keepsAny && this.reservations.machineFor(slot.name) === this.machine;
+  }
+}
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -210,6 +210,16 @@
     return f;
   }
 
+  /** How long until a machine that is rented now could run a task of the job, in milliseconds; Infinity: none can be had. */
+  rentMs(spec: JobSpec, types: ReadonlyMap<string, MachineType>): number {
+    let least = Infinity;
+    for (const type of types.values()) {
+      if (!fits(spec, type) || !type.zones.some((zone) => typeAllows(spec, type.name, zone, false))) continue;
+      least = Math.min(least, type.bootS * 1000);
+    }
+    return least;
+  }
+
   plan(input: FleetInput): FleetPlan {
     const { now, types } = input;
     const rooms = new Map<string, MachineRoom>();
--- a/packages/core/src/packing.ts
+++ b/packages/core/src/packing.ts
@@ -2,7 +2,7 @@
 // it, which machines are called for it, and which replicas leave machines that are to go.
 import type { ClaimTable } from './claims';
 import { type Amounts, fits, plus, typeAllows } from './facts';
-import { bestPlan } from './placement';
+import { bestPlan, type Plan } from './placement';
 import type { Machine, SpareCapacity, Slot } from './slots';
 
 /** A task that is stopped gets a little more than it says it needs for saving. */
@@ -26,7 +26,7 @@
     let room = claimTable.room(m);
     // What is stopping is free soon: counted now, so that nothing more is stopped for the same task.
     for (const slot of m.claims.values()) if (slot.claim!.stopGraceS !== null) room = plus(room, slot.job.spec);
-    rooms.set(m, room);
+    rooms.set(m, plus(room, claimTable.reservations.keptOn(m.name), -1));
   }
   const stuck: Slot[] = [];
   const doomed = new Set<Slot>();
@@ -35,6 +35,8 @@
       slot.plan = null;
       // Held back, and given back in time: no machine is kept for it, none is asked for.
       if (!claimTable.mayStart(slot)) continue;
+      slot.plan = keptPlan(claimTable, slot, rooms);
+      if (slot.plan !== null) continue;
       slot.plan = bestPlan(claimTable, slot, rooms, doomed, now);
       if (slot.plan === null) {
         stuck.push(slot);
@@ -52,6 +54,13 @@
   return { rooms, stuck, stopped: [...doomed].filter((s) => s.claim?.stopGraceS !== null) };
 }
 
+/** The machine on which room is kept for the task, which is counted in already; null: it has none, or it takes no work now. */
+function keptPlan(claimTable: ClaimTable, slot: Slot, rooms: ReadonlyMap<Machine, Amounts>): Plan | null {
+  const kept = claimTable.reservations.machineFor(slot.name);
+  const machine = kept === null ? undefined : claimTable.machines.get(kept);
+  return machine === undefined || !rooms.has(machine) ? null : { machine, ms: 0, victims: [] };
+}
+
 /** The machines that waiting tasks are planned for and that would report later than need be. */
 export function toCall(claimTable: ClaimTable, now: number): Set<Machine> {
   const machines = new Set<Machine>();
@@ -59,6 +68,9 @@
     for (const slot of claimTable.waitingSlots(job)) {
       if (slot.plan === null || slot.plan.victims.length > 0 || slot.notBefore > now) continue;
       const { machine } = slot.plan;
+      // What is kept for it may have yet to be freed.
+      const isKept = claimTable.reservations.machineFor(slot.name) !== null;
+      if (isKept && !fits(job.spec, claimTable.room(machine))) continue;
       if (machine.isMember && claimTable.takesWork(machine, now) && claimTable.mayCall(machine, now))
         machines.add(machine);
     }
--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -55,7 +55,7 @@
 ): Plan | null {
   const spec = slot.job.spec;
   const { reportMs } = claimTable.facts;
-  const mayPreempt = !claimTable.isFailing(slot.job);
+  const mayPreempt = claimTable.preempts && !claimTable.isFailing(slot.job);
   let best: Plan | null = null;
   let bestCost = Infinity;
   for (const [machine, room] of rooms) {
--- a/packages/core/test/assignment.test.ts
+++ b/packages/core/test/assignment.test.ts
@@ -52,6 +52,7 @@
     facts,
     types: new Map([[type.name, type]]),
     most: 12,
+    preempts: true,
   });
   return { looks: n, assigned: assignments.length, unmet: unmet.length };
 }
@@ -93,6 +94,7 @@
       facts,
       types: new Map([[type.name, type]]),
       most: 12,
+      preempts: true,
     });
     return assignments.flatMap((d) => d.added.filter((r) => r.from >= 2).map((r) => r.zone));
   };
--- a/packages/core/test/trials.test.ts
+++ b/packages/core/test/trials.test.ts
@@ -33,7 +33,17 @@
     running: [],
   }));
   const assign = (now: number): ReturnType<typeof assignTasks> =>
-    assignTasks({ now, trials, jobs: jobs.live.values(), summaries, recent: [], facts, types: new Map(), most: 12 });
+    assignTasks({
+      now,
+      trials,
+      jobs: jobs.live.values(),
+      summaries,
+      recent: [],
+      facts,
+      types: new Map(),
+      most: 12,
+      preempts: true,
+    });
   return { jobs, trials, assign };
 }
 
--- /dev/null
+++ b/packages/daemon/src/claim-lists.ts
@@ -0,0 +1,86 @@
+// What machines hold, as owners tell the leader while borrowing is on: one or several messages, and back.
+import type { HeldTask, MachineClaims, PartClaims } from '@gingerlock/borrowing';
+import type { ClaimTable } from '@gingerlock/core';
+import type { PeerMessage, PeerMessages } from '@gingerlock/peer';
+import { FRAME_SHARE, PieceAssembly, splitBySize } from './pieces';
+
+/** Bytes of the numbers of one task, rounded up. */
+const TASK_BYTES = 32;
+
+/** Bytes of the lengths around one machine. */
+const MACHINE_BYTES = 8;
+
+/** What the machines of the partition hold, as its owner knows it. */
+export function claimsOf(table: ClaimTable, revision: number, now: number): PartClaims {
+  const machines: MachineClaims[] = [];
+  for (const machine of table.machines.values()) {
+    if (machine.claims.size === 0) continue;
+    const held = [...machine.claims.values()].map(({ name, claim }): HeldTask => {
+      const { attempt, stage, runningSince, stopGraceS } = claim!;
+      const runMs = runningSince === null ? 0 : now - runningSince;
+      return { task: name, attempt, stage, runMs, stopping: stopGraceS !== null };
+    });
+    machines.push({ machine: machine.name, held });
+  }
+  return { part: table.part, term: table.term, revision, machines };
+}
+
+function machineBytes({ machine, held }: MachineClaims): number {
+  const taskBytes = held.reduce((sum, { task }) => sum + TASK_BYTES + Buffer.byteLength(task), 0);
+  return MACHINE_BYTES + Buffer.byteLength(machine) + taskBytes;
+}
+
+export function claimListMessages(claims: PartClaims, sequence: number, frameBytes: number): PeerMessage[] {
+  const { part, term, revision } = claims;
+  const runs = splitBySize(claims.machines, machineBytes, frameBytes * FRAME_SHARE);
+  const contents = runs.length === 0 ? [[]] : runs;
+  return contents.map((run, index) => ({
+    kind: 'ClaimList',
+    part,
+    term,
+    revision,
+    sequence,
+    index,
+    pieces: contents.length,
+    machines: run.map(({ machine, held }) => ({ machine, held: held.map((task) => ({ ...task })) })),
+  }));
+}
+
+interface SeenClaims {
+  readonly claims: PartClaims;
+  readonly at: number;
+}
+
+/** The newest list of each partition. */
+export class ClaimLists {
+  readonly #seen = new Map<number, SeenClaims>();
+  readonly #assemblies = new Map<string, PieceAssembly<PeerMessages['ClaimList']>>();
+
+  /** Takes a piece from another controller. */
+  onPiece(from: string, piece: PeerMessages['ClaimList'], now: number): void {
+    const key = `${from} ${piece.part}`;
+    const assembly = this.#assemblies.get(key) ?? new PieceAssembly();
+    this.#assemblies.set(key, assembly);
+    const all = assembly.add(piece);
+    if (all === null) return;
+    this.#assemblies.delete(key);
+    const { part, term, revision } = piece;
+    this.note({ part, term, revision, machines: all.flatMap((p) => p.machines) }, now);
+  }
+
+  /** Takes a whole list, unless a later one is known. */
+  note(claims: PartClaims, now: number): void {
+    const known = this.#seen.get(claims.part)?.claims;
+    if (known !== undefined && (claims.term < known.term || isOlder(claims, known))) return;
+    this.#seen.set(claims.part, { claims, at: now });
+  }
+
+  /** The lists that were told since `since`. */
+  since(since: number): PartClaims[] {
+    return [...this.#seen.values()].filter((seen) => seen.at >= since).map((seen) => seen.claims);
+  }
+}
+
+function isOlder(claims: PartClaims, than: PartClaims): boolean {
+  return claims.term === than.term && claims.revision < than.revision;
+}
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -13,8 +13,10 @@
   type WorkerReport,
 } from '@gingerlock/wire';
 import { BudgetSharing } from './budget-sharing';
+import { ClaimLists, claimListMessages, claimsOf } from './claim-lists';
 import { FormerOwnerQueries } from './former-owners';
 import { Leader } from './leader';
+import { LeaderBorrowing } from './leader-borrowing';
 import type { Log } from './log';
 import { PartOwner } from './owner';
 import { OwnershipManager } from './ownership-manager';
@@ -38,6 +40,9 @@
   readonly limits?: Partial<ControllerLimits>;
 }
 
+/** How often in a report interval the leader is told what machines hold. */
+const CLAIM_LISTS_PER_REPORT = 3;
+
 /** What a peer last said of its contact with the state service. */
 interface PeerContact {
   readonly ageMs: number;
@@ -63,6 +68,10 @@
   readonly #ownership: OwnershipManager;
   readonly #peers: PeerChannel;
   readonly #summaries = new Summaries();
+  readonly #claimLists = new ClaimLists();
+  /** Numbers the lists of claims that this process sends. */
+  #claimListSequence = 0;
+  #claimsSentAt = -Infinity;
   readonly #relay: ReportRelay;
   readonly #workerReach: WorkerReach;
   readonly #confirmation: PeerConfirmation;
@@ -158,6 +167,7 @@
     this.store.onJob = (id) => {
       for (const owner of this.#owners.values()) owner.jobChanged(id);
     };
+    this.store.onReclaimEnded = (part, revision) => this.#leader?.borrowing?.reclaimEnded(part, revision);
     this.store.onMembership = (part, machine, present) =>
       this.#owners.get(part)?.claimTable.setMember(machine, present);
     this.link.onMessage = (from, message) => {
@@ -258,7 +268,9 @@
 
   #opened(tenure: Tenure): void {
     if (tenure.resource === LEAD) {
-      this.#leader = new Leader(this.shared, tenure, () => this.#summaries.all(), this.#http);
+      const { borrowing: settings } = this.settings.features;
+      const borrowing = settings === null ? null : new LeaderBorrowing(this.shared, tenure, settings, this.#claimLists);
+      this.#leader = new Leader(this.shared, tenure, () => this.#summaries.all(), this.#http, borrowing);
       return;
     }
     const part = Number(tenure.resource);
@@ -385,6 +397,9 @@
       case 'Summary':
         if (!this.#owners.has(message.part)) this.#summaries.onSummary(message, now);
         return;
+      case 'ClaimList':
+        if (this.settings.features.borrowing !== null) this.#claimLists.onPiece(from, message, now);
+        return;
       case 'SummaryPiece':
         if (!this.#owners.has(message.part)) this.#summaries.onPiece(from, message, now);
         return;
@@ -445,6 +460,7 @@
     for (const owner of this.#owners.values()) {
       this.#summaries.publish(owner, this.settings.node, now, this.#peers, to);
     }
+    this.#tellClaims(now);
     const leader = this.#leader;
     if (leader !== null && leader.tenure.isCurrent) {
       const { drain, gone } = leader.orders();
@@ -453,6 +469,20 @@
     }
   }
 
+  /** Tells the leader what the machines of our parts hold, if it takes that. */
+  #tellClaims(now: number): void {
+    const lead = this.store.holds.get(LEAD)?.record;
+    const { features, node, facts } = this.settings;
+    if (features.borrowing === null || lead?.takesClaimLists !== true) return;
+    if (now - this.#claimsSentAt < facts.reportMs / CLAIM_LISTS_PER_REPORT) return;
+    this.#claimsSentAt = now;
+    for (const { claimTable } of this.#owners.values()) {
+      const claims = claimsOf(claimTable, this.replica.revision, now);
+      if (lead.node === node) this.#claimLists.note(claims, now);
+      else this.#peers.sendGroup(lead.node, claimListMessages(claims, ++this.#claimListSequence, this.link.frameBytes));
+    }
+  }
+
   #contactAgeMs(now: number): number {
     return this.replica.contactAt === null ? 1e9 : now - this.replica.contactAt;
   }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -4,5 +4,7 @@
 export { type ControllerLimits, Shared } from './shared';
 export { SummaryAssembly, summaryMessages } from './summary-pieces';
 export { TransactionRoom } from './transaction-room';
+export { LeaderBorrowing } from './leader-borrowing';
 export { PartOwner } from './owner';
+export { OwnerReclaims } from './owner-reclaims';
 export type { Reply } from './reply';
--- /dev/null
+++ b/packages/daemon/src/leader-borrowing.ts
@@ -0,0 +1,209 @@
+// The leader's part in borrowing: has reclaims planned, puts them into its transactions with the rounds of the tasks that get the room,
+// and says in the log how teams stand and why some get nothing.
+import {
+  ABANDONED_BOUNDS,
+  type BorrowingSettings,
+  borrowed,
+  type Decision,
+  lent,
+  type PartClaims,
+  planReclaims,
+  reclaimBoundMs,
+  type Refused,
+  saveGraceS,
+  type TeamAccount,
+} from '@gingerlock/borrowing';
+import {
+  type Amounts,
+  type AssignmentResult,
+  type Job,
+  type PartSummary,
+  STOP_MS,
+  type Tenure,
+  type Unmet,
+} from '@gingerlock/core';
+import { KEYS, type ReclaimRecord, parseTaskName } from '@gingerlock/wire';
+import type { ClaimLists } from './claim-lists';
+import { guaranteedGpus } from './features';
+import type { Shared } from './shared';
+
+/** A list of claims counts for so many report intervals. */
+const CLAIMS_INTERVALS = 2;
+
+/** A reclaim that may be abandoned, with what its removal rests on. */
+export interface AbandonedReclaim {
+  readonly key: string;
+  readonly version: number;
+}
+
+/** What a decision puts into the state service beside the job's record. */
+export interface StoredReclaim {
+  readonly key: string;
+  readonly record: ReclaimRecord;
+}
+
+export interface LeaderView {
+  readonly result: AssignmentResult;
+  readonly summaries: readonly PartSummary[];
+  /** Jobs that the transaction changes already. */
+  readonly taken: ReadonlySet<string>;
+  readonly most: number;
+  readonly rentMs: (job: Job) => number;
+}
+
+export class LeaderBorrowing {
+  #counter = 0;
+  /** By job: why nothing is got for it, since when, and whether the log says so. */
+  #refusals = new Map<string, { readonly why: string; readonly since: number; isTold: boolean }>();
+  #toldAt = -Infinity;
+  #hasToldExcess = false;
+  /** By partition: the revision at which the last of its reclaims ended. Older lists of claims show what it stopped. */
+  readonly #endedAt = new Map<number, number>();
+
+  constructor(
+    readonly shared: Shared,
+    readonly tenure: Tenure,
+    readonly settings: BorrowingSettings,
+    readonly lists: ClaimLists,
+  ) {}
+
+  /** A reclaim of the partition has ended. */
+  reclaimEnded(part: number, revision: number): void {
+    this.#endedAt.set(part, Math.max(this.#endedAt.get(part) ?? 0, revision));
+  }
+
+  plan(view: LeaderView): readonly Decision[] {
+    const { store, facts, clock } = this.shared;
+    const plan = planReclaims({
+      facts,
+      settings: this.settings,
+      jobs: store.jobs.live,
+      unmet: view.result.unmet.filter(({ job }) => !view.taken.has(job.id)),
+      summaries: view.summaries,
+      free: view.result.free,
+      claims: this.#claims(view.summaries),
+      pending: this.#pending(),
+      most: view.most,
+      rentMs: view.rentMs,
+      stopMs: STOP_MS + facts.reportMs / 2,
+    });
+    this.#tell(plan.refused, plan.accounts, clock.now());
+    return plan.decisions;
+  }
+
+  #pending(): ReclaimRecord[] {
+    return [...this.shared.store.reclaims.values()].flatMap((ofPart) => [...ofPart.values()].map((r) => r.record));
+  }
+
+  /** What machines hold, of the partitions of which that is known as it stands after all reclaims that have ended. */
+  #claims(summaries: readonly PartSummary[]): PartClaims[] {
+    const { clock, facts } = this.shared;
+    const terms = new Map(summaries.map(({ part, term }) => [part, term]));
+    return this.lists
+      .since(clock.now() - facts.reportMs * CLAIMS_INTERVALS)
+      .filter(({ part, term, revision }) => terms.get(part) === term && revision >= (this.#endedAt.get(part) ?? 0));
+  }
+
+  /** The record of a decision, under a name that is never used again: it carries the leader's term. */
+  recordOf({ job, tasks, machine, victims, reason, places }: Decision): StoredReclaim {
+    const id = `${this.tenure.term}-${++this.#counter}`;
+    const decidedAt = Math.round(this.shared.clock.wall());
+    return {
+      key: KEYS.reclaim(places[0]!.part, id),
+      record: { machine, job: job.id, tasks, victims, decidedAt, reason },
+    };
+  }
+
+  decided(decision: Decision, key: string): void {
+    const { job, machine, tasks, victims, reason, loss } = decision;
+    const detail = { reclaim: key, job: job.id, team: job.spec.team, machine, tasks: tasks.length, reason };
+    const lostWorkS = Math.round(loss.work);
+    this.shared.log.info({ ...detail, victims: victims.map((v) => v.task), lostWorkS }, 'reclaim decided');
+  }
+
+  /** Reclaims that their owners have left standing for far longer than any may take. */
+  abandoned(): AbandonedReclaim[] {
+    const { store, clock } = this.shared;
+    const wall = clock.wall();
+    const found: AbandonedReclaim[] = [];
+    for (const [part, ofPart] of store.reclaims) {
+      for (const [id, { record, version }] of ofPart) {
+        const boundMs = this.#boundMs(record) * ABANDONED_BOUNDS;
+        if (wall - record.decidedAt > boundMs) found.push({ key: KEYS.reclaim(part, id), version });
+      }
+    }
+    return found;
+  }
+
+  #boundMs({ victims }: ReclaimRecord): number {
+    const { store, facts } = this.shared;
+    const graces = victims.map(({ task }) => {
+      const job = store.jobs.live.get(parseTaskName(task)?.job ?? '');
+      return job === undefined ? 0 : saveGraceS(job.spec);
+    });
+    return reclaimBoundMs(facts, Math.max(0, ...graces));
+  }
+
+  // --- the log -----------------------------------------------------------------------------------------------------
+
+  #tell(refused: readonly Refused[], accounts: readonly TeamAccount[], now: number): void {
+    const before = this.#refusals;
+    this.#refusals = new Map();
+    for (const refusal of refused) {
+      const { job, why } = refusal;
+      const known = before.get(job.id);
+      const entry = known?.why === why ? known : { why, since: now, isTold: false };
+      this.#refusals.set(job.id, entry);
+      // What changes within moments says nothing to anybody.
+      if (entry.isTold || now - entry.since < this.shared.facts.reportMs) continue;
+      entry.isTold = true;
+      this.#tellRefused(refusal);
+    }
+    if (now - this.#toldAt < this.shared.facts.leaseMs) return;
+    this.#toldAt = now;
+    for (const account of accounts) this.shared.log.info(accountFigures(account), 'team account');
+    this.#tellExcess();
+  }
+
+  #tellRefused({ job, tasks, why, account }: Refused): void {
+    const detail = { job: job.id, tasks, gpus: job.spec.gpus, why, ...accountFigures(account) };
+    this.shared.log.info(detail, 'nothing reclaimed');
+  }
+
+  /** Guarantees that no fleet within the operators' bounds can keep. */
+  #tellExcess(): void {
+    const { facts, store, settings, log } = this.shared;
+    const { maxOrdinaryMachines, maxSpotMachines } = settings.operators;
+    const largest = Math.max(0, ...[...store.types.values()].map((type) => type.gpus));
+    const most = (maxOrdinaryMachines + maxSpotMachines) * largest;
+    const guaranteed = guaranteedGpus(facts);
+    if (this.#hasToldExcess || largest === 0 || guaranteed <= most) return;
+    this.#hasToldExcess = true;
+    log.error({ field: 'facts.teams.gpus', guaranteed, most }, 'more is guaranteed than there can be');
+  }
+}
+
+/** How a team stands, for a line of the log. */
+export function accountFigures(account: TeamAccount): Record<string, number | string> {
+  const { team, low, high, waiting } = account;
+  const gpusOf = (amounts: Amounts): number => Math.round(amounts.gpus * 1000) / 1000;
+  return {
+    team: team.name,
+    guarantee: team.gpus,
+    limit: team.gpusMax,
+    runs: gpusOf(low),
+    mayRun: gpusOf(high),
+    waits: gpusOf(waiting),
+    borrowed: borrowed(account, 'gpus'),
+    lent: lent(account, 'gpus'),
+  };
+}
+
+/** What is left unmet once the decisions are carried out. */
+export function unmetWithout(unmet: readonly Unmet[], decisions: readonly Decision[]): Unmet[] {
+  const taken = new Map<string, number>();
+  for (const { job, tasks } of decisions) taken.set(job.id, (taken.get(job.id) ?? 0) + tasks.length);
+  return unmet
+    .map((entry) => ({ ...entry, count: entry.count - (taken.get(entry.job.id) ?? 0) }))
+    .filter(({ count }) => count > 0);
+}
--- a/packages/daemon/src/leader.ts
+++ b/packages/daemon/src/leader.ts
@@ -1,6 +1,8 @@
 import { Cloud, sleep, URGENCY } from '@gingerlock/clients';
+import type { Decision } from '@gingerlock/borrowing';
 import {
   type Assignment,
+  type AssignmentResult,
   assignedUnfinished,
   assignTasks,
   Fleet,
@@ -8,6 +10,7 @@
   type Job,
   joinRounds,
   type PartSummary,
+  roundsOf,
   type Tenure,
   TrialSchedule,
   type Unmet,
@@ -20,10 +23,12 @@
   KEYS,
   type MachineType,
   machineTypesMap,
+  reclaimRecord,
   type RentRequest,
   RETURN_MOST,
   type Round,
 } from '@gingerlock/wire';
+import { type LeaderBorrowing, unmetWithout } from './leader-borrowing';
 import type { Shared } from './shared';
 import type { SeenSummary } from './summaries';
 import type { TransactionRoom } from './transaction-room';
@@ -73,10 +78,10 @@
     return true;
   }
 
-  /** False: the transaction has no room for it. */
-  put(job: Job, record: unknown): boolean {
+  /** Writes the record of a job, and other changes that belong to it; false: the transaction has no room for them. */
+  put(job: Job, record: unknown, ...others: readonly Change[]): boolean {
     const key = KEYS.job(job.id);
-    if (!this.#add([{ key, version: job.version }], [{ put: key, value: record }])) return false;
+    if (!this.#add([{ key, version: job.version }], [{ put: key, value: record }, ...others])) return false;
     this.jobs.add(job.id);
     return true;
   }
@@ -86,6 +91,11 @@
     return this.#add([], [{ remove: key }]);
   }
 
+  /** Removes the key if it still has that version; false: the transaction has no room for it. */
+  removeIf(key: string, version: number): boolean {
+    return this.#add([{ key, version }], [{ remove: key }]);
+  }
+
   /** Makes the transaction rest on the partition's owner; false: it has no room for that. */
   requireOwner(condition: Condition): boolean {
     if (this.#owners.has(condition.key)) return true;
@@ -105,6 +115,16 @@
   return zones.includes(machine.zone) ? null : 'yard';
 }
 
+/** A reclaim that a transaction contains. */
+interface AddedReclaim {
+  readonly decision: Decision;
+  readonly key: string;
+  readonly meant: readonly Omit<Meant, 'revision'>[];
+}
+
+/** A reclaim changes the record of its job and adds its own. */
+const CHANGES_PER_RECLAIM = 2;
+
 /** How often a rental is sent under one name while its outcome is not known. */
 const RENT_TRIES = 4;
 
@@ -131,6 +151,8 @@
     readonly tenure: Tenure,
     readonly summaries: () => readonly SeenSummary[],
     http: ConstructorParameters<typeof Cloud>[0],
+    /** Null: borrowing is off. */
+    readonly borrowing: LeaderBorrowing | null,
   ) {
     this.fleet = new Fleet(shared.facts, tenure.term, shared.settings.operators);
     this.cloud = new Cloud(http, shared.settings.cloud, shared.facts.reportMs * 2);
@@ -200,7 +222,7 @@
     const batch = new JobBatch(this.tenure.condition, shared.transactionRoom());
     this.#close(batch);
     this.#recent = this.#recent.filter((r) => current.some((s) => s.part === r.part && s.revision < r.revision));
-    const { assignments, unmet } = assignTasks({
+    const result = assignTasks({
       now,
       trials: this.#trials,
       jobs: store.jobs.live.values(),
@@ -209,10 +231,18 @@
       facts,
       types: store.types,
       most: settings.txnOps - batch.changes.length,
+      preempts: this.borrowing === null,
     });
-    this.#unmet = unmet;
+    const { assignments } = result;
     const meant = this.#addAssignments(batch, assignments, current);
+    const reclaims = this.#addReclaims(batch, result, current);
+    meant.push(...reclaims.flatMap(({ meant: machines }) => machines));
+    this.#unmet = unmetWithout(
+      result.unmet,
+      reclaims.map(({ decision }) => decision),
+    );
     this.#clearMarks(batch);
+    this.#removeAbandoned(batch);
     if (batch.changes.length === 0) {
       if (store.leftovers.size === 0) return false;
       for (const key of store.leftovers) if (!batch.remove(key)) break;
@@ -220,6 +250,7 @@
     const revision = await shared.settle(URGENCY.assign, batch.conditions, batch.changes, () => this.#isLeading());
     if (revision === 0) return false;
     for (const m of meant) this.#recent.push({ ...m, revision });
+    for (const { decision, key } of reclaims) this.borrowing!.decided(decision, key);
     this.#noteTrials(assignments, batch, now);
     shared.log.debug({ jobs: [...batch.jobs] }, 'assigned and closed');
     return true;
@@ -291,6 +322,46 @@
     return meant;
   }
 
+  /** Decides for which tasks without room others are stopped: the rounds of the one and the record of it go into one transaction. */
+  #addReclaims(batch: JobBatch, result: AssignmentResult, current: readonly PartSummary[]): AddedReclaim[] {
+    if (this.borrowing === null) return [];
+    const most = Math.floor((this.shared.settings.txnOps - batch.changes.length) / CHANGES_PER_RECLAIM);
+    const decisions = this.borrowing.plan({
+      result,
+      summaries: current,
+      taken: batch.jobs,
+      most,
+      rentMs: (job) => this.fleet.rentMs(job.spec, this.shared.store.types),
+    });
+    const added: AddedReclaim[] = [];
+    for (const decision of decisions) {
+      const reclaim = this.#addReclaim(batch, decision, this.borrowing);
+      if (reclaim !== null) added.push(reclaim);
+    }
+    return added;
+  }
+
+  /** Null: it has no room in the transaction or in the records, or the transaction changes its job already. */
+  #addReclaim(batch: JobBatch, decision: Decision, borrowing: LeaderBorrowing): AddedReclaim | null {
+    const { job, tasks, places, machine } = decision;
+    if (batch.jobs.has(job.id)) return null;
+    const record = recordWith(job, false, roundsOf(tasks, places));
+    const reclaim = borrowing.recordOf(decision);
+    const value = reclaimRecord.write(reclaim.record);
+    if (!this.shared.fitsValue(record) || !this.shared.fitsValue(value)) return null;
+    const rounds = roundsOf(tasks, places);
+    if (!this.#requireOwners(batch, rounds) || !batch.put(job, record, { put: reclaim.key, value })) return null;
+    const meant = tasks.map(() => ({ part: places[0]!.part, machine, need: job.spec }));
+    return { decision, key: reclaim.key, meant };
+  }
+
+  #removeAbandoned(batch: JobBatch): void {
+    for (const { key, version } of this.borrowing?.abandoned() ?? []) {
+      if (!batch.removeIf(key, version)) return;
+      this.shared.log.info({ reclaim: key }, 'reclaim abandoned');
+    }
+  }
+
   /** Makes the batch rest on the owners of the partitions that the rounds name; false: it has no room for that. */
   #requireOwners(batch: JobBatch, rounds: readonly Round[]): boolean {
     return rounds.every(({ part }) => {
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,4 +1,5 @@
 import { Command } from 'commander';
+import type { BorrowingOptions } from './borrowing-command';
 import { loadSettings, SettingsError } from './settings';
 import { version } from '../package.json';
 
@@ -13,9 +14,14 @@
   .description('run one controller until the process is killed')
   .requiredOption('--config <file>', "the platform's settings (JSON)")
   .option('--operators <file>', "the operators' settings (YAML); GINGERLOCK_OPERATORS names it too")
-  .action(async (options: { config: string; operators?: string }) => {
+  .option('--features <file>', 'which features are on (YAML); GINGERLOCK_FEATURES names it too')
+  .action(async (options: { config: string; operators?: string; features?: string }) => {
     try {
-      const settings = loadSettings(options.config, options.operators ?? process.env.GINGERLOCK_OPERATORS ?? null);
+      const settings = loadSettings({
+        platform: options.config,
+        operators: options.operators ?? process.env.GINGERLOCK_OPERATORS ?? null,
+        features: options.features ?? process.env.GINGERLOCK_FEATURES ?? null,
+      });
       // Loaded only now: help, version and a settings error need none of it.
       const { serve } = await import('./serve');
       await serve(settings);
@@ -25,4 +31,19 @@
     }
   });
 
+program
+  .command('borrowing')
+  .description('show what teams lend and borrow, and reclaims of GPUs, from the logs of controllers')
+  .option('--log <file>', 'the logs; standard input if it is not given')
+  .option('--team <name>', 'this team alone')
+  .option('--json', 'one JSON object instead of tables')
+  .addHelpText('after', '\nExample:\n  gingerlock borrowing --log controllers.log --team vision')
+  .action(async (options: BorrowingOptions) => {
+    const { borrowingCommand } = await import('./borrowing-command');
+    const { status, out, error } = await borrowingCommand(options, process.stdin);
+    process.stdout.write(out);
+    process.stderr.write(error);
+    process.exitCode = status;
+  });
+
 void program.parseAsync();
--- /dev/null
+++ b/packages/daemon/src/owner-reclaims.ts
@@ -0,0 +1,52 @@
+// The owner's part in borrowing: carries the reclaims of one partition out and has the records of those that are over removed.
+import { PartReclaims, type Reclaim } from '@gingerlock/borrowing';
+import type { ClaimTable, Slot } from '@gingerlock/core';
+import { type Change, type Condition, KEYS } from '@gingerlock/wire';
+import type { Shared } from './shared';
+
+/** The removal of one record, if it is still the one that was carried out. */
+export interface ReclaimRemoval {
+  readonly conditions: readonly Condition[];
+  readonly change: Change;
+}
+
+export class OwnerReclaims {
+  readonly reservations: PartReclaims;
+
+  constructor(
+    readonly shared: Shared,
+    readonly part: number,
+  ) {
+    this.reservations = new PartReclaims({ moved: (reclaim, detail) => this.#tell(reclaim, detail) });
+  }
+
+  attach(table: ClaimTable): void {
+    this.reservations.table = table;
+  }
+
+  /** Returns the tasks that are to be told to stop now. */
+  step(table: ClaimTable, now: number): readonly Slot[] {
+    const { store, clock } = this.shared;
+    const records = new Map([...store.reclaimsOf(this.part)].map(([id, { record }]) => [id, record]));
+    this.reservations.sync(records);
+    const stopped = this.reservations.step(table, clock.wall(), now);
+    if (stopped.length > 0) table.changes++;
+    return stopped;
+  }
+
+  removals(): ReclaimRemoval[] {
+    const known = this.shared.store.reclaimsOf(this.part);
+    return this.reservations.over.flatMap(({ id }) => {
+      const stored = known.get(id);
+      if (stored === undefined) return [];
+      const key = KEYS.reclaim(this.part, id);
+      return { conditions: [{ key, version: stored.version }], change: { remove: key } };
+    });
+  }
+
+  #tell({ id, record, state }: Reclaim, detail: Record<string, unknown>): void {
+    const { machine, job, reason } = record;
+    const reclaim = KEYS.reclaim(this.part, id);
+    this.shared.log.info({ reclaim, job, machine, tasks: record.tasks.length, reason, ...detail }, `reclaim ${state}`);
+  }
+}
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -30,6 +30,7 @@
   PRIORITIES,
   membershipRecord,
 } from '@gingerlock/wire';
+import { OwnerReclaims } from './owner-reclaims';
 import { DISPLAY_LAG_MS, type Shared } from './shared';
 
 /** A change of one key with the conditions it needs, and what to do before it is sent. */
@@ -59,6 +60,8 @@
 /** One part that this controller owns: its claim table, and the writes that follow from it. */
 export class PartOwner {
   readonly claimTable: ClaimTable;
+  /** Null: borrowing is off. */
+  readonly reclaims: OwnerReclaims | null;
   #writing = false;
   #scannedAt = 0;
   #stuck: readonly Slot[] = [];
@@ -82,6 +85,7 @@
   ) {
     const { store, facts, clock, log } = shared;
     this.#before = before;
+    this.reclaims = shared.settings.features.borrowing === null ? null : new OwnerReclaims(shared, part);
     this.claimTable = new ClaimTable({
       facts,
       part,
@@ -91,12 +95,14 @@
       jobs: store.jobs,
       types: () => store.types,
       membership: store.membership(part),
+      ...(this.reclaims === null ? {} : { reservations: this.reclaims.reservations, preempts: false }),
       attemptsPerTerm: shared.limits.attemptsPerTerm,
       images: new Map([...before].map(([name, m]) => [name, m.images])),
       log: (message, detail) => log.debug({ part, ...detail }, message),
       alarm: (message, detail) => log.error({ part, term: tenure.term, ...detail }, message),
     });
     for (const id of store.jobs.live.keys()) this.claimTable.syncJob(id, clock.now());
+    this.reclaims?.attach(this.claimTable);
   }
 
   /**
@@ -130,6 +136,7 @@
       this.#scannedAt = now;
       this.claimTable.scan();
     }
+    if (this.reclaims !== null && this.isOwner()) this.#pushAll(this.reclaims.step(this.claimTable, now));
     if (this.claimTable.changes !== this.#packedChange || now - this.#packedAt > this.shared.facts.reportMs / 3) {
       this.#packedChange = this.claimTable.changes;
       this.#packedAt = now;
@@ -272,6 +279,7 @@
       });
     }
     if (writes.length > 0) return { writes, urgency: URGENCY.accept };
+    if (this.reclaims !== null) writes.push(...this.reclaims.removals());
     const touched = new Set<string>();
     for (const [id, slots] of this.claimTable.finishing(now, this.#finishPatienceMs())) {
       touched.add(id);
--- a/packages/daemon/src/ownership-manager.ts
+++ b/packages/daemon/src/ownership-manager.ts
@@ -151,7 +151,8 @@
 
   #open(parts: number): void {
     const { node, facts } = this.#settings;
-    const me = { node, process: this.process };
+    const takesClaimLists = this.#settings.features.borrowing !== null;
+    const me = { node, process: this.process, ...(takesClaimLists ? { takesClaimLists } : {}) };
     for (let part = 0; part < parts; part++) {
       const order = this.#orderFor(part);
       const resource = String(part);
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -4,6 +4,7 @@
 import type { Facts } from '@gingerlock/core';
 import type { PeerAddress } from '@gingerlock/peer';
 import { parse as parseYaml } from 'yaml';
+import { type Features, FeaturesFile, featuresOf, unfitForBorrowing } from './features';
 
 /** Settings that can not be used; the command ends with exit code 2. */
 export class SettingsError extends Error {
@@ -89,6 +90,7 @@
   readonly sockets: number;
   readonly facts: Facts;
   readonly operators: OperatorSettings;
+  readonly features: Features;
 }
 
 function check<T extends TSchema>(schema: T, value: unknown, what: string): Static<T> {
@@ -98,7 +100,14 @@
   throw new SettingsError(`${what}: ${path === '' ? 'the whole' : path}: ${error?.message ?? 'invalid'}`);
 }
 
-export function settingsOf(platform: unknown, operators: unknown): Settings {
+function checkFeatures(file: unknown, teams: Parameters<typeof unfitForBorrowing>[0]): Features {
+  const features = featuresOf(check(FeaturesFile, file ?? {}, 'features'));
+  const unfit = features.borrowing === null ? null : unfitForBorrowing(teams);
+  if (unfit !== null) throw new SettingsError(`settings: ${unfit}, which borrowing can not work with`);
+  return features;
+}
+
+export function settingsOf(platform: unknown, operators: unknown, features: unknown = {}): Settings {
   const p = check(PlatformFile, platform, 'settings');
   const o = check(OperatorsFile, operators ?? {}, "operators' settings");
   const f = p.facts;
@@ -141,6 +150,7 @@
       maxOrdinaryMachines: o.max_ordinary_machines ?? OPERATOR_DEFAULTS.maxOrdinaryMachines,
       maxSpotMachines: o.max_spot_machines ?? OPERATOR_DEFAULTS.maxSpotMachines,
     },
+    features: checkFeatures(features, f.teams),
   };
 }
 
@@ -158,9 +168,16 @@
   }
 }
 
-export function loadSettings(path: string, operatorsPath: string | null): Settings {
-  const platform = read(path, 'settings', (text) => JSON.parse(text) as unknown);
-  const operators =
-    operatorsPath === null ? {} : read(operatorsPath, "operators' settings", (text) => parseYaml(text) as unknown);
-  return settingsOf(platform, operators);
+export interface SettingsPaths {
+  readonly platform: string;
+  /** Null: there is no such file. */
+  readonly operators: string | null;
+  readonly features: string | null;
+}
+
+export function loadSettings(paths: SettingsPaths): Settings {
+  const platform = read(paths.platform, 'settings', (text) => JSON.parse(text) as unknown);
+  const yaml = (path: string | null, what: string): unknown =>
+    path === null ? {} : read(path, what, (text) => parseYaml(text) as unknown);
+  return settingsOf(platform, yaml(paths.operators, "operators' settings"), yaml(paths.features, 'features'));
 }
--- a/packages/daemon/src/store.ts
+++ b/packages/daemon/src/store.ts
@@ -10,9 +10,13 @@
   type OwnerRecord,
   parseKey,
   membershipRecord,
+  type ReclaimRecord,
+  reclaimRecord,
   termRecord,
 } from '@gingerlock/wire';
 
+const NO_RECLAIMS: ReadonlyMap<string, Versioned<ReclaimRecord>> = new Map();
+
 /** What this controller's replica of the state service says, in our own terms. */
 export class Store {
   meta: Meta | null = null;
@@ -27,10 +31,14 @@
   readonly timed = new Map<string, number>();
   /** By part: the machines that may hold a claim there, with their addresses. */
   readonly memberships = new Map<number, Map<string, string>>();
+  /** By part and id. */
+  readonly reclaims = new Map<number, Map<string, Versioned<ReclaimRecord>>>();
   /** Finished sets whose job has been closed: nothing needs them any more. */
   readonly leftovers = new Set<string>();
   /** Hears of each job that has changed, or for which something has changed because of another job. */
   onJob: (id: string) => void = () => undefined;
+  /** Hears of the end of a reclaim. */
+  onReclaimEnded: (part: number, revision: number) => void = () => undefined;
   onMembership: (part: number, machine: string, present: boolean) => void = () => undefined;
 
   /** Finished pages read before `meta`, which says what they stand for: lists come in the order of the keys. */
@@ -64,6 +72,20 @@
     return membership;
   }
 
+  reclaimsOf(part: number): ReadonlyMap<string, Versioned<ReclaimRecord>> {
+    return this.reclaims.get(part) ?? NO_RECLAIMS;
+  }
+
+  #applyReclaim(part: number, id: string, value: unknown, version: number): void {
+    const ofPart = this.reclaims.get(part) ?? new Map<string, Versioned<ReclaimRecord>>();
+    this.reclaims.set(part, ofPart);
+    if (value !== undefined) {
+      ofPart.set(id, { record: reclaimRecord.read(value), version });
+      return;
+    }
+    if (ofPart.delete(id)) this.onReclaimEnded(part, version);
+  }
+
   /** Throws if the value is none that we write. */
   apply(key: string, value: unknown, version: number): void {
     const k = parseKey(key);
@@ -96,6 +118,9 @@
         else this.membership(k.part).set(k.machine, membershipRecord.read(value));
         this.onMembership(k.part, k.machine, value !== undefined);
         return;
+      case 'reclaim':
+        this.#applyReclaim(k.part, k.id, value, version);
+        return;
       case 'job': {
         const pages = [...(this.jobs.live.get(k.id)?.pages.keys() ?? [])];
         const record = this.jobs.applyJob(k.id, value, version);
--- a/packages/daemon/src/summary-pieces.ts
+++ b/packages/daemon/src/summary-pieces.ts
@@ -1,9 +1,7 @@
 // Summaries of partitions of any size as messages that each fit a frame of the link, and back.
 import type { MachineRoom, PartSummary } from '@gingerlock/core';
 import type { PeerMachineRoom, PeerMessage, PeerMessages, PeerSummary } from '@gingerlock/peer';
-
-/** Share of a frame that the estimated size of one message may take: the estimate leaves out small things. */
-const FRAME_SHARE = 0.5;
+import { FRAME_SHARE, PieceAssembly, splitBySize } from './pieces';
 
 /** Bytes of the numbers and flags of one machine, rounded up: eight for each number, and lengths before texts and lists. */
 const MACHINE_BYTES = 80;
@@ -29,22 +27,6 @@
   return RUNNING_BYTES + Buffer.byteLength(job);
 }
 
-/** Splits a list into runs whose estimated sizes stay within the limit; an item that is larger stands alone. */
-function splitBySize<T>(items: readonly T[], sizeOf: (item: T) => number, limit: number): T[][] {
-  const runs: T[][] = [];
-  let room = 0;
-  for (const item of items) {
-    const size = sizeOf(item);
-    if (runs.length === 0 || size > room) {
-      runs.push([]);
-      room = limit;
-    }
-    runs.at(-1)!.push(item);
-    room -= size;
-  }
-  return runs;
-}
-
 /** One message with all of it where that fits a frame, as ever; otherwise several pieces. */
 export function summaryMessages(
   summary: PartSummary,
@@ -72,35 +54,17 @@
   return contents.map((content, index) => ({ kind: 'SummaryPiece', ...head, sequence, index, pieces, ...content }));
 }
 
-/** Puts the pieces of summaries together that one controller sends, in order; the first of another summary makes it begin anew. */
+/** Puts the pieces of summaries together that one controller sends. */
 export class SummaryAssembly {
-  #first: PeerMessages['SummaryPiece'] | null = null;
-  readonly #pieces = new Map<number, PeerMessages['SummaryPiece']>();
+  readonly #pieces = new PieceAssembly<PeerMessages['SummaryPiece']>();
 
   /** Takes a piece; returns the summary once all of its pieces are there. */
   add(piece: PeerMessages['SummaryPiece']): PeerSummary | null {
-    if (this.#first === null || !isOfSame(this.#first, piece)) {
-      this.#first = piece;
-      this.#pieces.clear();
-    }
-    if (piece.index >= 0 && piece.index < this.#first.pieces) this.#pieces.set(piece.index, piece);
-    if (this.#pieces.size < this.#first.pieces) return null;
-    const all = [...this.#pieces.values()].sort((a, b) => a.index - b.index);
-    const { owner, part, term, revision, missing } = this.#first;
+    const all = this.#pieces.add(piece);
+    if (all === null) return null;
+    const { owner, part, term, revision, missing } = piece;
     const machines = all.flatMap((p) => p.machines);
     const running = all.flatMap((p) => p.running);
     return { owner, part, term, revision, missing, machines, running };
   }
 }
-
-type Identity = Pick<PeerMessages['SummaryPiece'], 'owner' | 'term' | 'revision' | 'sequence' | 'pieces'>;
-
-function isOfSame(a: Identity, b: Identity): boolean {
-  return (
-    a.owner === b.owner &&
-    a.term === b.term &&
-    a.revision === b.revision &&
-    a.sequence === b.sequence &&
-    a.pieces === b.pieces
-  );
-}
--- /dev/null
+++ b/packages/daemon/test/features.test.ts
@@ -0,0 +1,66 @@
+// The file of features: off by default, and whatever is wrong in it ends the start with its path and exit code 2.
+import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
+import { test } from 'node:test';
+import { parse } from 'yaml';
+import { SettingsError, settingsOf } from '../src/settings';
+import { platform } from './platform';
+
+test('borrowing is off unless its file says otherwise', () => {
+  for (const file of [
+    undefined,
+    null,
+    {},
+    { borrowing: { enabled: false } },
+    { borrowing: { enabled: false, max_share: 1 } },
+  ])
+    assert.equal(settingsOf(platform, {}, file).features.borrowing, null);
+  assert.deepEqual(settingsOf(platform, {}, { borrowing: { enabled: true, max_share: 0.5 } }).features.borrowing, {
+    maxShare: 0.5,
+  });
+});
+
+test('the file that stands under deploy/ is one that can be used', () => {
+  const file: unknown = parse(readFileSync('deploy/features.yaml', 'utf8'));
+  assert.deepEqual(settingsOf(platform, {}, file).features.borrowing, { maxShare: 0.25 });
+});
+
+test('unknown features and keys and wrong values are refused with their path', () => {
+  const wrong: [unknown, RegExp][] = [
+    [{ lending: { enabled: true } }, /lending/],
+    [{ borrowing: {} }, /borrowing\.enabled/],
+    [{ borrowing: { enabled: 'yes' } }, /borrowing\.enabled/],
+    [{ borrowing: { enabled: true, share: 0.5 } }, /borrowing\.share/],
+    ...[0, -0.25, 1.5, '0.5', null].map((max_share): [unknown, RegExp] => [
+      { borrowing: { enabled: true, max_share } },
+      /borrowing\.max_share/,
+    ]),
+    [[], /the whole/],
+    ['borrowing', /the whole/],
+  ];
+  for (const [file, path] of wrong) {
+    assert.throws(
+      () => settingsOf(platform, {}, file),
+      (error: Error) => error instanceof SettingsError && path.test(error.message),
+      JSON.stringify(file),
+    );
+  }
+});
+
+test('teams that borrowing can not work with are refused only where it is on', () => {
+  const team = { name: 'red', cpus: 0, cpus_max: 0, gpus: 4, gpus_max: 8 };
+  const withTeams = (teams: unknown[]): unknown => ({ ...platform, facts: { ...platform.facts, teams } });
+  const wrong: [unknown[], RegExp][] = [
+    [[{ ...team, gpus_max: 2 }], /facts\.teams\.0\.gpus_max/],
+    [[team, { ...team, name: 'blue', cpus: 4, cpus_max: 2 }], /facts\.teams\.1\.cpus_max/],
+    [[team, team], /facts\.teams\.1\.name/],
+  ];
+  for (const [teams, path] of wrong) {
+    assert.throws(() => settingsOf(withTeams(teams), {}, { borrowing: { enabled: true } }), path);
+    assert.equal(settingsOf(withTeams(teams), {}).features.borrowing, null);
+  }
+  for (const gpus of [-1, '4', null])
+    assert.throws(() => settingsOf(withTeams([{ ...team, gpus }]), {}), /facts\.teams\.0\.gpus/);
+  // Amounts are decimal numbers, says the protocol.
+  assert.doesNotThrow(() => settingsOf(withTeams([{ ...team, gpus: 2.5 }]), {}, { borrowing: { enabled: true } }));
+});
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -13,6 +13,9 @@
 
 const amounts = record('Amounts', { cpus: 'double', gpus: 'double', memoryGb: 'double' });
 
+/** How far a task is on its machine. */
+const STAGES = ['granted', 'fetching', 'running', 'saving'] as const;
+
 /** What both a summary and a piece of one say; the named records are defined where they stand first. */
 const SUMMARY_HEAD = { owner: 'string', part: 'int', term: 'long', revision: 'long' };
 
@@ -79,6 +82,31 @@
     missing: 'Amounts',
     running: { type: 'array', items: 'Running' },
   }),
+  /** What the machines of a partition hold, for a leader that takes such lists; a piece of it, as above. */
+  record('ClaimList', {
+    part: 'int',
+    term: 'long',
+    revision: 'long',
+    sequence: 'long',
+    index: 'int',
+    pieces: 'int',
+    machines: {
+      type: 'array',
+      items: record('MachineClaims', {
+        machine: 'string',
+        held: {
+          type: 'array',
+          items: record('HeldTask', {
+            task: 'string',
+            attempt: 'long',
+            stage: { type: 'enum', name: 'Stage', symbols: [...STAGES] },
+            runMs: 'double',
+            stopping: 'boolean',
+          }),
+        },
+      }),
+    },
+  }),
 ];
 
 export interface PeerAmounts {
@@ -105,6 +133,19 @@
   silentMs: number;
 }
 
+export interface PeerHeldTask {
+  task: string;
+  attempt: number;
+  stage: (typeof STAGES)[number];
+  runMs: number;
+  stopping: boolean;
+}
+
+export interface PeerMachineClaims {
+  machine: string;
+  held: PeerHeldTask[];
+}
+
 /** How a partition stands, or a part of that. */
 export interface PeerSummary {
   owner: string;
@@ -132,6 +173,15 @@
   BudgetRequest: { id: string; writes: number };
   BudgetGrant: { id: string; writes: number };
   SummaryPiece: PeerSummary & { sequence: number; index: number; pieces: number };
+  ClaimList: {
+    part: number;
+    term: number;
+    revision: number;
+    sequence: number;
+    index: number;
+    pieces: number;
+    machines: PeerMachineClaims[];
+  };
 }
 
 export type PeerMessage = { [K in keyof PeerMessages]: { kind: K } & PeerMessages[K] }[keyof PeerMessages];
--- a/packages/peer/test/link.test.ts
+++ b/packages/peer/test/link.test.ts
@@ -72,6 +72,18 @@
     missing: amounts,
     running: [{ job: 'j-2', tasks: 1 }],
   },
+  {
+    kind: 'ClaimList',
+    part: 1,
+    term: 5,
+    revision: 6,
+    sequence: 7,
+    index: 0,
+    pieces: 1,
+    machines: [
+      { machine: 'm', held: [{ task: 'j-1/0', attempt: 2 ** 40, stage: 'saving', runMs: 0.5, stopping: true }] },
+    ],
+  },
 ];
 
 async function* pieces(bytes: Buffer, cuts: readonly number[]): AsyncGenerator<Buffer> {
--- /dev/null
+++ b/packages/testkit/src/borrowing-audit.ts
@@ -0,0 +1,138 @@
+// Checks reclaims of GPUs against what really runs, from the moment at which each is stored to its end.
+import { PRIORITIES, parseTaskName, type ReclaimRecord, reclaimRecord } from '@gingerlock/wire';
+import { ABANDONED_BOUNDS } from '@gingerlock/borrowing';
+import type { World } from './world';
+
+/** What is stored of reclaims stands below this. */
+export const RECLAIM_PREFIX = 'g/b/';
+
+/** The leader's view of what runs may be as old as this many report intervals. */
+const VIEW_INTERVALS = 3;
+
+/** Once all is over, a reclaim may stand for its bound as a leader sees it, and for a new leader to look. */
+const SLACK_REPORTS = 20;
+
+interface Sample {
+  readonly at: number;
+  readonly use: ReadonlyMap<string, number>;
+}
+
+export class BorrowingAudit {
+  /** By key: the reclaims that are stored now, and since when. */
+  readonly stored = new Map<string, { readonly record: ReclaimRecord; readonly since: number }>();
+  /** How often each task was named as a victim. */
+  readonly stops = new Map<string, number>();
+  decided = 0;
+  #samples: Sample[] = [];
+
+  constructor(readonly world: World) {}
+
+  /** GPUs that each team's tasks hold now, those that fetch their images included, for jobs that are wanted. */
+  useNow(): Map<string, number> {
+    const use = new Map<string, number>();
+    const { users, workers } = this.world;
+    for (const { tasks } of workers.values()) {
+      for (const { task, state } of tasks.values()) {
+        const told = users.told.get(parseTaskName(task)!.job);
+        if (state === 'exited' || told === undefined || users.isUnwanted(told)) continue;
+        use.set(told.spec.team, (use.get(told.spec.team) ?? 0) + told.spec.gpus);
+      }
+    }
+    return use;
+  }
+
+  /** Looks at everything once more: to be called again and again. */
+  audit(quietAt: number): void {
+    const { now } = this.world.sim;
+    const before = now - this.world.reportMs * VIEW_INTERVALS;
+    this.#samples = this.#samples.filter((sample) => sample.at >= before);
+    this.#samples.push({ at: now, use: this.useNow() });
+    this.#watchStored(now);
+    this.#checkEnds(now, quietAt);
+  }
+
+  #watchStored(now: number): void {
+    const { data } = this.world.state;
+    for (const key of this.stored.keys()) if (!data.has(key)) this.stored.delete(key);
+    for (const [key, { value }] of data) {
+      if (!key.startsWith(RECLAIM_PREFIX) || this.stored.has(key)) continue;
+      const record = reclaimRecord.read(value);
+      this.stored.set(key, { record, since: now });
+      this.#checkNew(key, record);
+    }
+  }
+
+  #checkNew(key: string, record: ReclaimRecord): void {
+    this.decided++;
+    this.world.came('reclaim');
+    this.world.came(`reclaim by ${record.reason}`);
+    for (const { task } of record.victims) this.stops.set(task, (this.stops.get(task) ?? 0) + 1);
+    this.#checkPromisedOnce(key, record);
+    this.#checkPriorities(key, record);
+    this.#checkGuarantees(key, record);
+  }
+
+  /** One reclaim at a time for each machine and each task that gets room. */
+  #checkPromisedOnce(key: string, { machine, job, tasks }: ReclaimRecord): void {
+    for (const [other, { record }] of this.stored) {
+      if (other === key) continue;
+      const isSameTask = record.job === job && record.tasks.some((task) => tasks.includes(task));
+      if (record.machine === machine || isSameTask) this.world.breach('promised_twice', `${key} and ${other}`);
+    }
+  }
+
+  #checkPriorities(key: string, record: ReclaimRecord): void {
+    const beneficiary = this.world.job(record.job)!;
+    const rank = PRIORITIES.indexOf(beneficiary.priority);
+    for (const { task } of record.victims) {
+      const victim = this.world.job(parseTaskName(task)!.job)!;
+      const victimRank = PRIORITIES.indexOf(victim.priority);
+      const isReplica = victim.kind === 'service';
+      const isHigher = beneficiary.kind === 'service' && victimRank < rank;
+      if (isReplica && (victim.priority === 'production' || isHigher))
+        this.world.breach('replica_reclaimed', `${key}: ${task}`);
+      if (victimRank <= rank && victim.team === beneficiary.team)
+        this.world.breach('replica_reclaimed', `${key}: ${task} is as urgent and of the same team`);
+    }
+  }
+
+  /**
+   * No team falls below its guarantee, or what it has work for, by all that is being stopped of it for others. What it used at any time that
+   * the leader may still have seen counts: tasks that end by themselves meanwhile are not the reclaim's doing.
+   */
+  #checkGuarantees(key: string, added: ReclaimRecord): void {
+    const guarantee = this.world.guaranteedGpus;
+    const beneficiary = this.world.job(added.job)!.team;
+    const teams = new Set(added.victims.map(({ task }) => this.world.job(parseTaskName(task)!.job)!.team));
+    for (const team of teams) {
+      if (team === beneficiary || team === this.world.guestTeam) continue;
+      const most = Math.max(...this.#samples.map(({ use }) => use.get(team) ?? 0));
+      const left = most - this.#stoppedOf(team);
+      if (left < Math.min(guarantee, most) - 1e-9)
+        this.world.breach('below_guarantee', `${key}: ${team} is left ${left} of ${most}`);
+    }
+  }
+
+  /** GPUs of the team's tasks that are named as victims and still hold something. */
+  #stoppedOf(team: string): number {
+    let gpus = 0;
+    for (const { record } of this.stored.values()) {
+      const held = this.world.workers.get(record.machine)?.tasks;
+      for (const { task, attempt } of record.victims) {
+        const spec = this.world.job(parseTaskName(task)!.job)!;
+        const state = held?.get(`${task} ${attempt}`)?.state;
+        if (spec.team === team && state !== undefined && state !== 'exited') gpus += spec.gpus;
+      }
+    }
+    return gpus;
+  }
+
+  /** Once all troubles are over, no reclaim is left standing for longer than a leader lets it. */
+  #checkEnds(now: number, quietAt: number): void {
+    const { cancelMs, reportMs } = this.world;
+    const boundMs = (cancelMs + this.world.longestSaveMs) * ABANDONED_BOUNDS + reportMs * SLACK_REPORTS;
+    for (const [key, { since }] of this.stored) {
+      if (now - Math.max(since, quietAt) > boundMs) this.world.breach('endless_reclaim', key);
+    }
+  }
+}
--- a/packages/testkit/src/faults.ts
+++ b/packages/testkit/src/faults.ts
@@ -1,5 +1,6 @@
 // Troubles as data, so that a generator can draw them and a shrinker can take them away one by one.
 import { KEYS, parseTaskName } from '@gingerlock/wire';
+import { type BorrowingFault, borrowingFaultMs, inflictBorrowing, isBorrowingFault } from './borrowing-faults';
 import { inflictOperations, isOperationsFault, type OperationsFault, operationsFaultMs } from './operations-faults';
 import type { Cut } from './network';
 import { PipelineUser } from './pipelines';
@@ -7,6 +8,7 @@
 
 export type Fault =
   | OperationsFault
+  | BorrowingFault
   | { readonly kind: 'crash'; readonly nodes: readonly number[]; readonly backMs: number }
   /** Ends again and again, and is back within a fraction of a second. */
   | { readonly kind: 'flapping'; readonly node: number; readonly times: number; readonly everyMs: number }
@@ -134,6 +136,10 @@
     inflictOperations(world, fault, node);
     return;
   }
+  if (isBorrowingFault(fault)) {
+    inflictBorrowing(world, fault);
+    return;
+  }
   switch (fault.kind) {
     case 'crash':
       for (const i of fault.nodes) {
@@ -505,6 +511,7 @@
 /** How long a trouble lasts, what it leaves under way included. */
 function lastsMs(fault: Fault, controllers: number): number {
   if (isOperationsFault(fault)) return operationsFaultMs(fault);
+  if (isBorrowingFault(fault)) return borrowingFaultMs(fault, controllers);
   switch (fault.kind) {
     case 'crash':
       return fault.backMs;
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -7,5 +7,7 @@
 export * from './pipelines';
 export * from './liveness';
 export * from './ownership-audit';
+export * from './borrowing-audit';
+export * from './borrowing-faults';
 export * from './world';
 export * from './faults';
--- a/packages/testkit/src/rules.ts
+++ b/packages/testkit/src/rules.ts
@@ -11,6 +11,12 @@
  * retried_often:    a job that fails wherever it runs is started again and again.
  * forgotten_machine: once all troubles are over, a machine that never comes up stays rented.
  * frame_too_large: a controller sends another one a message that its link does not take.
+ * Those of borrowing; see `BorrowingAudit`:
+ * below_guarantee:  a reclaim leaves a team less than its guarantee, or than it has work for.
+ * promised_twice:   two reclaims at once are for one machine, or for one task.
+ * replica_reclaimed: a replica is stopped for a service of lower priority, or a task for one that is no more urgent and of its own team.
+ * endless_reclaim:  once all troubles are over, a reclaim stands for ever.
+ * overcommitted:    the tasks on a machine use more than it has.
  * The statements on which ran_twice and wrong_place rest; see `OwnershipAudit`:
  * deposed_owner:    a worker is answered by a controller whose own copy of the records shows another owner.
  * free_but_running: a task that may be started, or assigned anew, runs.
@@ -36,6 +42,11 @@
   | 'free_but_running'
   | 'stale_entry'
   | 'frame_too_large'
+  | 'below_guarantee'
+  | 'promised_twice'
+  | 'replica_reclaimed'
+  | 'endless_reclaim'
+  | 'overcommitted'
   | 'condemned_healthy'
   | 'retried_often'
   | 'forgotten_machine';
--- a/packages/testkit/src/state-service.ts
+++ b/packages/testkit/src/state-service.ts
@@ -73,6 +73,8 @@
   unhelpful: UnhelpfulReads | null = null;
   /** Enforced from the moment when they are set; until then what breaks a limit is only counted. */
   limits: StateLimits | null = null;
+  /** Hears of each key that a transaction has set, once all of it is carried out. */
+  onStored: (key: string) => void = () => undefined;
   /** Hears of each request that is refused for good. */
   onInvalid: (why: string) => void = () => undefined;
   /** Requests refused for their rate. */
@@ -111,6 +113,11 @@
     return request?.kind === 'renew' && this.#leases.has(request.lease);
   }
 
+  /** Stores a value as if it had always been there. */
+  put(key: string, value: unknown): void {
+    this.data.set(key, { value, version: ++this.revision, lease: null });
+  }
+
   #end(id: number): void {
     this.#leases.delete(id);
     const keys = [...this.data].filter(([, e]) => e.lease === id).map(([key]) => key);
@@ -224,6 +231,7 @@
             this.#note({ key: c.remove, value: undefined, version: this.revision });
           }
         }
+        for (const c of changes) if ('put' in c) this.onStored(c.put);
         return answer(200, revisionMap(this.revision));
       }
       case 'grant': {
--- a/packages/testkit/src/worker.ts
+++ b/packages/testkit/src/worker.ts
@@ -18,6 +18,8 @@
   state: TaskState;
   cause: ExitCause | null;
   saved: boolean;
+  /** When it began to run; null: it has not. */
+  runsSince: number | null;
   cancelTimer: () => void;
 }
 
@@ -33,6 +35,10 @@
   /** A task now is on this machine, or no longer is. */
   onTask(task: string, machine: string): void;
   offTask(task: string, machine: string): void;
+  /** By task: for how long it had run when it was last saved. */
+  readonly savedMs: ReadonlyMap<string, number>;
+  /** A task that had run for so long was stopped, with what it did saved or lost. */
+  stoppedTask(task: string, runMs: number, isSaved: boolean): void;
   /** A start command that was not known yet has come. */
   onCommanded(task: string): void;
 }
@@ -224,7 +230,7 @@
         }
         return;
       case 'stop':
-        if (known !== undefined && known.state !== 'exited') this.#exit(known, 'stopped');
+        if (known !== undefined && known.state !== 'exited') this.#stop(known, c.graceS);
         return;
       case 'forget':
         if (known?.state === 'exited') this.tasks.delete(key);
@@ -232,6 +238,26 @@
     }
   }
 
+  /** A running task saves if it has checkpoints and the time for one; any other ends at once, and so does one that is told a second time. */
+  #stop(t: RunningTask, graceS: number): void {
+    const job = this.world.job(parseTaskName(t.task)!.job)!;
+    const runMs = t.runsSince === null ? 0 : this.world.sim.now - t.runsSince;
+    if (t.state === 'saving' && graceS > 0) return;
+    if (t.state !== 'running' || job.checkpointS <= 0 || graceS < job.saveS) {
+      if (job.kind === 'array' && t.state === 'running') this.world.stoppedTask(t.task, runMs, false);
+      this.#exit(t, 'stopped');
+      return;
+    }
+    t.cancelTimer();
+    t.state = 'saving';
+    this.#changed();
+    t.cancelTimer = this.#after(job.saveS * 1000, () => {
+      this.world.stoppedTask(t.task, runMs, true);
+      t.saved = true;
+      this.#exit(t, 'stopped');
+    });
+  }
+
   #start(task: string, attempt: number): void {
     const { world } = this;
     const { sim } = world;
@@ -243,6 +269,7 @@
       state: 'fetching',
       cause: null,
       saved: false,
+      runsSince: null,
       cancelTimer: () => undefined,
     };
     const busy = [...this.tasks.values()].some((o) => o.task === task && o.state !== 'exited');
@@ -255,13 +282,13 @@
     t.cancelTimer = this.#after(this.#images.has(job.image) ? 10 : 2000, () => {
       this.#images.add(job.image);
       t.state = 'running';
+      t.runsSince = sim.now;
       world.onTask(task, this.name);
       this.#changed();
       if (this.unhealthy || world.isBroken(job.id)) t.cancelTimer = this.#after(300, () => this.#exit(t, 'error'));
       else if (job.kind === 'array') {
-        t.cancelTimer = this.#after(job.estimateS * 1000 * (0.5 + sim.random()) * this.slowness, () =>
-          this.#exit(t, 'done'),
-        );
+        const leftMs = job.estimateS * 1000 * (0.5 + sim.random()) - (world.savedMs.get(task) ?? 0);
+        t.cancelTimer = this.#after(Math.max(0, leftMs) * this.slowness, () => this.#exit(t, 'done'));
       }
     });
   }
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -12,6 +12,7 @@
 import { type Amounts, NOTHING } from '@gingerlock/core';
 import { decodePeer, encodePeer, MAX_FRAME_BYTES, type PeerLink, type PeerMessage } from '@gingerlock/peer';
 import { decodeReport, type JobSpec, holdRecord, KEYS, LEAD, type MachineType, parseTaskName } from '@gingerlock/wire';
+import { BorrowingAudit, RECLAIM_PREFIX } from './borrowing-audit';
 import { SimCloud } from './cloud';
 import type { RentedMachine } from './cloud-records';
 import { Liveness } from './liveness';
@@ -40,6 +41,10 @@
   readonly leaseS?: number;
   readonly cancelS?: number;
   readonly gpusMax?: number;
+  /** GPUs that each team but the guests is guaranteed. */
+  readonly guaranteedGpus?: number;
+  /** What is on of the features, as its file says it. */
+  readonly features?: unknown;
   /** Limits that the state service may get during the day: `facts.state.next` of the settings. */
   readonly nextLimits?: StateLimits;
   /** What all jobs have in common. */
@@ -155,6 +160,11 @@
   readonly users = new SimUsers(this);
   readonly liveness = new Liveness(this);
   readonly ownership = new OwnershipAudit(this);
+  readonly borrowing = new BorrowingAudit(this);
+  /** By task: for how long it had run when it was last saved. */
+  readonly savedMs = new Map<string, number>();
+  /** Run time of tasks that were stopped, in seconds of GPUs, that was not saved. */
+  lostGpuSeconds = 0;
   /** How long after its user was told that it is cancelled any job had a task on a machine. */
   longestCancelledMs = 0;
   /** The most that a team has ever used. */
@@ -171,6 +181,9 @@
     this.sim = new Sim(options.seed);
     this.network = new Network(this.sim);
     this.state = new SimStateService(this.sim);
+    this.state.onStored = (key) => {
+      if (this.options.features !== undefined && key.startsWith(RECLAIM_PREFIX)) this.borrowing.audit(Infinity);
+    };
     this.state.onInvalid = (why) => this.breach('refused', why);
     this.reportMs = (options.reportS ?? 1) * 1000;
     this.leaseMs = (options.leaseS ?? 6) * 1000;
@@ -195,6 +208,15 @@
     for (const node of this.nodes) this.startNode(node.name);
   }
 
+  get guaranteedGpus(): number {
+    return this.options.guaranteedGpus ?? 4;
+  }
+
+  /** The longest that any job's task may take to save, with the slack that it gets. */
+  get longestSaveMs(): number {
+    return Math.max(0, ...[...this.users.told.values()].map(({ spec }) => spec.saveS)) * 1250;
+  }
+
   get gpusMax(): number {
     return this.options.gpusMax ?? 10;
   }
@@ -240,7 +262,7 @@
         count: this.nodes.length,
         zones: ZONES,
         teams: [
-          ...TEAMS.map((name) => ({ name, cpus: 0, cpus_max: 0, gpus: 4, gpus_max: this.gpusMax })),
+          ...TEAMS.map((name) => ({ name, cpus: 0, cpus_max: 0, gpus: this.guaranteedGpus, gpus_max: this.gpusMax })),
           { name: GUESTS, cpus: 0, cpus_max: 0, gpus: 0, gpus_max: this.gpusMax },
         ],
         workers: { report_s: this.reportMs / 1000, lease_s: this.leaseMs / 1000, cancel_s: this.cancelMs / 1000 },
@@ -266,7 +288,7 @@
     node.link = link;
     this.network.thaw(name);
     const ports: ControllerPorts = {
-      settings: settingsOf(this.settings(name), {}),
+      settings: settingsOf(this.settings(name), {}, this.options.features),
       clock: this.sim.clock(node.drift, (this.sim.random() - 0.5) * 200, alive, (run) =>
         this.network.on(name, run, 'timer'),
       ),
@@ -360,6 +382,9 @@
     }
     this.peakGpus = Math.max(this.peakGpus, gpus);
     if (gpus > this.gpusMax + 1e-9) this.breach('quota', `team ${spec.team} uses ${gpus}`);
+    const onMachine = [...this.#on].filter(([, m]) => m === machine).map(([t]) => this.job(parseTaskName(t)!.job)!);
+    const used = onMachine.reduce((sum, s) => sum + s.gpus, 0);
+    if (used > this.roomOf(worker.type).gpus + 1e-9) this.breach('overcommitted', `${machine}: ${used} GPUs`);
     const told = this.users.told.get(job)!;
     if (!this.users.isReady(told)) this.breach('too_early', `${task} before one of ${spec.awaits.join()}`);
     this.#checkCancelled(task);
@@ -379,6 +404,11 @@
     this.breach('ran_cancelled', `${task} on ${machine}${this.network.standsStill(machine) ? ', which hangs' : ''}`);
   }
 
+  stoppedTask(task: string, runMs: number, isSaved: boolean): void {
+    if (isSaved) this.savedMs.set(task, (this.savedMs.get(task) ?? 0) + runMs);
+    else this.lostGpuSeconds += (runMs / 1000) * this.job(parseTaskName(task)!.job)!.gpus;
+  }
+
   /** A start command has come to a worker. */
   onCommanded(task: string): void {
     const { cancelledAt } = this.users.told.get(parseTaskName(task)?.job ?? '') ?? { cancelledAt: null };
@@ -394,6 +424,7 @@
     this.ownership.audit();
     this.liveness.audit(this.quietAt);
     this.operations.audit(this.quietAt);
+    if (this.options.features !== undefined) this.borrowing.audit(this.quietAt);
   }
 
   // --- users -------------------------------------------------------------------------------------------------------
--- /dev/null
+++ b/packages/testkit/test/borrowing-off.test.ts
@@ -0,0 +1,63 @@
+// Off, borrowing changes nothing: no key, no message and no request of a whole day differs, and none is of its kinds.
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { type Fault, playDay, World } from '../src/index';
+import { holdRecord, KEYS, LEAD } from '@gingerlock/wire';
+
+const FAULTS: readonly { readonly at: number; readonly fault: Fault }[] = [
+  { at: 5000, fault: { kind: 'batch wave', team: 1, tasks: 40, estimateS: 15 } },
+  { at: 12_000, fault: { kind: 'surge', team: 0, replicas: 8, everyMs: 300, forMs: 20_000 } },
+  { at: 16_000, fault: { kind: 'crash', nodes: [-1], backMs: 3000 } },
+];
+
+/** Everything that leaves a controller on one day, in order. */
+async function traceOf(features: unknown): Promise<{ trace: string[]; kinds: Set<string>; keys: string[] }> {
+  const trace: string[] = [];
+  const kinds = new Set<string>();
+  const keys = new Set<string>();
+  const world = new World({
+    seed: 71,
+    machines: 6,
+    capacity: 2,
+    gpusMax: 20,
+    ...(features === undefined ? {} : { features }),
+    falsify: (message) => {
+      kinds.add(message.kind);
+      trace.push(`${message.kind} ${JSON.stringify(message)}`);
+      return message;
+    },
+  });
+  world.network.onSent = (from, addr, path, body) => trace.push(`${from} ${addr} ${path} ${body.toString('hex')}`);
+  world.state.onStored = (key) => keys.add(key.split('/').slice(0, 2).join('/'));
+  await playDay(world, { seed: 71, forMs: 90_000, faults: FAULTS });
+  const lead = holdRecord.read(world.state.data.get(KEYS.hold(LEAD))!.value);
+  assert.equal(lead.takesClaimLists, undefined);
+  return { trace, kinds, keys: [...keys].sort() };
+}
+
+test('a day with borrowing absent and one with it switched off are the same to the byte', async () => {
+  const absent = await traceOf(undefined);
+  const off = await traceOf({ borrowing: { enabled: false } });
+  assert.ok(absent.trace.length > 1000);
+  assert.deepEqual(off.trace, absent.trace);
+  for (const kind of ['ClaimList', 'SummaryPiece']) assert.ok(!absent.kinds.has(kind), kind);
+  assert.deepEqual(absent.keys, ['g/f', 'g/hold', 'g/j', 'g/meta', 'g/own', 'g/r', 'g/term', 'g/timed', 'g/types']);
+});
+
+test('records of reclaims that are left from when it was on are left alone, readable or not', async () => {
+  const errors: string[] = [];
+  const log = {
+    error: (detail: object, message: string) => errors.push(`${message} ${JSON.stringify(detail)}`),
+    info: () => undefined,
+    debug: () => undefined,
+  };
+  const world = new World({ seed: 72, log });
+  const record = { m: 'm-000001', j: 'j-000900', t: [0], v: [['j-000901/0', 7]], at: 0, w: 'p' };
+  world.state.put('g/b/0/1-1', record);
+  world.state.put('g/b/0/1-2', { m: 5 });
+  await playDay(world, { seed: 72, forMs: 60_000, faults: [] });
+  assert.deepEqual(world.breaches, []);
+  assert.deepEqual(world.state.data.get('g/b/0/1-1')!.value, record);
+  assert.deepEqual(world.state.data.get('g/b/0/1-2')!.value, { m: 5 });
+  assert.ok(errors.length > 0 && errors.every((line) => line.startsWith('unreadable record {"key":"g/b/0/1-2"')));
+});
--- a/packages/testkit/test/mutants.test.ts
+++ b/packages/testkit/test/mutants.test.ts
@@ -1,12 +1,13 @@
 // Breaks the code on purpose, once for each rule of the protocol: a check that can't fail would prove nothing.
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { Accounts } from '@gingerlock/borrowing';
 import { Replica } from '@gingerlock/clients';
 import { ClaimTable, DependencyGraph, FailureAttribution, Fleet, Job, JobTable, Ownership } from '@gingerlock/core';
-import { Controller, PartOwner } from '@gingerlock/daemon';
+import { Controller, LeaderBorrowing, OwnerReclaims, PartOwner } from '@gingerlock/daemon';
 import { MAX_FRAME_BYTES } from '@gingerlock/peer';
-import { encodeJobState, decodeSubmission } from '@gingerlock/wire';
-import { type Fault, playDay, type Rule, World } from '../src/index';
+import { encodeJobState, decodeSubmission, PRIORITIES } from '@gingerlock/wire';
+import { type Fault, playDay, type Rule, World, type WorldOptions } from '../src/index';
 
 /** Replaces a method for one test. */
 function patch<T extends object, K extends keyof T>(target: T, name: K, make: (original: T[K]) => T[K]): () => void {
@@ -35,8 +36,23 @@
   readonly apply: (world: () => World) => () => void;
   /** Troubles in which it shows, beside machines that can't be heard for a while. */
   readonly faults?: readonly Fault[];
+  /** How long its days are, if not as long as most. */
+  readonly forMs?: number;
+  /** What its days need otherwise. */
+  readonly options?: Partial<WorldOptions>;
 }
 
+/** A fleet that can not grow, in which one team's surge takes what another's batch work has. */
+const BORROWING: Pick<Mutant, 'faults' | 'options'> = {
+  options: { capacity: 2, gpusMax: 48, guaranteedGpus: 34, features: { borrowing: { enabled: true, max_share: 0.5 } } },
+  faults: [
+    { kind: 'batch wave', team: 1, tasks: 50, estimateS: 40 },
+    { kind: 'batch wave', team: 0, tasks: 6, estimateS: 40 },
+    { kind: 'surge', team: 0, replicas: 12, everyMs: 1500, forMs: 60_000 },
+    { kind: 'surge', team: 1, replicas: 12, everyMs: 1500, forMs: 60_000 },
+  ],
+};
+
 /** Workers get no stops, neither in answers nor directly. */
 function dropStops(): () => void {
   const answers = patch(
@@ -80,6 +96,92 @@
 const BROKEN_JOBS: Fault = { kind: 'broken jobs', count: 3, tasks: 40, everyMs: 3000, cancelAfterMs: 60_000 };
 
 const mutants: Record<Rule, Mutant> = {
+  below_guarantee: {
+    ...BORROWING,
+    broken: 'what surely runs of a team is taken for ten times as much',
+    apply: () =>
+      patch(
+        Accounts.prototype,
+        'of',
+        (original) =>
+          function (this: Accounts, team) {
+            const account = original.call(this, team);
+            if (account === undefined) return undefined;
+            const { cpus, gpus, memoryGb } = account.low;
+            return { ...account, low: { cpus: cpus * 10, gpus: gpus * 10, memoryGb } };
+          },
+      ),
+  },
+  promised_twice: {
+    ...BORROWING,
+    broken: 'the leader does not see what is under way',
+    apply: () =>
+      patch(
+        LeaderBorrowing.prototype,
+        'plan',
+        (original) =>
+          function (this: LeaderBorrowing, view) {
+            const { reclaims } = this.shared.store;
+            const stored = [...reclaims];
+            reclaims.clear();
+            try {
+              return original.call(this, view);
+            } finally {
+              for (const [part, ofPart] of stored) reclaims.set(part, ofPart);
+            }
+          },
+      ),
+  },
+  replica_reclaimed: {
+    faults: BORROWING.faults!,
+    options: {
+      ...BORROWING.options,
+      guaranteedGpus: 0,
+      load: 3,
+      jobs: {
+        kind: 'service',
+        priority: 'production',
+        gpus: 1,
+        spot: false,
+        zone: null,
+        spread: false,
+        oneZone: false,
+      },
+    },
+    broken: 'priorities are read upside down',
+    apply: () =>
+      readJobsAs((job) => {
+        const upsideDown = PRIORITIES.length - 1 - PRIORITIES.indexOf(job.spec.priority);
+        Object.defineProperty(job, 'ownRank', { configurable: true, get: () => upsideDown });
+        job.rank = job.ownRank;
+      }),
+  },
+  endless_reclaim: {
+    ...BORROWING,
+    forMs: 200_000,
+    broken: 'reclaims that are over are never removed',
+    apply: () => {
+      const removals = patch(OwnerReclaims.prototype, 'removals', () => () => []);
+      const abandoned = patch(LeaderBorrowing.prototype, 'abandoned', () => () => []);
+      return () => {
+        removals();
+        abandoned();
+      };
+    },
+  },
+  overcommitted: {
+    broken: 'machines are taken for larger than they are',
+    apply: () =>
+      patch(
+        ClaimTable.prototype,
+        'room',
+        (original) =>
+          function (this: ClaimTable, machine) {
+            const room = original.call(this, machine);
+            return { cpus: room.cpus + 32, gpus: room.gpus + 8, memoryGb: room.memoryGb + 128 };
+          },
+      ),
+  },
   frame_too_large: {
     broken: 'a machine is told of with an image whose name is longer than a frame',
     apply: () =>
@@ -350,7 +452,7 @@
   },
 };
 
-for (const [rule, { broken, apply, faults: own = [] }] of Object.entries(mutants)) {
+for (const [rule, { broken, apply, faults: own = [], options, forMs = 90_000 }] of Object.entries(mutants)) {
   test(`the check of ${rule} fails when ${broken}`, async () => {
     const seen = new Set<Rule>();
     // What a mutant breaks takes its moment: it shows on one of a few days.
@@ -364,6 +466,7 @@
         world = new World({
           seed,
           gpusMax: rule === 'quota' ? 3 : 10,
+          ...options,
           ...(rule === 'refused' ? { nextLimits: { valueKb: 2, txnOps: 4, writesPerS: 70 }, load: 3 } : {}),
         });
         if (late) restore = apply(() => world!);
@@ -373,7 +476,7 @@
           fault: { kind: 'mute machines' as const, machine, count: 1, how: 'lose' as const, forMs: 4500 },
         }));
         const faults = [...mute, ...own.map((fault) => ({ at: 12_000, fault }))];
-        await playDay(world, { seed, forMs: 90_000, faults });
+        await playDay(world, { seed, forMs, faults });
         for (const b of world.breaches) seen.add(b.rule);
       } finally {
         restore();
--- a/packages/wire/src/records.ts
+++ b/packages/wire/src/records.ts
@@ -2,6 +2,7 @@
 // size limit and every change is sent to every controller.
 import { Type } from '@sinclair/typebox';
 import { checker } from './check';
+import { integer } from './codec';
 import { type JobSpec, jobSpecOf, submissionMap } from './users';
 
 /** Everything of ours is below one prefix, so that one request follows it all. */
@@ -20,6 +21,7 @@
   /** A page of finished tasks that begins at task `first`; see `finishedPageFor`. */
   finishedFrom: (id: string, part: number, first: number) => `g/o/${id}/${part}/${first}`,
   membership: (part: number, machine: string) => `g/r/${part}/${machine}`,
+  reclaim: (part: number, id: string) => `g/b/${part}/${id}`,
 } as const;
 
 /** The slot of the leader; the slot of a part is its number. */
@@ -31,7 +33,8 @@
   | { readonly kind: 'job'; readonly id: string }
   | { readonly kind: 'finished'; readonly id: string; readonly part: number; readonly page: number }
   | { readonly kind: 'finishedFrom'; readonly id: string; readonly part: number; readonly first: number }
-  | { readonly kind: 'membership'; readonly part: number; readonly machine: string };
+  | { readonly kind: 'membership'; readonly part: number; readonly machine: string }
+  | { readonly kind: 'reclaim'; readonly part: number; readonly id: string };
 
 export function parseKey(key: string): ParsedKey {
   const words = key.split('/');
@@ -54,6 +57,8 @@
       return { kind: 'finishedFrom', id: words[2] ?? '', part: Number(words[3]), first: Number(words[4]) };
     case 'r':
       return { kind: 'membership', part: Number(words[2]), machine: words.slice(3).join('/') };
+    case 'b':
+      return { kind: 'reclaim', part: Number(words[2]), id: words.slice(3).join('/') };
     default:
       return { kind: 'other' };
   }
@@ -126,14 +131,16 @@
   readonly node: string;
   /** Differs between two processes of one controller. */
   readonly process: string;
+  /** It takes lists of claims from owners; controllers that do not know them would end the connection. */
+  readonly takesClaimLists?: boolean;
 }
 
-const checkHold = checker(Type.Object({ n: Type.String(), i: Type.String() }));
+const checkHold = checker(Type.Object({ n: Type.String(), i: Type.String(), c: Type.Optional(Type.Integer()) }));
 export const holdRecord = {
-  write: (h: HoldRecord): unknown => ({ n: h.node, i: h.process }),
+  write: (h: HoldRecord): unknown => ({ n: h.node, i: h.process, ...(h.takesClaimLists === true ? { c: 1 } : {}) }),
   read: (value: unknown): HoldRecord => {
     const h = checkHold(value);
-    return { node: h.n, process: h.i };
+    return { node: h.n, process: h.i, ...(h.c === 1 ? { takesClaimLists: true } : {}) };
   },
 };
 
@@ -218,3 +225,48 @@
   write: (addr: string): unknown => ({ a: addr }),
   read: (value: unknown): string => checkMembership(value).a,
 };
+
+/** Tasks of one job get room on one machine, for which tasks that it holds are stopped; see docs/borrowing-design.md. */
+export interface ReclaimRecord {
+  readonly machine: string;
+  /** The job that gets the room, and its tasks. */
+  readonly job: string;
+  readonly tasks: readonly number[];
+  /** What may be stopped for them: tasks, each under the attempt that it had then. */
+  readonly victims: readonly { readonly task: string; readonly attempt: number }[];
+  /** Time of day (ms) at the leader that decided it. */
+  readonly decidedAt: number;
+  readonly reason: 'priority' | 'guarantee';
+}
+
+const checkReclaim = checker(
+  Type.Object({
+    m: Type.String({ minLength: 1 }),
+    j: Type.String({ minLength: 1 }),
+    t: Type.Array(Type.Integer({ minimum: 0 }), { minItems: 1 }),
+    v: Type.Array(Type.Tuple([Type.String(), Type.Integer({ minimum: 0 })])),
+    at: Type.Number(),
+    w: Type.Union([Type.Literal('p'), Type.Literal('g')]),
+  }),
+);
+export const reclaimRecord = {
+  write: (r: ReclaimRecord): unknown => ({
+    m: r.machine,
+    j: r.job,
+    t: r.tasks,
+    v: r.victims.map(({ task, attempt }) => [task, integer(attempt)]),
+    at: r.decidedAt,
+    w: r.reason === 'priority' ? 'p' : 'g',
+  }),
+  read: (value: unknown): ReclaimRecord => {
+    const r = checkReclaim(value);
+    return {
+      machine: r.m,
+      job: r.j,
+      tasks: r.t,
+      victims: r.v.map(([task, attempt]) => ({ task, attempt })),
+      decidedAt: r.at,
+      reason: r.w === 'p' ? 'priority' : 'guarantee',
+    };
+  },
+};
