Borrowing: a surge and the return on loopback, with real servers, links and a leader that ends

Batch work has all 24 GPUs; a surge of 16 replicas comes in two halves, the leader ends between them; 8 GPUs, the guarantee, stay with the batch work, and all come back after the surge. Stand-ins take a scheduler, simulated or real.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -8,3 +8,4 @@
 export { PartOwner } from './owner';
 export { OwnerReclaims } from './owner-reclaims';
 export type { Reply } from './reply';
+export { openServer } from './server';
--- a/packages/testkit/src/borrowing-audit.ts
+++ b/packages/testkit/src/borrowing-audit.ts
@@ -1,7 +1,32 @@
 // Checks reclaims of GPUs against what really runs, from the moment at which each is stored to its end.
 import { PRIORITIES, parseTaskName, type ReclaimRecord, reclaimRecord } from '@gingerlock/wire';
 import { ABANDONED_BOUNDS } from '@gingerlock/borrowing';
-import type { World } from './world';
+import type { JobSpec } from '@gingerlock/wire';
+import type { Rule } from './rules';
+import type { Scheduler } from './sim';
+import type { SimStateService } from './state-service';
+import type { Told } from './users';
+import type { SimWorker } from './worker';
+
+/** What is looked at: a simulated deployment, or one on loopback. */
+export interface AuditedWorld {
+  readonly sim: Scheduler;
+  readonly state: SimStateService;
+  readonly workers: ReadonlyMap<string, SimWorker>;
+  readonly users: {
+    readonly told: ReadonlyMap<string, Told>;
+    /** Whether the job is wanted cancelled. */
+    isUnwanted(told: Told): boolean;
+  };
+  readonly reportMs: number;
+  readonly cancelMs: number;
+  readonly longestSaveMs: number;
+  readonly guaranteedGpus: number;
+  readonly guestTeam: string;
+  job(id: string): JobSpec | undefined;
+  came(what: string): void;
+  breach(rule: Rule, detail: string): void;
+}
 
 /** What is stored of reclaims stands below this. */
 export const RECLAIM_PREFIX = 'g/b/';
@@ -25,7 +50,7 @@
   decided = 0;
   #samples: Sample[] = [];
 
-  constructor(readonly world: World) {}
+  constructor(readonly world: AuditedWorld) {}
 
   /** GPUs that each team's tasks hold now, those that fetch their images included, for jobs that are wanted. */
   useNow(): Map<string, number> {
--- a/packages/testkit/src/cloud.ts
+++ b/packages/testkit/src/cloud.ts
@@ -14,10 +14,10 @@
   returnedNamesOf,
 } from '@gingerlock/wire';
 import { CloudRecords, type RentedMachine } from './cloud-records';
-import type { Sim } from './sim';
+import type { Scheduler } from './sim';
 
 export interface CloudOptions {
-  readonly sim: Sim;
+  readonly sim: Scheduler;
   readonly type: MachineType;
   /** Machines of either kind that each zone has. */
   readonly capacity: number;
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -9,5 +9,6 @@
 export * from './ownership-audit';
 export * from './borrowing-audit';
 export * from './borrowing-faults';
+export * from './loopback';
 export * from './world';
 export * from './faults';
--- a/packages/testkit/src/sim.ts
+++ b/packages/testkit/src/sim.ts
@@ -18,8 +18,17 @@
   cancelled: boolean;
 }
 
+/** Time and chance as stand-ins see them, simulated or real. */
+export interface Scheduler {
+  /** In milliseconds. */
+  readonly now: number;
+  readonly random: () => number;
+  /** Runs once after so many milliseconds; returns a function that gives that up. */
+  after(ms: number, run: () => void): () => void;
+}
+
 /** Simulated time: events run in order of their times, and promises settle in between. */
-export class Sim {
+export class Sim implements Scheduler {
   now = 0;
   readonly random: () => number;
   readonly #heap: Event[] = [];
--- a/packages/testkit/src/state-service.ts
+++ b/packages/testkit/src/state-service.ts
@@ -14,7 +14,7 @@
   type StateEvent,
   txnRequestOf,
 } from '@gingerlock/wire';
-import type { Sim } from './sim';
+import type { Scheduler } from './sim';
 
 function answer(status: number, map: unknown): HttpAnswer {
   return { status, body: encode(map) };
@@ -93,7 +93,7 @@
   #leases = new Map<number, { ttlMs: number; until: number }>();
   #nextLease = 1;
 
-  constructor(readonly sim: Sim) {
+  constructor(readonly sim: Scheduler) {
     const sweep = (): void => {
       for (const [id, lease] of this.#leases) if (this.sim.now > lease.until) this.#end(id);
       this.sim.after(50, sweep);
--- a/packages/testkit/src/worker.ts
+++ b/packages/testkit/src/worker.ts
@@ -1,4 +1,4 @@
-import type { HttpAnswer } from '@gingerlock/clients';
+import type { Http, HttpAnswer } from '@gingerlock/clients';
 import {
   decodeOrders,
   decodeReportTo,
@@ -9,8 +9,8 @@
   type TaskState,
   type WorkerCommand,
 } from '@gingerlock/wire';
-import type { Network } from './network';
-import type { Sim } from './sim';
+import type { Handler, Occurrence } from './network';
+import type { Scheduler } from './sim';
 
 interface RunningTask {
   readonly task: string;
@@ -23,9 +23,17 @@
   cancelTimer: () => void;
 }
 
+/** What a worker needs of the network that it is on. */
+export interface WorkerNetwork {
+  readonly hosts: { set(address: string, handler: Handler): unknown; delete(address: string): unknown };
+  http(from: string, alive: () => boolean): Http;
+  /** Runs what happens on a host: at once, or when it goes on. */
+  on(host: string, run: () => void, occurrence?: Occurrence): void;
+}
+
 export interface WorkerWorld {
-  readonly sim: Sim;
-  readonly network: Network;
+  readonly sim: Scheduler;
+  readonly network: WorkerNetwork;
   readonly controllers: readonly string[];
   readonly reportMs: number;
   readonly leaseMs: number;
