--- a/packages/borrowing/src/accounts.ts
+++ b/packages/borrowing/src/accounts.ts
@@ -2,6 +2,7 @@
 import {
   type Amounts,
   type Facts,
+  guaranteeAllows,
   hasNoGuarantee,
   type Job,
   NOTHING,
@@ -9,6 +10,8 @@
   type Team,
   teamUse,
 } from '@gingerlock/core';
+import { parseTaskName } from '@gingerlock/wire';
+import type { PartClaims } from './claims';
 
 /** Sums of decimal amounts are compared with this much slack. */
 const EPSILON = 1e-6;
@@ -43,12 +46,9 @@
   return Math.min(team[kind], high[kind] + waiting[kind]);
 }
 
-/** Whether the team's use stays within its guarantee with the task. A kind of which nothing is guaranteed does not count. */
+/** Whether the team's use stays within its guarantee with the task. */
 export function isWithinGuarantee({ team, high }: TeamAccount, need: Amounts): boolean {
-  const counted = KINDS.filter((kind) => team[kind] > 0);
-  return (
-    counted.some((kind) => need[kind] > 0) && counted.every((kind) => high[kind] + need[kind] <= team[kind] + EPSILON)
-  );
+  return guaranteeAllows(team, high, need) > 0;
 }
 
 /** Whether the team has as much as it can claim of its guarantee without what is stopped. */
@@ -58,6 +58,38 @@
   );
 }
 
+/**
+ * By team: GPUs of its guarantee that it has unassigned work for and does not use. A task that has completed uses none, though its
+ * record does not say so yet: the room that it left was once taken by a surge, whose replica was then stopped to give it back.
+ */
+export function heldBackGpus(
+  facts: Facts,
+  jobs: ReadonlyMap<string, Job>,
+  claims: readonly PartClaims[],
+): Map<string, number> {
+  const used = new Map<string, number>();
+  for (const { held } of claims.flatMap(({ machines }) => machines)) {
+    for (const { task, stopping } of held) {
+      const name = parseTaskName(task);
+      const job = jobs.get(name?.job ?? '');
+      if (name === null || job === undefined || stopping || job.cancelled || job.isFinished(name.index)) continue;
+      used.set(job.spec.team, (used.get(job.spec.team) ?? 0) + job.spec.gpus);
+    }
+  }
+  const waiting = new Map<string, number>();
+  for (const job of jobs.values()) {
+    if (!job.ready || job.cancelled || job.failing) continue;
+    const tasks = job.unassigned().reduce((sum, [, count]) => sum + count, 0);
+    waiting.set(job.spec.team, (waiting.get(job.spec.team) ?? 0) + tasks * job.spec.gpus);
+  }
+  const held = new Map<string, number>();
+  for (const { name, gpus } of facts.teams.values()) {
+    const missing = Math.min(gpus - (used.get(name) ?? 0), waiting.get(name) ?? 0);
+    if (missing > 0) held.set(name, missing);
+  }
+  return held;
+}
+
 /** The accounts of all teams, kept up while reclaims are planned. */
 export class Accounts {
   readonly #accounts = new Map<string, TeamAccount>();
--- a/packages/clients/src/http.ts
+++ b/packages/clients/src/http.ts
@@ -7,18 +7,49 @@
  */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
+/** A connection that is kept is given up for that to another host once it has not been used for so long. */
+const KEPT_IDLE_MS = 30_000;
+
+/** To how many hosts connections are kept where nothing else is said. */
+const KEPT_HOSTS = 72;
+
+/** Chooses the hosts to which connections are kept: with thousands of machines they would take every socket that there is. */
+export class KeptHosts {
+  /** By host: when it was last asked for, the longest ago first. */
+  readonly #usedAt = new Map<string, number>();
+
+  constructor(
+    readonly most: number,
+    readonly now: () => number = () => performance.now(),
+  ) {}
+
+  /** Whether the connection of a request that begins now is to be kept. */
+  use(host: string): boolean {
+    const now = this.now();
+    if (!this.#usedAt.delete(host) && this.#usedAt.size >= this.most) {
+      const [oldest, usedAt] = this.#usedAt.entries().next().value ?? [null, now];
+      if (oldest === null || now - usedAt < KEPT_IDLE_MS) return false;
+      this.#usedAt.delete(oldest);
+    }
+    this.#usedAt.set(host, now);
+    return true;
+  }
+}
+
 /**
  * HTTP over Node's own client: it is loaded anyway for the server side, while a second one would cost start-up time and
  * memory that a controller does not have.
  */
-export function nodeHttp(): Http {
-  const agent = new Agent({ keepAlive: true, maxSockets: 8, maxFreeSockets: 4, scheduling: 'lifo' });
+export function nodeHttp(keptHosts: number = KEPT_HOSTS): Http {
+  const keeping = new Agent({ keepAlive: true, maxSockets: 8, maxFreeSockets: 4, scheduling: 'lifo' });
+  const closing = new Agent({ keepAlive: false, maxSockets: 8 });
+  const kept = new KeptHosts(keptHosts);
   return (addr, method, path, body, timeoutMs) =>
     new Promise<HttpAnswer>((resolve, reject) => {
       const colon = addr.lastIndexOf(':');
       const req = request(
         {
-          agent,
+          agent: kept.use(addr) ? keeping : closing,
           host: addr.slice(0, colon),
           port: Number(addr.slice(colon + 1)),
           method,
--- a/packages/clients/test/state.test.ts
+++ b/packages/clients/test/state.test.ts
@@ -22,7 +22,11 @@
       async (asks) => {
         const sim = new Sim(1);
         const budget = new Budget(
-          sim.clock(0, 0, () => true),
+          sim.clock(
+            0,
+            () => 0,
+            () => true,
+          ),
           10,
           5,
         );
@@ -52,7 +56,11 @@
   );
   const sim = new Sim(2);
   const budget = new Budget(
-    sim.clock(0, 0, () => true),
+    sim.clock(
+      0,
+      () => 0,
+      () => true,
+    ),
     2,
     2,
   );
@@ -71,7 +79,11 @@
   sim: Sim,
   service: SimStateService,
 ): { replica: Replica; seen: Map<string, unknown>; state: StateService } {
-  const clock = sim.clock(0, 0, () => true);
+  const clock = sim.clock(
+    0,
+    () => 0,
+    () => true,
+  );
   const http = (
     _addr: string,
     method: string,
--- a/packages/core/src/assignment.ts
+++ b/packages/core/src/assignment.ts
@@ -1,6 +1,16 @@
 // The leader's assignment of waiting tasks among the parts by free room, with the arithmetic of team limits and zones.
 import { type MachineType, PRIORITIES, type Round } from '@gingerlock/wire';
-import { type Amounts, type Facts, fits, limitAllows, NOTHING, plus, typeAllows } from './facts';
+import {
+  type Amounts,
+  type Facts,
+  fits,
+  guaranteeAllows,
+  limitAllows,
+  NOTHING,
+  plus,
+  type Team,
+  typeAllows,
+} from './facts';
 import { type Job, jobOrder } from './jobs';
 import { joinRounds } from './rounds';
 import { fetchMs, SERVICE_VICTIM_MS, STOP_MS } from './placement';
@@ -75,6 +85,11 @@
   readonly most: number;
   /** Whether tasks may be assigned to room that is got by stopping work of lower priority. */
   readonly preempts: boolean;
+  /**
+   * By team: GPUs of its guarantee that it has work for and does not use, which others' work beyond their guarantees leaves free. Work
+   * within a guarantee then goes first. Null: guarantees have no part in the order.
+   */
+  readonly heldBack: ReadonlyMap<string, number> | null;
 }
 
 /** What one assignment of all jobs came to. */
@@ -107,7 +122,7 @@
   return job.rounds.reduce((n, r) => n + unfinishedIn(job, r), 0);
 }
 
-function unfinishedIn(job: Job, { from, count }: Round): number {
+function unfinishedIn(job: Job, { from, count }: Pick<Round, 'from' | 'count'>): number {
   if (job.finishedCount === 0) return count;
   let n = 0;
   for (let i = from; i < from + count; i++) if (!job.isFinished(i)) n++;
@@ -141,7 +156,9 @@
 export function assignTasks(input: AssignmentInput): AssignmentResult {
   const jobs = [...input.jobs];
   const run = new AssignmentRun(input, jobs);
-  for (const job of jobs.filter((j) => j.ready && !j.cancelled).sort(jobOrder)) run.assign(job);
+  const ordered = jobs.filter((j) => j.ready && !j.cancelled).sort(jobOrder);
+  if (input.heldBack !== null) for (const job of ordered) run.assignWithinGuarantee(job);
+  for (const job of ordered) run.assign(job);
   return { assignments: run.assignments, unmet: run.unmet, free: run.free() };
 }
 
@@ -221,6 +238,10 @@
   readonly #use: Map<string, Amounts>;
   /** Shapes of tasks for which there is no room left: rooms only shrink, so nobody looks for them again. */
   readonly #full = new Set<string>();
+  /** Jobs of which tasks within their team's guarantee were looked at: how many found room, and how many did not. */
+  readonly #begun = new Map<string, { readonly placed: number; readonly missing: number }>();
+  /** GPUs that are free on all machines together. */
+  #freeGpus: number;
 
   constructor(
     readonly input: AssignmentInput,
@@ -228,6 +249,7 @@
   ) {
     this.#bins = binsOf(input);
     this.#use = teamUse(jobs);
+    this.#freeGpus = this.#bins.reduce((sum, bin) => sum + Math.max(0, bin.free.gpus), 0);
   }
 
   free(): ReadonlyMap<string, Amounts> {
@@ -239,18 +261,67 @@
     const team = this.input.facts.teams.get(job.spec.team);
     // A team that is gone from the settings gets no more room; what it had goes on.
     if (ranges.length === 0 || team === undefined) return;
+    const begun = this.#begun.get(job.id);
+    if (begun !== undefined) {
+      this.#missRest(job, ranges, team, begun);
+      return;
+    }
+    const allowed = limitAllows(team, this.#use.get(team.name) ?? NOTHING, job.spec);
+    if (allowed === 0) return;
+    const zones = new ZoneChoice(job, () => bestZone(job, this.#bins));
+    if (isTried(job, this.input.trials)) this.#assignTrial(job, ranges, zones);
+    else this.#assignTasks(job, ranges, allowed, zones, this.#heldBackFrom(team));
+  }
+
+  /** Assigns as many of the job's tasks as its team is guaranteed; those beyond are for a later assignment. */
+  assignWithinGuarantee(job: Job): void {
+    const ranges = job.unassigned();
+    const team = this.input.facts.teams.get(job.spec.team);
+    if (ranges.length === 0 || team === undefined || isTried(job, this.input.trials)) return;
     const used = this.#use.get(team.name) ?? NOTHING;
-    const allowed = limitAllows(team, used, job.spec);
+    const allowed = Math.min(limitAllows(team, used, job.spec), guaranteeAllows(team, used, job.spec));
     if (allowed === 0) return;
     const zones = new ZoneChoice(job, () => bestZone(job, this.#bins));
-    if (isTried(job, this.input.trials)) {
-      this.#assignTrial(job, ranges, zones);
-      return;
-    }
-    const { indices, places, meant, missing } = this.#place(job, ranges, allowed, zones);
-    this.#use.set(team.name, plus(used, job.spec, places.length + missing));
+    this.#begun.set(job.id, this.#assignTasks(job, ranges, allowed, zones, 0));
+  }
+
+  #assignTasks(
+    job: Job,
+    ranges: readonly [number, number][],
+    allowed: number,
+    zones: ZoneChoice,
+    heldBackGpus: number,
+  ): { placed: number; missing: number } {
+    const { indices, places, meant, missing } = this.#place(job, ranges, allowed, zones, heldBackGpus);
+    const { team } = job.spec;
+    this.#use.set(team, plus(this.#use.get(team) ?? NOTHING, job.spec, places.length + missing));
     if (places.length > 0) this.assignments.push({ job, added: roundsOf(indices, places), meant });
     if (missing > 0) this.unmet.push({ job, count: missing, zones: zones.open(this.input.facts.zones) });
+    return { placed: places.length, missing };
+  }
+
+  /** Where not even what the team is guaranteed found room, there is none for the rest of the job. */
+  #missRest(
+    job: Job,
+    ranges: readonly [number, number][],
+    team: Team,
+    { placed, missing }: { placed: number; missing: number },
+  ): void {
+    if (placed > 0 || missing === 0) return;
+    const used = this.#use.get(team.name) ?? NOTHING;
+    const waiting = ranges.reduce((sum, [from, count]) => sum + unfinishedIn(job, { from, count }), 0);
+    const rest = Math.min(waiting - missing, limitAllows(team, used, job.spec));
+    const at = this.unmet.findIndex((entry) => entry.job === job);
+    if (rest <= 0 || at < 0) return;
+    this.unmet[at] = { ...this.unmet[at]!, count: missing + rest };
+    this.#use.set(team.name, plus(used, job.spec, rest));
+  }
+
+  /** GPUs that are to stay free for the guarantees of other teams. */
+  #heldBackFrom(team: Team): number {
+    let gpus = 0;
+    for (const [name, held] of this.input.heldBack ?? []) if (name !== team.name) gpus += held;
+    return gpus;
   }
 
   /** One task of a failing job goes to free room. It stops nobody and asks for no machine, and its next trial goes elsewhere. */
@@ -264,25 +335,32 @@
     const elsewhere = free.filter((bin) => bin.part !== last);
     const bin = pick(job, elsewhere, input, allows, undefined) ?? pick(job, free, input, allows, undefined);
     if (bin === undefined) return;
-    take(bin, job);
+    this.#take(bin, job);
     const place = { part: bin.part, zone: zones.take(bin.room.zone), term: bin.term };
     const meant = [{ machine: bin.room.name, need: job.spec }];
     this.#use.set(job.spec.team, plus(this.#use.get(job.spec.team) ?? NOTHING, job.spec));
     this.assignments.push({ job, added: roundsOf([ranges[0]![0]], [place]), meant });
   }
 
-  #place(job: Job, ranges: readonly [number, number][], allowed: number, zones: ZoneChoice): JobPlaces {
+  #place(
+    job: Job,
+    ranges: readonly [number, number][],
+    allowed: number,
+    zones: ZoneChoice,
+    heldBackGpus: number,
+  ): JobPlaces {
     const found: JobPlaces = { indices: [], places: [], meant: [], missing: 0 };
     for (const [from, count] of ranges) {
       for (let index = from; index < from + count; index++) {
         if (job.isFinished(index)) continue;
         if (found.places.length + found.missing >= allowed) return found;
-        const bin = this.#binFor(job, zones, found);
+        const isHeldBack = heldBackGpus > 0 && job.spec.gpus > 0 && this.#freeGpus - job.spec.gpus < heldBackGpus;
+        const bin = isHeldBack ? undefined : this.#binFor(job, zones, found);
         if (bin === undefined) {
           found.missing++;
           continue;
         }
-        take(bin, job);
+        this.#take(bin, job);
         found.indices.push(index);
         found.places.push({ part: bin.part, zone: zones.take(bin.room.zone), term: bin.term });
         found.meant.push({ machine: bin.room.name, need: job.spec });
@@ -291,6 +369,11 @@
     return found;
   }
 
+  #take(bin: Bin, job: Job): void {
+    this.#freeGpus -= job.spec.gpus;
+    take(bin, job);
+  }
+
   #binFor(job: Job, zones: ZoneChoice, { places, missing }: JobPlaces): Bin | undefined {
     const { input } = this;
     if (missing > 0 || this.assignments.length >= input.most) return undefined;
--- a/packages/core/src/facts.ts
+++ b/packages/core/src/facts.ts
@@ -90,6 +90,17 @@
   return Math.max(0, Math.min(left(team.cpusMax, used.cpus, need.cpus), left(team.gpusMax, used.gpus, need.gpus)));
 }
 
+/**
+ * How many more tasks of this size fit into a team's guarantee, given what it uses. A kind of which nothing is guaranteed does not count;
+ * a task that takes nothing of the others is within no guarantee.
+ */
+export function guaranteeAllows(team: Team, used: Amounts, need: Amounts): number {
+  const left = (guaranteed: number, usedOf: number, needOf: number): number =>
+    guaranteed <= 0 || needOf <= 0 ? Infinity : Math.floor((guaranteed - usedOf + EPSILON) / needOf);
+  const least = Math.min(left(team.cpus, used.cpus, need.cpus), left(team.gpus, used.gpus, need.gpus));
+  return least === Infinity ? 0 : Math.max(0, least);
+}
+
 export function typeAllows(job: JobSpec, type: string, zone: string, spot: boolean): boolean {
   return (
     (job.types === null || job.types.includes(type)) && (job.zone === null || job.zone === zone) && (!spot || job.spot)
--- a/packages/core/test/assignment.test.ts
+++ b/packages/core/test/assignment.test.ts
@@ -53,6 +53,7 @@
     types: new Map([[type.name, type]]),
     most: 12,
     preempts: true,
+    heldBack: null,
   });
   return { looks: n, assigned: assignments.length, unmet: unmet.length };
 }
@@ -95,6 +96,7 @@
       types: new Map([[type.name, type]]),
       most: 12,
       preempts: true,
+      heldBack: null,
     });
     return assignments.flatMap((d) => d.added.filter((r) => r.from >= 2).map((r) => r.zone));
   };
--- a/packages/core/test/trials.test.ts
+++ b/packages/core/test/trials.test.ts
@@ -43,6 +43,7 @@
       types: new Map(),
       most: 12,
       preempts: true,
+      heldBack: null,
     });
   return { jobs, trials, assign };
 }
--- a/packages/daemon/src/leader-borrowing.ts
+++ b/packages/daemon/src/leader-borrowing.ts
@@ -5,6 +5,7 @@
   type BorrowingSettings,
   borrowed,
   type Decision,
+  heldBackGpus,
   lent,
   type PartClaims,
   planReclaims,
@@ -72,6 +73,12 @@
     this.#endedAt.set(part, Math.max(this.#endedAt.get(part) ?? 0, revision));
   }
 
+  /** By team: GPUs of its guarantee that others leave free for it. */
+  heldBack(summaries: readonly PartSummary[]): Map<string, number> {
+    const { store, facts } = this.shared;
+    return heldBackGpus(facts, store.jobs.live, this.#claims(summaries));
+  }
+
   plan(view: LeaderView): readonly Decision[] {
     const { store, facts, clock } = this.shared;
     const plan = planReclaims({
--- a/packages/daemon/src/leader.ts
+++ b/packages/daemon/src/leader.ts
@@ -232,6 +232,7 @@
       types: store.types,
       most: settings.txnOps - batch.changes.length,
       preempts: this.borrowing === null,
+      heldBack: this.borrowing?.heldBack(current) ?? null,
     });
     const { assignments } = result;
     const meant = this.#addAssignments(batch, assignments, current);
--- a/packages/daemon/src/serve.ts
+++ b/packages/daemon/src/serve.ts
@@ -15,6 +15,9 @@
   random: () => Math.random(),
 };
 
+/** Share of the sockets for connections to other hosts that are kept open between two requests. */
+const KEPT_HOSTS_SHARE = 0.12;
+
 /** Runs one controller until the process is killed. */
 export async function serve(settings: Settings): Promise<void> {
   const log = openLog(settings.node);
@@ -26,7 +29,13 @@
     silenceMs: settings.facts.reportMs * 2,
     log: (message, detail) => log.debug(detail, message),
   });
-  const controller = new Controller({ settings, clock: realClock, http: nodeHttp(), link, log });
+  const controller = new Controller({
+    settings,
+    clock: realClock,
+    http: nodeHttp(Math.floor(settings.sockets * KEPT_HOSTS_SHARE)),
+    link,
+    log,
+  });
   const app = openServer(controller, log, settings.sockets);
   const colon = settings.clientListen.lastIndexOf(':');
   await link.start();
--- a/packages/daemon/test/questions.test.ts
+++ b/packages/daemon/test/questions.test.ts
@@ -21,7 +21,11 @@
   };
   const controller = new Controller({
     settings: settingsOf(platform, {}),
-    clock: sim.clock(0, 0, () => true),
+    clock: sim.clock(
+      0,
+      () => 0,
+      () => true,
+    ),
     http: () => Promise.reject(new NoAnswer('cut off')),
     link,
     log: SILENT,
--- a/packages/daemon/test/settle.test.ts
+++ b/packages/daemon/test/settle.test.ts
@@ -41,7 +41,11 @@
     onMessage: () => undefined,
   };
   const settings = settingsOf(platform, {});
-  const clock = sim.clock(0, 0, () => true);
+  const clock = sim.clock(
+    0,
+    () => 0,
+    () => true,
+  );
   const controller = new Controller({ settings, clock, http, link, log: SILENT });
   controller.start();
   await sim.run(2000);
--- a/packages/testkit/src/operations-faults.ts
+++ b/packages/testkit/src/operations-faults.ts
@@ -33,6 +33,8 @@
       readonly factor: number;
       readonly forMs: number;
     }
+  /** The times of day of all controllers jump from one end of what is allowed to the other, again and again. */
+  | { readonly kind: 'clocks jump'; readonly everyMs: number; readonly forMs: number }
   /** The cloud lists its machines as they were so long ago. */
   | { readonly kind: 'stale list'; readonly ms: number; readonly forMs: number }
   /** A team without a guarantee submits one-task jobs, an array of many tasks, or long work. */
@@ -50,6 +52,7 @@
   'boot trouble',
   'stale list',
   'guests',
+  'clocks jump',
 ]);
 
 export function isOperationsFault(fault: { readonly kind: string }): fault is OperationsFault {
@@ -94,6 +97,9 @@
         world.cloud.bootTrouble = null;
       });
       return;
+    case 'clocks jump':
+      for (let at = 0; at < fault.forMs; at += fault.everyMs) sim.after(at, () => world.jumpClocks());
+      return;
     case 'stale list':
       world.cloud.listAgeMs = fault.ms;
       sim.after(fault.forMs, () => {
--- a/packages/testkit/src/sim.ts
+++ b/packages/testkit/src/sim.ts
@@ -84,11 +84,16 @@
   }
 
   /** A machine's own clock: drifting, and off by some time of day. */
-  clock(drift: number, wallOffMs: number, alive: () => boolean, on: (run: () => void) => void = (run) => run()): Clock {
+  clock(
+    drift: number,
+    wallOffMs: () => number,
+    alive: () => boolean,
+    on: (run: () => void) => void = (run) => run(),
+  ): Clock {
     const start = this.now;
     return {
       now: () => (this.now - start) * (1 + drift),
-      wall: () => 1_700_000_000_000 + this.now + wallOffMs,
+      wall: () => 1_700_000_000_000 + this.now + wallOffMs(),
       after: (ms, callback) => {
         let over = false;
         const cancel = this.after(ms / (1 + drift), () =>
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -43,6 +43,8 @@
   readonly gpusMax?: number;
   /** GPUs that each team but the guests is guaranteed. */
   readonly guaranteedGpus?: number;
+  /** The operators' own settings, as their file says them. */
+  readonly operators?: unknown;
   /** What is on of the features, as its file says it. */
   readonly features?: unknown;
   /** Limits that the state service may get during the day: `facts.state.next` of the settings. */
@@ -73,12 +75,17 @@
   bootS: 5,
   zones: [...ZONES],
 };
+/** How far off a controller's time of day may be. */
+const SKEW_MS = 100;
+
 interface Node {
   readonly name: string;
   readonly zone: string;
   controller: Controller | null;
   link: SimLink | null;
   drift: number;
+  /** How far its time of day is off. */
+  wallOffMs: number;
 }
 
 class SimLink implements PeerLink {
@@ -194,6 +201,7 @@
       controller: null,
       link: null,
       drift: (this.sim.random() - 0.5) * 0.001,
+      wallOffMs: 0,
     }));
     this.network.hosts.set('state:1', (method, path, body, from) => this.state.handle(method, path, body, from));
     this.cloud = new SimCloud({
@@ -269,7 +277,7 @@
         state: { rps: 200, write_rps: 100, value_kb: 8, txn_ops: 12, ...this.#nextLimits() },
         cloud: { rps: 8, list_lag_s: 2 },
         machine_limits: { sockets: 600 },
-        skew_ms: 100,
+        skew_ms: SKEW_MS,
       },
     };
   }
@@ -287,10 +295,14 @@
     const alive = (): boolean => node.link === link;
     node.link = link;
     this.network.thaw(name);
+    node.wallOffMs = (this.sim.random() * 2 - 1) * SKEW_MS;
     const ports: ControllerPorts = {
-      settings: settingsOf(this.settings(name), {}, this.options.features),
-      clock: this.sim.clock(node.drift, (this.sim.random() - 0.5) * 200, alive, (run) =>
-        this.network.on(name, run, 'timer'),
+      settings: settingsOf(this.settings(name), this.options.operators ?? {}, this.options.features),
+      clock: this.sim.clock(
+        node.drift,
+        () => node.wallOffMs,
+        alive,
+        (run) => this.network.on(name, run, 'timer'),
       ),
       http: this.network.http(name, alive),
       link,
@@ -317,6 +329,11 @@
     return reply;
   }
 
+  /** The time of day of each controller jumps from one end of what is allowed to the other. */
+  jumpClocks(): void {
+    for (const node of this.nodes) node.wallOffMs = node.wallOffMs > 0 ? -SKEW_MS : SKEW_MS;
+  }
+
   /** Kills a controller with no notice. */
   crash(name: string): void {
     const node = this.nodes.find((n) => n.name === name)!;
--- a/packages/testkit/test/operations.test.ts
+++ b/packages/testkit/test/operations.test.ts
@@ -144,3 +144,14 @@
   assert.equal(owners.length, 3, owners.join());
   assert.deepEqual([owners[0], owners[2]], ['node-1', 'node-1']);
 });
+
+test('times of day jump within what is allowed while partitions and the lead change hands', async () => {
+  for (const seed of [81, 82]) {
+    await play(seed, [
+      { at: START, fault: { kind: 'clocks jump', everyMs: 700, forMs: 60_000 } },
+      { at: START + 5000, fault: { kind: 'leaders end', times: 3, everyMs: 6000, backMs: 2000 } },
+      { at: START + 10_000, fault: { kind: 'zone cut', zone: 1, how: 'lose', forMs: CANCEL * 1.2 } },
+      { at: START + 30_000, fault: { kind: 'rolling restarts', everyMs: 4000, backMs: 1500 } },
+    ]);
+  }
+});
