Core: tasks, reports, the fleet's inventory and emptying in modules of their own

The slot table, the intake of reports (its one function of 60 lines cut in four), the room of a reporting machine, the inventory of machines and the emptying of machines are modules now; DESIGN's suspicion interval stood twice.

--- a/packages/core/src/claim-queries.ts
+++ b/packages/core/src/claim-queries.ts
@@ -1,7 +1,7 @@
 // What follows from a claim table for others, without changing it: which tasks can be given back to the leader, which are to be
 // written as finished, what is missing and what runs.
-import { type ClaimTable, SUSPECT_INTERVALS } from './claims';
-import { type Amounts, type Facts, limitAllows, NOTHING, plus } from './facts';
+import type { ClaimTable } from './claims';
+import { type Amounts, type Facts, limitAllows, NOTHING, plus, SUSPECT_INTERVALS } from './facts';
 import { type Job, jobOrder } from './jobs';
 import type { Slot } from './slots';
 
--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -3,26 +3,19 @@
 //
 // Nothing here is ever guessed. A claim ends only when the worker's own later report, a later session, its lease run out
 // under this very owner, or the cloud's word proves that the task is off the machine.
-import {
-  type ExitCause,
-  type MachineType,
-  parseTaskName,
-  type ReportedTask,
-  taskName,
-  type WorkerCommand,
-  type WorkerReport,
-} from '@gingerlock/wire';
+import { type MachineType, parseTaskName, type WorkerCommand, type WorkerReport } from '@gingerlock/wire';
 import { assignedUnfinished } from './assignment';
-import { type Amounts, type Facts, fits, NOTHING, plus, typeAllows, workerLeaseBoundMs } from './facts';
+import { type Amounts, type Facts, NOTHING, plus, SUSPECT_INTERVALS, typeAllows, workerLeaseBoundMs } from './facts';
 import { isMovingOn, missingServices, returnableTasks, runningTasks, tasksToFinish } from './claim-queries';
 import { type JobEvidence, FailureAttribution } from './failure-attribution';
+import { GrantRoom } from './grant-room';
 import { ImageCache } from './image-cache';
 import type { Job, JobTable } from './jobs';
 import { betterElsewhere } from './placement';
 import { NO_RESERVATIONS, type Reservations } from './reservations';
-import { type AssignedTask, tasksAssignedTo } from './rounds';
-import { type Claim, type Machine, type Slot, SLOT_MOVES, type SlotState } from './slots';
-import { WakeQueue } from './wake-queue';
+import { ReportIntake } from './report-intake';
+import { SlotTable } from './slot-table';
+import type { Machine, Slot } from './slots';
 
 export type ReportOutcome =
   | { readonly kind: 'answer'; readonly token: number; readonly commands: WorkerCommand[] }
@@ -44,18 +37,9 @@
   return Math.floor(token / CALLS_PER_TERM);
 }
 
-/** DESIGN's grant lease: a machine silent for three report intervals is suspect. */
-export const SUSPECT_INTERVALS = 3;
-
 /** A worker that may hold earlier tasks and does not take the owner's token is answered so many times. */
 const MOST_UNSYNCHRONISED_ANSWERS = 4;
 
-/**
- * A machine that did not get so many answers in a row that had starts in them gets no more for a lease. The starts of one lost answer
- * were once counted one by one: a machine that missed a single answer with two starts was left idle for a whole lease.
- */
-const DEAF_ANSWERS = 2;
-
 /** A worker takes a higher token as a cause to report once in half of its lease; a little more, for drift. */
 const CALL_EVERY_LEASES = 0.52;
 
@@ -89,7 +73,8 @@
   fencedUntil: number;
   readonly openedAt: number;
   readonly machines = new Map<string, Machine>();
-  readonly slots = new Map<string, Map<number, Slot>>();
+  readonly #tasks: SlotTable;
+  readonly #intake: ReportIntake;
   /** Machines of the membership that may run tasks of an earlier owner. */
   readonly unheard: Map<string, string>;
   readonly #goneNames = new Set<string>();
@@ -98,7 +83,6 @@
   readonly #types: () => ReadonlyMap<string, MachineType>;
   readonly log: (message: string, detail: Record<string, unknown>) => void;
   readonly alarm: (message: string, detail: Record<string, unknown>) => void;
-  readonly #wakes = new WakeQueue();
   readonly failures: FailureAttribution;
   reservations: Reservations;
   readonly preempts: boolean;
@@ -109,9 +93,6 @@
   #listeningSince = -Infinity;
   /** Machines that were not heard until the fencing period ended. */
   readonly #departed: string[] = [];
-  /** Goes up with every change that alters rooms or waiting tasks. */
-  changes = 0;
-
   constructor(options: ClaimTableOptions) {
     this.facts = options.facts;
     this.part = options.part;
@@ -128,6 +109,21 @@
     this.failures = new FailureAttribution(options.facts);
     this.log = options.log ?? (() => undefined);
     this.alarm = options.alarm ?? (() => undefined);
+    this.#tasks = new SlotTable({
+      part: options.part,
+      term: options.term,
+      jobs: options.jobs,
+      isCleared: () => this.#cleared,
+      log: this.log,
+      alarm: this.alarm,
+    });
+    this.#intake = new ReportIntake(
+      this.facts,
+      this.#tasks,
+      this.failures,
+      (machine) => this.typeOf(machine),
+      this.alarm,
+    );
   }
 
   get cleared(): boolean {
@@ -149,150 +145,40 @@
 
   // --- tasks -------------------------------------------------------------------------------------------------------
 
-  /** The one function that changes a slot's state. */
-  #move(slot: Slot, next: SlotState, now: number, claim: Claim | null = null): void {
-    if (slot.state !== next && !SLOT_MOVES[slot.state].includes(next)) {
-      throw new Error(`task ${slot.name}: no move from ${slot.state} to ${next}`);
-    }
-    if (slot.claim !== null) slot.claim.machine.claims.delete(slot.name);
-    slot.claim = claim;
-    if (claim !== null) claim.machine.claims.set(slot.name, slot);
-    slot.state = next;
-    slot.since = now;
-    if (next === 'waiting') this.#wakes.post(slot.job);
-    this.changes++;
+  get slots(): ReadonlyMap<string, ReadonlyMap<number, Slot>> {
+    return this.#tasks.slots;
+  }
+
+  /** Goes up with every change that alters rooms or waiting tasks. */
+  get changes(): number {
+    return this.#tasks.changes;
+  }
+
+  noteChange(): void {
+    this.#tasks.changes++;
   }
 
   /** The jobs that may have waiting tasks, in order. */
   wakes(): readonly Job[] {
-    return this.#wakes.jobs();
+    return this.#tasks.wakes();
   }
 
-  *waitingSlots(job: Job): Generator<Slot> {
-    if (job.cancelled) return;
-    for (const slot of this.slots.get(job.id)?.values() ?? []) if (slot.state === 'waiting') yield slot;
+  waitingSlots(job: Job): Generator<Slot> {
+    return this.#tasks.waitingSlots(job);
   }
 
   /** The recovery scan: posts every job that has a waiting task and no wake, drops wakes that have none. */
   scan(): void {
-    this.#wakes.clear();
-    for (const slots of this.slots.values()) {
-      for (const slot of slots.values()) {
-        if (slot.state === 'waiting') {
-          this.#wakes.post(slot.job);
-          break;
-        }
-      }
-    }
+    this.#tasks.scan();
   }
 
   /** Brings the slots of a job in line with its record. Returns the claims that are to be stopped from now on. */
   syncJob(id: string, now: number): readonly Slot[] {
-    const job = this.#jobs.live.get(id);
-    const slots = this.slots.get(id) ?? new Map<number, Slot>();
-    // Assigned to an owner after this one: while all is read anew that may show before the owner's own record does.
-    const assigned = job === undefined ? new Map<number, AssignedTask>() : tasksAssignedTo(job, this.part, this.term);
-    const stopped: Slot[] = [];
-    for (const slot of [...slots.values()]) {
-      if (assigned.has(slot.index) && slot.job === job) continue;
-      if (!this.#mustKeep(slot, job)) this.#remove(slot, slots);
-      else if (this.#withdraw(slot)) stopped.push(slot);
-    }
-    for (const [index, task] of assigned) {
-      const slot = slots.get(index);
-      if (slot === undefined) this.#add(job!, index, task, slots, now);
-      else if (this.#reassign(slot, task, now)) stopped.push(slot);
-    }
-    if (slots.size === 0) this.slots.delete(id);
-    else this.slots.set(id, slots);
-    // Its urgency may be another one now: that of a job that needs it.
-    this.#wakes.reorder();
-    this.changes++;
-    if (job?.cancelled === true) stopped.push(...this.#cancel(job));
-    return stopped;
-  }
-
-  #add(job: Job, index: number, { zone, term }: AssignedTask, slots: Map<number, Slot>, now: number): void {
-    const slot: Slot = {
-      job,
-      index,
-      name: taskName(job.id, index),
-      zone,
-      state: 'uncertain',
-      claim: null,
-      since: now,
-      notBefore: 0,
-      failures: 0,
-      plan: null,
-      moving: false,
-      leavingVersion: 0,
-      withdrawn: false,
-    };
-    slots.set(index, slot);
-    // A task assigned under this owner's term can be held by nobody yet.
-    if (term === this.term || this.#cleared) this.#move(slot, 'waiting', now);
-  }
-
-  #remove(slot: Slot, slots: Map<number, Slot>): void {
-    // Not in the table any more: if a machine runs it still, it is a stray there and is told to stop.
-    if (slot.claim !== null) slot.claim.machine.claims.delete(slot.name);
-    slots.delete(slot.index);
-    this.changes++;
-  }
-
-  /**
-   * Whether a task that is not assigned here any more has to stay: a machine may hold it, and it is neither finished nor is its
-   * job over. Entries were once dropped with their claims, and such a task could be started again while it ran.
-   */
-  #mustKeep(slot: Slot, job: Job | undefined): boolean {
-    return slot.claim !== null && slot.job === job && !job.isFinished(slot.index);
-  }
-
-  /** Has a claimed task stopped that the record no longer names, which is never expected; true: it was not before. */
-  #withdraw(slot: Slot): boolean {
-    if (!slot.withdrawn) this.alarm('claimed task is not assigned here any more', { task: slot.name });
-    slot.withdrawn = true;
-    return this.#stop(slot);
-  }
-
-  /**
-   * Brings a known slot in line with the newest assignment of its task. It may have been given back and assigned anew, to
-   * another zone, without the record in between having been seen: the zone of the first assignment was once kept.
-   */
-  #reassign(slot: Slot, { zone }: AssignedTask, now: number): boolean {
-    slot.withdrawn = false;
-    slot.zone = zone;
-    // Only a newer record proves that the change under way can not happen any more.
-    if (slot.state === 'leaving' && slot.job.version !== slot.leavingVersion) this.#move(slot, 'waiting', now);
-    if (slot.claim === null || zone === null || slot.claim.machine.zone === zone) return false;
-    this.alarm('claimed task is assigned to another zone', { task: slot.name, zone });
-    return this.#stop(slot);
-  }
-
-  /** Has a claimed task stopped at once; false: it is being stopped already. */
-  #stop(slot: Slot): boolean {
-    if (slot.claim === null || slot.claim.stopGraceS === 0) return false;
-    slot.claim.stopGraceS = 0;
-    return true;
-  }
-
-  /** The claim has ended, by proof: the task waits again, unless it is not assigned here any more. */
-  #claimEnded(slot: Slot, why: string, now: number): void {
-    this.log('claim ended', { task: slot.name, machine: slot.claim?.machine.name, why });
-    this.#move(slot, 'waiting', now);
-    const slots = this.slots.get(slot.job.id);
-    if (!slot.withdrawn || slots === undefined) return;
-    this.#remove(slot, slots);
-    if (slots.size === 0) this.slots.delete(slot.job.id);
-  }
-
-  #cancel(job: Job): Slot[] {
-    return [...(this.slots.get(job.id)?.values() ?? [])].filter((slot) => this.#stop(slot));
+    return this.#tasks.sync(id, now);
   }
 
   slotOf(task: string): Slot | undefined {
-    const parsed = parseTaskName(task);
-    return parsed === null ? undefined : this.slots.get(parsed.job)?.get(parsed.index);
+    return this.#tasks.slotOf(task);
   }
 
   // --- machines ----------------------------------------------------------------------------------------------------
@@ -311,7 +197,7 @@
     this.#endClaims(machine, now, 'machine gone');
     this.failures.forgetMachine(name);
     this.machines.delete(name);
-    this.changes++;
+    this.noteChange();
   }
 
   isGone(name: string): boolean {
@@ -320,7 +206,7 @@
 
   #endClaims(machine: Machine, now: number, why: string): void {
     for (const slot of [...machine.claims.values()]) {
-      this.#claimEnded(slot, why, now);
+      this.#tasks.claimEnded(slot, why, now);
     }
   }
 
@@ -465,7 +351,7 @@
     m.seq = r.seq;
     m.evictionNotice = r.noticeS !== null;
     m.reported = r.tasks;
-    this.changes++;
+    this.noteChange();
     // An earlier process of ours under this very term can't be: every process takes a partition under a term of its own.
     return term < this.term ? this.#answerUnsynchronised(m, now) : this.#answerSynchronised(m, r, now, mayGrant);
   }
@@ -528,7 +414,7 @@
     m.synchronised = true;
     m.unsynchronisedAnswers = 0;
     m.answeredAt = now;
-    const commands = this.#take(m, r, now);
+    const commands = this.#intake.take(m, r, now);
     this.unheard.delete(m.name);
     this.#clear(now);
     if (mayGrant) this.#grant(m, now, commands);
@@ -536,98 +422,6 @@
     return { kind: 'answer', token: this.token(m), commands };
   }
 
-  /** Takes what a synchronised worker says of its tasks; returns what it has to stop and forget. */
-  #take(m: Machine, r: WorkerReport, now: number): WorkerCommand[] {
-    const forget: WorkerCommand[] = [];
-    const stop: WorkerCommand[] = [];
-    const listed = new Map(r.tasks.map((t) => [`${t.task} ${t.attempt}`, t]));
-
-    let hasLostStarts = false;
-    for (const slot of [...m.claims.values()]) {
-      const task = listed.get(`${slot.name} ${slot.claim!.attempt}`);
-      if (task !== undefined) continue;
-      // One report in flight at a time, and an answer is dropped after its time: what the last answer started and this
-      // later report lacks has not started and will not.
-      const lost = slot.claim!.stage === 'granted';
-      hasLostStarts ||= lost;
-      this.#claimEnded(slot, lost ? 'start was lost' : 'not reported any more', now);
-    }
-    if (hasLostStarts && ++m.lostAnswers >= DEAF_ANSWERS) m.deafUntil = now + this.facts.leaseMs;
-    for (const task of r.tasks) {
-      if (task.state !== 'exited') continue;
-      const keep = this.#exited(m, task, now);
-      if (!keep) forget.push({ op: 'forget', task: task.task, attempt: task.attempt });
-    }
-    for (const task of r.tasks) {
-      if (task.state === 'exited') continue;
-      let slot = this.slotOf(task.task);
-      if (slot !== undefined && slot.claim === null && slot.state !== 'finishing') {
-        if (slot.state !== 'uncertain')
-          this.alarm('a task that was free to start runs', { task: slot.name, on: m.name });
-        // Held here since an earlier owner's time.
-        this.#move(slot, 'claimed', now, {
-          machine: m,
-          attempt: task.attempt,
-          session: m.session,
-          grantedAt: now,
-          stage: task.state,
-          runningSince: task.state === 'running' ? now : null,
-          stopGraceS: slot.job.cancelled ? 0 : null,
-        });
-        this.#useImage(m, slot.job);
-      }
-      if (slot?.claim?.machine !== m || slot.claim.attempt !== task.attempt) slot = undefined;
-      if (slot === undefined) {
-        stop.push({ op: 'stop', task: task.task, attempt: task.attempt, graceS: 0 });
-        continue;
-      }
-      const claim = slot.claim!;
-      if (claim.stage === 'granted') m.lostAnswers = 0;
-      if (claim.stage !== task.state) {
-        claim.stage = task.state;
-        if (task.state === 'running') claim.runningSince ??= now;
-        this.#useImage(m, slot.job);
-      }
-      if (claim.stopGraceS !== null && (task.state !== 'saving' || claim.stopGraceS === 0)) {
-        stop.push({ op: 'stop', task: task.task, attempt: task.attempt, graceS: claim.stopGraceS });
-      }
-    }
-    return [...forget, ...stop];
-  }
-
-  /** Takes an exited task; true if it must not be forgotten yet. */
-  #exited(m: Machine, task: ReportedTask, now: number): boolean {
-    const slot = this.slotOf(task.task);
-    if (slot === undefined) return false;
-    const ours = slot.claim?.machine === m && slot.claim.attempt === task.attempt;
-    if (task.cause === 'done' && slot.job.spec.kind === 'array') {
-      if (slot.state === 'finishing') return true;
-      if (slot.claim !== null && !ours) return false;
-      this.failures.completed(slot.job.id, m.name, now);
-      this.#move(slot, 'finishing', now);
-      return true;
-    }
-    if (!ours) return false;
-    this.#blame(m, slot, task.cause ?? 'unrecognised', now);
-    this.#claimEnded(slot, `exited: ${task.cause}`, now);
-    return false;
-  }
-
-  #blame(m: Machine, slot: Slot, cause: ExitCause, now: number): void {
-    // It says neither that the task failed nor why: the task is tried again, and nobody is at fault for it.
-    if (cause === 'unrecognised')
-      this.alarm('unknown cause of an exit', { field: 'cause', task: slot.name, machine: m.name });
-    if (cause === 'error' || cause === 'unknown' || cause === 'unrecognised') {
-      const runningSince = slot.claim?.runningSince ?? now;
-      if (cause === 'error') this.failures.failed(slot.job.id, m.name, now - runningSince, now);
-      slot.failures++;
-      const backoff = this.facts.reportMs * 2 ** Math.min(slot.failures - 2, 4);
-      slot.notBefore = slot.failures < 2 ? now : now + backoff;
-    } else if (cause === 'no_room') {
-      m.deafUntil = now + this.facts.reportMs * 2;
-    }
-  }
-
   /** What an earlier owner knew of a machine's cache. It is a guess like our own: a wrong one costs a fetch. */
   #inherited(machine: string): ImageCache {
     const sizes = new Map<string, number>();
@@ -638,10 +432,6 @@
     );
   }
 
-  #useImage(m: Machine, { spec }: Job): void {
-    m.cache.use(spec.image, spec.imageGb, this.typeOf(m)?.cacheGb ?? 0);
-  }
-
   /** Binds waiting tasks to the machine that reports now. */
   #grant(m: Machine, now: number, commands: WorkerCommand[]): void {
     if (!m.isMember || !this.takesWork(m, now)) return;
@@ -662,7 +452,7 @@
         if (this.#movesOn(slot, now) && !m.cache.has(job.spec.image)) continue;
         const attempt = this.term * ATTEMPTS_PER_TERM + ++this.#counter;
         const waited = now - slot.since;
-        this.#move(slot, 'claimed', now, {
+        this.#tasks.move(slot, 'claimed', now, {
           machine: m,
           attempt,
           session: m.session,
@@ -679,7 +469,7 @@
           cached: m.cache.has(job.spec.image),
           waitedMs: Math.round(waited),
         });
-        this.#useImage(m, job);
+        this.#intake.useImage(m, job);
         room.take(slot);
         commands.push({ op: 'start', task: slot.name, attempt });
       }
@@ -703,7 +493,7 @@
     for (const name of this.unheard.keys()) if (!this.#heard(name)) this.#departed.push(name);
     this.unheard.clear();
     for (const slots of this.slots.values()) {
-      for (const slot of slots.values()) if (slot.state === 'uncertain') this.#move(slot, 'waiting', now);
+      for (const slot of slots.values()) if (slot.state === 'uncertain') this.#tasks.move(slot, 'waiting', now);
     }
     this.log('part cleared', { part: this.part, term: this.term });
   }
@@ -745,7 +535,7 @@
   leaving(slots: readonly Slot[], now: number): void {
     for (const slot of slots) {
       if (slot.state !== 'waiting') continue;
-      this.#move(slot, 'leaving', now);
+      this.#tasks.move(slot, 'leaving', now);
       slot.leavingVersion = slot.job.version;
     }
   }
@@ -753,7 +543,7 @@
   /** The change that would have given these back did not happen and never will. */
   stayed(slots: readonly Slot[], now: number): void {
     for (const slot of slots)
-      if (slot.state === 'leaving' && this.slotOf(slot.name) === slot) this.#move(slot, 'waiting', now);
+      if (slot.state === 'leaving' && this.slotOf(slot.name) === slot) this.#tasks.move(slot, 'waiting', now);
   }
 
   /** The completed tasks that are to be written now, by job; see `tasksToFinish`. */
@@ -771,36 +561,3 @@
     return runningTasks(this);
   }
 }
-
-/** What a machine that reports has for tasks: for most of them without the room that is kept there for others. */
-class GrantRoom {
-  /** Whether room is kept here for any task. */
-  readonly keepsAny: boolean;
-  #free: Amounts;
-  #open: Amounts;
-
-  constructor(
-    free: Amounts,
-    readonly reservations: Reservations,
-    readonly machine: string,
-  ) {
-    const kept = reservations.keptOn(machine);
-    this.keepsAny = kept !== NOTHING;
-    this.#free = free;
-    this.#open = this.keepsAny ? plus(free, kept, -1) : free;
-  }
-
-  hasFor(slot: Slot): boolean {
-    return fits(slot.job.spec, this.#isKeptFor(slot) ? this.#free : this.#open);
-  }
-
-  /** Counts a task in that is claimed here now; what was kept for it is kept no more. */
-  take(slot: Slot): void {
-    this.#free = plus(this.#free, slot.job.spec, -1);
-    if (!this.#isKeptFor(slot)) this.#open = plus(this.#open, slot.job.spec, -1);
-  }
-
-  #isKeptFor(slot: Slot): boolean {
-    return this.keepsAny && this.reservations.machineFor(slot.name) === this.machine;
-  }
-}
--- a/packages/core/src/facts.ts
+++ b/packages/core/src/facts.ts
@@ -27,6 +27,9 @@
   readonly listLagMs: number;
 }
 
+/** DESIGN's grant lease: a machine silent for three report intervals is suspect. */
+export const SUSPECT_INTERVALS = 3;
+
 /** The protocol's bound on how far two steady clocks drift apart, for both of two clocks and rounded up. */
 export const DRIFT = 0.001;
 
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -1,6 +1,8 @@
 // What the leader rents, drains and returns. It only plans; the controller talks to the cloud and to the owners.
-import { type CloudMachine, type JobSpec, type MachineType, PRIORITIES, type RentRequest } from '@gingerlock/wire';
+import { type CloudMachine, type JobSpec, type MachineType, type RentRequest } from '@gingerlock/wire';
 import type { MachineRoom, PartSummary, Unmet } from './assignment';
+import { FleetInventory, type KnownMachine } from './fleet-inventory';
+import { BATCH_RANK, isSuspect, VacatingPlan } from './vacating';
 import {
   type Amounts,
   type Facts,
@@ -9,6 +11,7 @@
   NOTHING,
   type Partition,
   plus,
+  SUSPECT_INTERVALS,
   typeAllows,
   workerLeaseBoundMs,
 } from './facts';
@@ -36,24 +39,6 @@
   readonly drain: string[];
 }
 
-interface Known {
-  readonly name: string;
-  readonly type: string;
-  readonly zone: string;
-  readonly spot: boolean;
-  /** When it was rented, at the latest: known for what this leader rented, otherwise bounded by each list that shows it. */
-  bornAt: number;
-  /** vanished: not listed any more. Returned once more, for the answer to that is proof. */
-  state: 'booting' | 'running' | 'failed' | 'vanished';
-  /** The latest time that a list describes in which it stood; null: none has. */
-  listedAsOf: number | null;
-  /** Since when it is up, as far as lists and reports tell. */
-  upSince: number | null;
-  /** When it was last seen in a summary, or, if it never was, null. */
-  heardAt: number | null;
-  missingSince: number | null;
-}
-
 interface Bin {
   readonly type: string;
   readonly zone: string;
@@ -68,40 +53,34 @@
   backoff: number;
 }
 
-/** Work of this rank and below makes way for services. */
-const BATCH_RANK = PRIORITIES.indexOf('normal');
-
 /** A machine that takes longer than this many usual boot times counts as late; its room is rented once more. */
 const LATE_BOOTS = 2;
 /** One that takes longer than this many is returned. */
 const STUCK_BOOTS = 4;
 
 export class Fleet {
-  readonly known = new Map<string, Known>();
-  readonly #returned = new Map<string, number>();
+  readonly #inventory: FleetInventory;
   /** By part: its owner's term, and since when that owner has told of it. */
   readonly #partSince = new Map<number, { term: number; since: number }>();
   readonly #refused = new Map<string, Refusal>();
   /** Zones in which most machines have fallen silent, and until when nothing is rented there for that. */
   readonly #silentZones = new Map<string, number>();
   #draining = new Set<string>();
-  /** Machines that are being emptied, or could not be, and since when. */
-  #vacating: ReadonlyMap<string, number> = new Map();
+  readonly #vacating: VacatingPlan;
   #counter = 0;
-  #firstList = true;
 
   constructor(
     readonly facts: Facts,
     readonly term: number,
     readonly limits: FleetLimits,
-  ) {}
+  ) {
+    this.#inventory = new FleetInventory(facts);
+    this.#vacating = new VacatingPlan(facts);
+  }
 
   rented(names: readonly string[], r: RentRequest, now: number): void {
     this.#refused.delete(place(r.type, r.zone, r.spot));
-    for (const name of names) {
-      if (this.known.has(name) || this.#returned.has(name)) continue;
-      this.known.set(name, this.#entry(name, r.type, r.zone, r.spot, now));
-    }
+    this.#inventory.rented(names, r, now);
     if (names.length < r.count) this.refused(r, now);
   }
 
@@ -113,84 +92,23 @@
   }
 
   returned(names: readonly string[], now: number): void {
-    for (const name of names) {
-      this.known.delete(name);
-      this.#draining.delete(name);
-      this.#returned.set(name, now);
-    }
-  }
-
-  #entry(name: string, type: string, zone: string, spot: boolean, bornAt: number): Known {
-    return {
-      name,
-      type,
-      zone,
-      spot,
-      bornAt,
-      state: 'booting',
-      listedAsOf: null,
-      upSince: null,
-      heardAt: null,
-      missingSince: null,
-    };
+    this.#inventory.returned(names, now);
+    for (const name of names) this.#draining.delete(name);
   }
 
   /** Takes a whole list of machines. Returns those that are surely gone. */
   listed(machines: readonly CloudMachine[], now: number): { failed: string[] } {
-    const names = new Set(machines.map((m) => m.name));
-    const describedAt = this.#describedAt(machines, now);
-    for (const m of machines) {
-      // A list may be older than the return.
-      if (this.#returned.has(m.name)) continue;
-      let k = this.known.get(m.name);
-      if (k === undefined) {
-        k = this.#entry(m.name, m.type, m.zone, m.spot, now - m.ageS * 1000);
-        this.known.set(m.name, k);
-      }
-      k.listedAsOf = Math.max(k.listedAsOf ?? -Infinity, describedAt);
-      k.missingSince = null;
-      if (k.state !== 'failed') k.state = m.state;
-      if (m.state === 'running') k.upSince ??= this.#firstList ? now - m.ageS * 1000 : now;
-    }
-    this.#firstList = false;
-    for (const k of this.known.values()) {
-      if (names.has(k.name) || !this.#shouldBeListed(k, describedAt)) continue;
-      k.missingSince ??= now;
-      // Listed once and missing now: deleted or taken. Lists may go back in time, so not at once. It is not just forgotten:
-      // its part would show it as silent ever after, and a zone of such machines was taken for cut off and never served.
-      const wait = this.facts.listLagMs * (k.listedAsOf !== null ? 2 : 6);
-      if (now - k.missingSince > wait && (k.heardAt === null || now - k.heardAt > this.facts.leaseMs))
-        k.state = 'vanished';
-    }
-    for (const [name, at] of this.#returned) if (now - at > this.facts.listLagMs * 20) this.#returned.delete(name);
-    return { failed: [...this.known.values()].filter((k) => k.state === 'failed').map((k) => k.name) };
-  }
-
-  /**
-   * The time that a list describes, at the latest; it may be long ago. The age of a machine in it is as of then, and its birth is
-   * known or bounded: the machine whose bound is best tells most.
-   */
-  #describedAt(machines: readonly CloudMachine[], now: number): number {
-    let earliest = Infinity;
-    for (const { name, ageS } of machines) {
-      const known = this.known.get(name);
-      if (known === undefined) continue;
-      known.bornAt = Math.min(known.bornAt, now - ageS * 1000);
-      earliest = Math.min(earliest, known.bornAt + ageS * 1000);
-    }
-    return Math.min(now, earliest);
-  }
-
-  /** Whether a list that describes that time shows the machine if it is not gone. An old list once had machines returned while they booted. */
-  #shouldBeListed({ listedAsOf, bornAt }: Known, describedAt: number): boolean {
-    return describedAt > (listedAsOf ?? bornAt);
+    return this.#inventory.listed(machines, now);
   }
 
   /** Whether the owners have heard every machine that is listed as up. */
   allHeard(summaries: readonly PartSummary[]): boolean {
-    const heard = new Set(summaries.flatMap((s) => s.machines.map((m) => m.name)));
-    const up = [...this.known.values()].filter((k) => k.state === 'running');
-    return up.length > 0 && up.every((k) => heard.has(k.name));
+    return this.#inventory.allHeard(summaries);
+  }
+
+  /** By name. */
+  get known(): ReadonlyMap<string, KnownMachine> {
+    return this.#inventory.known;
   }
 
   /** How the fleet stands, for the log. */
@@ -224,17 +142,7 @@
     const { now, types } = input;
     const rooms = new Map<string, MachineRoom>();
     for (const s of input.summaries) for (const m of s.machines) rooms.set(m.name, m);
-    for (const m of rooms.values()) {
-      if (this.#returned.has(m.name)) continue;
-      let k = this.known.get(m.name);
-      if (k === undefined) {
-        k = this.#entry(m.name, m.type, m.zone, m.spot, now);
-        this.known.set(m.name, k);
-      }
-      if (k.state === 'booting') k.state = 'running';
-      k.upSince ??= now;
-      if (m.silentMs < this.facts.leaseMs) k.heardAt = now - m.silentMs;
-    }
+    this.#inventory.heard(rooms.values(), now);
 
     for (const s of input.summaries) {
       if (this.#partSince.get(s.part)?.term !== s.term) this.#partSince.set(s.part, { term: s.term, since: now });
@@ -245,7 +153,7 @@
     this.#watchZones(input, rooms);
     const giveBack: string[] = [];
     const drain = new Set<string>();
-    const booting: Known[] = [];
+    const booting: KnownMachine[] = [];
     for (const k of this.known.values()) {
       const bootMs = (types.get(k.type)?.bootS ?? 60) * 1000;
       const room = rooms.get(k.name);
@@ -268,7 +176,7 @@
    * Since when a machine could have been heard and was not. A new owner of its part, or a new leader, has to be given
    * the time to hear it first: silence from before proves nothing, and healthy machines were once returned for it.
    */
-  #quietSince(k: Known, input: FleetInput): number {
+  #quietSince(k: KnownMachine, input: FleetInput): number {
     const part = input.parts.of(k.name, k.zone);
     const owner = this.#partSince.get(part);
     if (owner === undefined) return Infinity;
@@ -286,7 +194,7 @@
     for (const k of this.known.values()) {
       if (k.state !== 'running') continue;
       const room = rooms.get(k.name);
-      const heard = room !== undefined && !suspect(room, this.facts);
+      const heard = room !== undefined && !isSuspect(room, this.facts);
       const silent = !heard && now - this.#quietSince(k, input) > this.facts.reportMs * SUSPECT_INTERVALS;
       const zone = zones.get(k.zone) ?? { heard: 0, silent: 0 };
       if (heard) zone.heard++;
@@ -302,7 +210,7 @@
     for (const name of silent) this.#silentZones.set(name, now + bootMs * LATE_BOOTS + this.facts.listLagMs);
   }
 
-  #rent(input: FleetInput, booting: readonly Known[], rooms: ReadonlyMap<string, MachineRoom>): RentRequest[] {
+  #rent(input: FleetInput, booting: readonly KnownMachine[], rooms: ReadonlyMap<string, MachineRoom>): RentRequest[] {
     const { now, types } = input;
     const bins: Bin[] = [];
     for (const k of booting) {
@@ -338,7 +246,7 @@
 
     // What runs on a machine that has fallen silent will most likely be wanted elsewhere once its lease is over: a boot
     // begins now. More than half of them silent is no trouble of theirs.
-    const suspects = [...rooms.values()].filter((m) => suspect(m, this.facts) && m.silentMs < this.facts.leaseMs * 2);
+    const suspects = [...rooms.values()].filter((m) => isSuspect(m, this.facts) && m.silentMs < this.facts.leaseMs * 2);
     if (suspects.length * 2 < rooms.size) {
       for (const m of suspects) {
         const need = m.byRank.reduce((sum, a) => plus(sum, a), NOTHING);
@@ -434,7 +342,7 @@
   #idle(
     input: FleetInput,
     rooms: ReadonlyMap<string, MachineRoom>,
-    booting: readonly Known[],
+    booting: readonly KnownMachine[],
     drain: Set<string>,
     giveBack: string[],
     renting: boolean,
@@ -443,7 +351,7 @@
     const empties: MachineRoom[] = [];
     for (const m of rooms.values()) {
       const type = input.types.get(m.type);
-      if (type === undefined || m.evictionNotice || this.#returned.has(m.name)) continue;
+      if (type === undefined || m.evictionNotice || this.#inventory.isReturned(m.name)) continue;
       if (!m.spot && m.takesWork) ordinary += roomForServices(m);
       if (m.empty) empties.push(m);
     }
@@ -462,7 +370,7 @@
       if (m.draining) giveBack.push(m.name);
     }
     const isShort = input.unmet.some(({ job }) => !this.#waitsForSpot(job.spec));
-    if (!renting && !isShort) this.#vacate(input, rooms, drain, ordinary - headroom);
+    if (!renting && !isShort) this.#vacating.add(input, rooms, drain, this.#draining, ordinary - headroom);
   }
 
   /**
@@ -473,80 +381,14 @@
     const team = this.facts.teams.get(name);
     return spot && team !== undefined && hasNoGuarantee(team);
   }
-
-  /**
-   * Machines that are nearly empty and whose room can be spared get no more work. Batch work on spot machines ends soon;
-   * replicas last for minutes, so the owner moves them to where they are up again at once, if it can.
-   */
-  #vacate(input: FleetInput, rooms: ReadonlyMap<string, MachineRoom>, drain: Set<string>, spareOrdinary: number): void {
-    const { now, types } = input;
-    const candidates: { m: MachineRoom; used: number; size: number }[] = [];
-    const freeIn = new Map<string, number>();
-    const spot = { free: 0, used: 0 };
-    for (const m of rooms.values()) {
-      const size = types.get(m.type)?.gpus ?? 0;
-      if (m.evictionNotice || m.unhealthy || suspect(m, this.facts)) continue;
-      const sum = (from: number, to: number): number => m.byRank.slice(from, to).reduce((n, a) => n + a.gpus, 0);
-      const used = m.spot ? sum(0, m.byRank.length) : sum(0, BATCH_RANK);
-      if (m.spot) spot.used += used;
-      if (m.takesWork && m.spot) spot.free += m.free.gpus;
-      else if (m.takesWork) freeIn.set(m.zone, (freeIn.get(m.zone) ?? 0) + m.free.gpus);
-      if (!m.empty && used <= size / 2 && (m.takesWork || this.#draining.has(m.name))) {
-        candidates.push({ m, used, size });
-      }
-    }
-    const spare = { ordinary: spareOrdinary, spot: spot.free - spot.used * SPOT_SPARE };
-    // What is being emptied goes on being emptied; then the emptiest.
-    const order = (c: (typeof candidates)[number]): number => (this.#draining.has(c.m.name) ? 0 : 1);
-    candidates.sort((a, b) => order(a) - order(b) || a.used - b.used || (a.m.name < b.m.name ? -1 : 1));
-    const vacating = new Map<string, number>();
-    const busy = new Set<number>();
-    for (const { m, used, size } of candidates) {
-      const bootMs = (types.get(m.type)?.bootS ?? 60) * 1000;
-      const since = this.#vacating.get(m.name) ?? now;
-      // If it could not be emptied in this time it is let be for a while.
-      if (now - since > bootMs * VACATE_BOOTS) {
-        if (now - since < bootMs * VACATE_BOOTS * 4) vacating.set(m.name, since);
-        continue;
-      }
-      const kind = m.spot ? 'spot' : 'ordinary';
-      // The room of one that takes no more work is not among what is to spare.
-      const cost = m.takesWork ? size : m.spot ? 0 : used;
-      if (cost > spare[kind]) continue;
-      if (!m.spot) {
-        const others = (freeIn.get(m.zone) ?? 0) - (m.takesWork ? m.free.gpus : 0);
-        const part = input.parts.of(m.name, m.zone);
-        if (busy.has(part) || used > others) continue;
-        busy.add(part);
-        freeIn.set(m.zone, others - used);
-      }
-      spare[kind] -= cost;
-      vacating.set(m.name, since);
-      drain.add(m.name);
-    }
-    this.#vacating = vacating;
-  }
 }
 
-/** A machine that could not be emptied in so many boot times is let be for three times as long. */
-const VACATE_BOOTS = 2;
-
-/** Room for coming batch work that is kept on spot machines, as a share of what is in use there. */
-const SPOT_SPARE = 0.25;
-
 /**
  * An empty machine is kept for this many boot times, and always for a few reports: where machines boot at once, one was
  * returned before its first task could be assigned to it, and rented again.
  */
 const IDLE_BOOTS = 0.5;
 
-/** DESIGN's grant lease: a machine silent for longer than this many report intervals is suspect. */
-const SUSPECT_INTERVALS = 3;
-
-function suspect(m: MachineRoom, facts: Facts): boolean {
-  return m.silentMs > facts.reportMs * SUSPECT_INTERVALS;
-}
-
 /** What a machine has for new services: batch work makes way for them. */
 function roomForServices(m: MachineRoom): number {
   return m.byRank.reduce((sum, a, rank) => sum + (rank >= BATCH_RANK ? a.gpus : 0), m.free.gpus);
--- /dev/null
+++ b/packages/core/src/vacating.ts
@@ -0,0 +1,90 @@
+// Which machines are emptied because their room can be spared.
+import { type MachineType, PRIORITIES } from '@gingerlock/wire';
+import type { MachineRoom } from './assignment';
+import { type Facts, type Partition, SUSPECT_INTERVALS } from './facts';
+
+/** Work of this rank and below makes way for services. */
+export const BATCH_RANK = PRIORITIES.indexOf('normal');
+
+/** A machine that could not be emptied in so many boot times is let be for three times as long. */
+const VACATE_BOOTS = 2;
+
+/** Room for coming batch work that is kept on spot machines, as a share of what is in use there. */
+const SPOT_SPARE = 0.25;
+
+/** Whether the machine has been silent for so long that what it holds will most likely be wanted elsewhere. */
+export function isSuspect(m: MachineRoom, facts: Facts): boolean {
+  return m.silentMs > facts.reportMs * SUSPECT_INTERVALS;
+}
+
+export interface VacatingInput {
+  readonly now: number;
+  readonly types: ReadonlyMap<string, MachineType>;
+  readonly parts: Partition;
+}
+
+export class VacatingPlan {
+  /** Machines that are being emptied, or could not be, and since when. */
+  #since: ReadonlyMap<string, number> = new Map();
+
+  constructor(readonly facts: Facts) {}
+
+  /**
+   * Machines that are nearly empty and whose room can be spared get no more work. Batch work on spot machines ends soon;
+   * replicas last for minutes, so the owner moves them to where they are up again at once, if it can.
+   */
+  add(
+    input: VacatingInput,
+    rooms: ReadonlyMap<string, MachineRoom>,
+    drain: Set<string>,
+    draining: ReadonlySet<string>,
+    spareOrdinary: number,
+  ): void {
+    const { now, types } = input;
+    const candidates: { m: MachineRoom; used: number; size: number }[] = [];
+    const freeIn = new Map<string, number>();
+    const spot = { free: 0, used: 0 };
+    for (const m of rooms.values()) {
+      const size = types.get(m.type)?.gpus ?? 0;
+      if (m.evictionNotice || m.unhealthy || isSuspect(m, this.facts)) continue;
+      const sum = (from: number, to: number): number => m.byRank.slice(from, to).reduce((n, a) => n + a.gpus, 0);
+      const used = m.spot ? sum(0, m.byRank.length) : sum(0, BATCH_RANK);
+      if (m.spot) spot.used += used;
+      if (m.takesWork && m.spot) spot.free += m.free.gpus;
+      else if (m.takesWork) freeIn.set(m.zone, (freeIn.get(m.zone) ?? 0) + m.free.gpus);
+      if (!m.empty && used <= size / 2 && (m.takesWork || draining.has(m.name))) {
+        candidates.push({ m, used, size });
+      }
+    }
+    const spare = { ordinary: spareOrdinary, spot: spot.free - spot.used * SPOT_SPARE };
+    // What is being emptied goes on being emptied; then the emptiest.
+    const order = (c: (typeof candidates)[number]): number => (draining.has(c.m.name) ? 0 : 1);
+    candidates.sort((a, b) => order(a) - order(b) || a.used - b.used || (a.m.name < b.m.name ? -1 : 1));
+    const vacating = new Map<string, number>();
+    const busy = new Set<number>();
+    for (const { m, used, size } of candidates) {
+      const bootMs = (types.get(m.type)?.bootS ?? 60) * 1000;
+      const since = this.#since.get(m.name) ?? now;
+      // If it could not be emptied in this time it is let be for a while.
+      if (now - since > bootMs * VACATE_BOOTS) {
+        if (now - since < bootMs * VACATE_BOOTS * 4) vacating.set(m.name, since);
+        continue;
+      }
+      const kind = m.spot ? 'spot' : 'ordinary';
+      // The room of one that takes no more work is not among what is to spare.
+      const cost = m.takesWork ? size : m.spot ? 0 : used;
+      if (cost > spare[kind]) continue;
+      if (!m.spot) {
+        const others = (freeIn.get(m.zone) ?? 0) - (m.takesWork ? m.free.gpus : 0);
+        const part = input.parts.of(m.name, m.zone);
+        if (busy.has(part) || used > others) continue;
+        busy.add(part);
+        freeIn.set(m.zone, others - used);
+      }
+      spare[kind] -= cost;
+      vacating.set(m.name, since);
+      drain.add(m.name);
+    }
+    this.#since = vacating;
+  }
+}
--- a/packages/daemon/src/owner-reclaims.ts
+++ b/packages/daemon/src/owner-reclaims.ts
@@ -30,7 +30,7 @@
     const records = new Map([...store.reclaimsOf(this.part)].map(([id, { record }]) => [id, record]));
     this.reservations.sync(records);
     const stopped = this.reservations.step(table, clock.wall(), now);
-    if (stopped.length > 0) table.changes++;
+    if (stopped.length > 0) table.noteChange();
     return stopped;
   }
 
