--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -13,5 +13,6 @@
       'no-console': 'error',
     },
   },
+  { files: ['packages/*/src/**/*.ts'], rules: { 'max-lines': ['error', { max: 600 }] } },
   { files: ['*.mjs'], languageOptions: { globals: { process: 'readonly' } } },
 );
--- a/packages/testkit/src/faults.ts
+++ b/packages/testkit/src/faults.ts
@@ -1,12 +1,16 @@
 // Troubles as data, so that a generator can draw them and a shrinker can take them away one by one.
-import { KEYS, parseTaskName } from '@gingerlock/wire';
+import { KEYS } from '@gingerlock/wire';
 import { type BorrowingFault, borrowingFaultMs, inflictBorrowing, isBorrowingFault } from './borrowing-faults';
 import { inflictOperations, isOperationsFault, type OperationsFault, operationsFaultMs } from './operations-faults';
+import { FaultTargets } from './fault-targets';
 import type { Cut } from './network';
-import { PipelineUser } from './pipelines';
+import { inflictOnState, isStateFault, type StateFault } from './state-faults';
+import { inflictByUsers, isUserFault, type UserFault } from './user-faults';
 import { type World, ZONES } from './world';
 
 export type Fault =
+  | StateFault
+  | UserFault
   | OperationsFault
   | BorrowingFault
   | { readonly kind: 'crash'; readonly nodes: readonly number[]; readonly backMs: number }
@@ -14,43 +18,11 @@
   | { readonly kind: 'flapping'; readonly node: number; readonly times: number; readonly everyMs: number }
   | { readonly kind: 'machines hang'; readonly machine: number; readonly count: number; readonly forMs: number }
   | { readonly kind: 'late peer copies'; readonly share: number; readonly withinMs: number; readonly forMs: number }
-  | { readonly kind: 'state outage'; readonly forMs: number }
-  /** It refuses one controller with 503, whose lease runs out; or carries out what that asks and the answers are lost. */
-  | {
-      readonly kind: 'state refuses one';
-      readonly node: number;
-      readonly how: 'refuse' | 'lose answers';
-      readonly forMs: number;
-    }
-  /** One controller alone is refused, others cancel jobs, and a moment later nobody is served. */
-  | {
-      readonly kind: 'gap';
-      readonly node: number;
-      readonly cancels: number;
-      readonly afterMs: number;
-      readonly forMs: number;
-    }
-  /** Answers of the state service are lost, to reads and transactions alike. */
-  | { readonly kind: 'state answers lost'; readonly share: number; readonly forMs: number }
-  /** Transactions get no answer, and are carried out at once or seconds later, after newer ones. */
-  | { readonly kind: 'late writes'; readonly share: number; readonly atOnce: boolean; readonly forMs: number }
   /** Copies of reports are kept until a new leader or owner begins, and then come to every controller. */
   | { readonly kind: 'reports for the next'; readonly share: number; readonly forMs: number }
   /** Whoever leads ends, again and again. */
   | { readonly kind: 'leaders end'; readonly times: number; readonly everyMs: number; readonly backMs: number }
-  /** Users call running jobs off, all within a fifth of a second; some of their machines then hang. */
-  | { readonly kind: 'cancel now'; readonly count: number; readonly hangMs: number }
-  /** Jobs are called off at the moment at which their last task completes. */
-  | { readonly kind: 'cancel at end'; readonly share: number; readonly forMs: number }
-  | { readonly kind: 'odd requests'; readonly forMs: number }
-  | { readonly kind: 'close looks'; readonly forMs: number }
   | { readonly kind: 'fast boots'; readonly forMs: number }
-  /** Jobs of one task, so many a second, a quarter of them called off. */
-  | { readonly kind: 'small jobs'; readonly perS: number; readonly forMs: number }
-  /** Users submit pipelines of jobs that await each other, one every so often. */
-  | { readonly kind: 'pipelines'; readonly everyMs: number; readonly forMs: number; readonly seed: number }
-  /** The state service lowers its limits to those that the settings announce, for good. */
-  | { readonly kind: 'state limits' }
   | {
       readonly kind: 'node cut';
       readonly node: number;
@@ -71,27 +43,12 @@
   | { readonly kind: 'machine dies'; readonly machine: number; readonly listedAs: 'failed' | 'gone' }
   | { readonly kind: 'unhealthy machine'; readonly machine: number; readonly forMs: number }
   | { readonly kind: 'cloud outage'; readonly forMs: number }
-  | { readonly kind: 'events forgotten' }
   | { readonly kind: 'rolling restarts'; readonly everyMs: number; readonly backMs: number }
   | { readonly kind: 'slow controller'; readonly node: number; readonly ms: number; readonly forMs: number }
   | { readonly kind: 'peers refused'; readonly forMs: number }
-  | { readonly kind: 'slow state service'; readonly ms: number; readonly forMs: number }
   | { readonly kind: 'zone cut'; readonly zone: number; readonly how: 'hold' | 'lose'; readonly forMs: number }
   /** A zone loses all others, while the state service, the cloud and users are reached from everywhere. */
   | { readonly kind: 'zone apart'; readonly zone: number; readonly how: 'hold' | 'lose'; readonly forMs: number }
-  /** Transactions of one controller get no answer and are never carried out; all else of it is served. */
-  | { readonly kind: 'writes unanswered'; readonly node: number; readonly forMs: number }
-  /** The renewals of one controller's state lease are refused: the lease ends. */
-  | { readonly kind: 'renewals refused'; readonly node: number; readonly forMs: number }
-  /** One controller's reads of the state service are answered late, with what stood there when they were asked. */
-  | { readonly kind: 'slow reads'; readonly node: number; readonly ms: number; readonly forMs: number }
-  /** Changes come in any order and the last of each key only; few are kept, and lists have many pages. */
-  | {
-      readonly kind: 'unhelpful reads';
-      readonly keptEvents: number;
-      readonly pageItems: number;
-      readonly forMs: number;
-    }
   /**
    * One controller's state lease ends, which the others read late; nothing that it then writes is answered, and its zone loses
    * all others.
@@ -112,44 +69,22 @@
 
 export function inflict(world: World, fault: Fault): void {
   const { sim, network, state } = world;
-  // -1 is whoever leads.
-  const node = (i: number): string =>
-    (i < 0 ? world.leader() : null) ?? world.nodes[Math.max(0, i) % world.nodes.length]!.name;
-  const machine = (i: number): string | undefined => {
-    const names = [...world.workers.keys()];
-    return names[i % Math.max(1, names.length)];
-  };
+  const targets = new FaultTargets(world);
   world.came(fault.kind);
-  const machines = (from: number, count: number): string[] =>
-    [...new Set(Array.from({ length: count }, (_, i) => machine(from + i)))].filter((n) => n !== undefined);
-  const during = (ways: readonly (readonly [string, string])[], how: Cut, forMs: number): void => {
-    for (const [from, to] of ways) network.cut(from, to, how);
-    sim.after(forMs, () => {
-      for (const [from, to] of ways) network.heal(from, to);
-    });
-  };
-  const forSome = (affected: Set<string>, name: string, forMs: number): void => {
-    affected.add(name);
-    sim.after(forMs, () => affected.delete(name));
-  };
-  if (isOperationsFault(fault)) {
-    inflictOperations(world, fault, node);
-    return;
-  }
-  if (isBorrowingFault(fault)) {
-    inflictBorrowing(world, fault);
-    return;
-  }
+  if (isOperationsFault(fault)) return inflictOperations(world, fault, (i) => targets.node(i));
+  if (isBorrowingFault(fault)) return inflictBorrowing(world, fault);
+  if (isStateFault(fault)) return inflictOnState(world, fault, targets);
+  if (isUserFault(fault)) return inflictByUsers(world, fault, targets);
   switch (fault.kind) {
     case 'crash':
       for (const i of fault.nodes) {
-        const name = node(i);
+        const name = targets.node(i);
         world.crash(name);
         sim.after(fault.backMs, () => world.startNode(name));
       }
       return;
     case 'flapping': {
-      const name = node(fault.node);
+      const name = targets.node(fault.node);
       for (let i = 0; i < fault.times; i++) {
         sim.after(i * fault.everyMs, () => world.crash(name));
         sim.after(i * fault.everyMs + fault.everyMs / 3, () => world.startNode(name));
@@ -158,7 +93,7 @@
     }
     case 'machines hang':
       for (let i = 0; i < fault.count; i++) {
-        const name = machine(fault.machine + i);
+        const name = targets.machine(fault.machine + i);
         if (name !== undefined) network.freeze(name, fault.forMs);
       }
       return;
@@ -168,105 +103,33 @@
         network.peerCopies = null;
       });
       return;
-    case 'state outage':
-      state.setOutage(true);
-      sim.after(fault.forMs, () => state.setOutage(false));
-      return;
-    case 'state refuses one': {
-      const name = node(fault.node);
-      if (fault.how === 'lose answers') {
-        during([['state:1', name]], 'lose', fault.forMs);
-        return;
-      }
-      state.refused.add(name);
-      sim.after(fault.forMs, () => state.refused.delete(name));
-      return;
-    }
-    case 'gap': {
-      const name = node(fault.node);
-      state.refused.add(name);
-      world.came('cancelled', cancelSome(world, fault.cancels, fault.afterMs).size);
-      sim.after(fault.afterMs, () => state.setOutage(true));
-      sim.after(fault.afterMs + fault.forMs, () => {
-        state.refused.delete(name);
-        state.setOutage(false);
-      });
-      return;
-    }
-    case 'state answers lost':
-      network.lostAnswersOf.set('state:1', fault.share);
-      sim.after(fault.forMs, () => network.lostAnswersOf.delete('state:1'));
-      return;
-    case 'late writes':
-      state.unanswered = fault;
-      sim.after(fault.forMs, () => {
-        state.unanswered = null;
-      });
-      return;
     case 'reports for the next':
       keepReports(world, fault.share, fault.forMs);
       return;
     case 'leaders end':
       for (let i = 0; i < fault.times; i++) {
         sim.after(i * fault.everyMs, () => {
-          const name = node(-1);
+          const name = targets.node(-1);
           world.crash(name);
           sim.after(fault.backMs, () => world.startNode(name));
         });
       }
       return;
-    case 'cancel now': {
-      const jobs = cancelSome(world, fault.count, 200);
-      world.came('cancelled', jobs.size);
-      const on = [...world.runningTasks()].filter(([task]) => jobs.has(parseTaskName(task)!.job)).map(([, m]) => m);
-      if (fault.hangMs > 0) for (const name of [...new Set(on)].slice(0, 8)) network.freeze(name, fault.hangMs);
-      return;
-    }
-    case 'cancel at end':
-      world.cancelAtEnd = fault.share;
-      sim.after(fault.forMs, () => {
-        world.cancelAtEnd = 0;
-      });
-      return;
-    case 'odd requests': {
-      const until = sim.now + fault.forMs;
-      const next = (): void => {
-        if (sim.now > until) return;
-        void world.users.odd(world.randomJob());
-        sim.after(100 + sim.random() * 600, next);
-      };
-      next();
-      return;
-    }
-    case 'close looks':
-      world.users.closeLooksUntil = Math.max(world.users.closeLooksUntil, sim.now + fault.forMs);
-      return;
     case 'fast boots':
       world.cloud.fastBoots = true;
       sim.after(fault.forMs, () => {
         world.cloud.fastBoots = false;
       });
       return;
-    case 'small jobs': {
-      const until = sim.now + fault.forMs;
-      const next = (): void => {
-        if (sim.now > until) return;
-        const spec = { ...world.randomJob(), kind: 'array' as const, tasks: 1, spread: false, gpus: 1, estimateS: 1 };
-        void world.users.live(spec, sim.random() < 0.25 ? sim.random() * 5000 : null);
-        sim.after((1000 / fault.perS) * (0.5 + sim.random()), next);
-      };
-      next();
-      return;
-    }
     case 'node cut': {
-      const name = node(fault.node);
+      const name = targets.node(fault.node);
       const others = world.nodes.map((n) => n.name).filter((n) => n !== name);
       const ways: [string, string][] = [];
       if (fault.from === 'state' || fault.from === 'both') ways.push([name, 'state:1'], ['state:1', name]);
       if (fault.from === 'peers' || fault.from === 'both') {
         for (const o of others) ways.push([`peer:${name}`, `peer:${o}`], [`peer:${o}`, `peer:${name}`]);
       }
-      during(ways, fault.how, fault.forMs);
+      targets.during(ways, fault.how, fault.forMs);
       if (fault.from !== 'workers') return;
       // Those too that come up during the cut.
       const isWorker = (host: string): boolean => world.workers.has(host.replace(/:\d+$/, ''));
@@ -276,8 +139,8 @@
       return;
     }
     case 'deaf machines': {
-      const deaf = machines(fault.machine, fault.count);
-      during(
+      const deaf = targets.machines(fault.machine, fault.count);
+      targets.during(
         deaf.flatMap((name) => world.nodes.map((n) => [n.name, name] as const)),
         'lose',
         fault.forMs,
@@ -285,14 +148,14 @@
       return;
     }
     case 'mute machines': {
-      const mute = machines(fault.machine, fault.count);
+      const mute = targets.machines(fault.machine, fault.count);
       if (fault.how === 'lose') {
         // Direct commands reach them, and are answered.
         for (const name of mute) network.mute.add(name);
         sim.after(fault.forMs, () => mute.forEach((name) => network.mute.delete(name)));
         return;
       }
-      during(
+      targets.during(
         mute.flatMap((name) => world.nodes.map((n) => [name, n.name] as const)),
         fault.how,
         fault.forMs,
@@ -317,12 +180,12 @@
       });
       return;
     case 'machine dies': {
-      const name = machine(fault.machine);
+      const name = targets.machine(fault.machine);
       if (name !== undefined) world.kill(name, fault.listedAs);
       return;
     }
     case 'unhealthy machine': {
-      const worker = world.workers.get(machine(fault.machine) ?? '');
+      const worker = world.workers.get(targets.machine(fault.machine) ?? '');
       if (worker === undefined) return;
       worker.unhealthy = true;
       world.everUnhealthy.add(worker.name);
@@ -337,9 +200,6 @@
         world.cloud.outage = false;
       });
       return;
-    case 'events forgotten':
-      state.forgetEvents();
-      return;
     case 'rolling restarts':
       world.nodes.forEach((n, i) => {
         sim.after(i * fault.everyMs, () => world.crash(n.name));
@@ -347,7 +207,7 @@
       });
       return;
     case 'slow controller': {
-      const name = node(fault.node);
+      const name = targets.node(fault.node);
       const isIt = (host: string): boolean => host === name || host === `peer:${name}`;
       sim.after(
         fault.forMs,
@@ -361,12 +221,6 @@
         network.wall((from) => from.startsWith('peer:'), 'lose'),
       );
       return;
-    case 'slow state service':
-      sim.after(
-        fault.forMs,
-        network.slow((from, to) => from === 'state:1' || to === 'state:1', fault.ms),
-      );
-      return;
     case 'zone cut': {
       const zone = ZONES[fault.zone % ZONES.length]!;
       const inside = (host: string): boolean => world.zoneOf(host) === zone;
@@ -379,29 +233,11 @@
     case 'zone apart':
       sim.after(fault.forMs, network.wall(apartFrom(world, ZONES[fault.zone % ZONES.length]!), fault.how));
       return;
-    case 'writes unanswered':
-      forSome(state.unansweredFrom, node(fault.node), fault.forMs);
-      return;
-    case 'renewals refused':
-      forSome(state.unrenewed, node(fault.node), fault.forMs);
-      return;
-    case 'slow reads': {
-      const name = node(fault.node);
-      state.slowReadsOf.set(name, fault.ms);
-      sim.after(fault.forMs, () => state.slowReadsOf.delete(name));
-      return;
-    }
-    case 'unhelpful reads':
-      state.unhelpful = fault;
-      sim.after(fault.forMs, () => {
-        state.unhelpful = null;
-      });
-      return;
     case 'lapsed apart': {
-      const name = node(fault.node);
+      const name = targets.node(fault.node);
       const { lapseMs, forMs } = fault;
-      forSome(state.unrenewed, name, lapseMs);
-      forSome(state.unansweredFrom, name, lapseMs + forMs);
+      targets.forSome(state.unrenewed, name, lapseMs);
+      targets.forSome(state.unansweredFrom, name, lapseMs + forMs);
       for (const other of world.controllers) {
         if (other === name) continue;
         state.slowReadsOf.set(other, world.reportMs * 0.7);
@@ -411,11 +247,11 @@
       return;
     }
     case 'back and cut off': {
-      const name = node(fault.node);
+      const name = targets.node(fault.node);
       world.crash(name);
       sim.after(fault.backMs, () => world.startNode(name));
       state.slowReadsOf.set(name, fault.readMs);
-      forSome(state.unrenewed, name, fault.backMs + fault.afterMs + fault.forMs);
+      targets.forSome(state.unrenewed, name, fault.backMs + fault.afterMs + fault.forMs);
       sim.after(fault.backMs + fault.afterMs, () => {
         state.slowReadsOf.delete(name);
         const index = world.controllers.indexOf(name);
@@ -432,14 +268,6 @@
       sim.after(fault.forMs, network.wall(apart, fault.how));
       return;
     }
-    case 'pipelines':
-      for (let i = 0; i * fault.everyMs < fault.forMs; i++) {
-        sim.after(i * fault.everyMs, () => new PipelineUser(world, fault.seed + i).start());
-      }
-      return;
-    case 'state limits':
-      state.limits = world.options.nextLimits ?? null;
-      return;
     case 'spot wave':
       for (const [name, worker] of world.workers) {
         if (!worker.spot || sim.random() > fault.share) continue;
@@ -448,7 +276,7 @@
       }
       return;
     case 'slow machine': {
-      const worker = world.workers.get(machine(fault.machine) ?? '');
+      const worker = world.workers.get(targets.machine(fault.machine) ?? '');
       if (worker === undefined) return;
       worker.slowness = fault.factor;
       sim.after(fault.forMs, () => {
@@ -467,18 +295,6 @@
   };
 }
 
-/** Users call off some jobs that run, within so many milliseconds; returns which. */
-function cancelSome(world: World, count: number, withinMs: number): Set<string> {
-  const running = new Set([...world.runningTasks().keys()].map((task) => parseTaskName(task)!.job));
-  const jobs = world.users
-    .open()
-    .map((t) => t.spec.id)
-    .filter((id) => running.has(id))
-    .slice(0, count);
-  for (const id of jobs) world.sim.after(world.sim.random() * withinMs, () => void world.users.cancel(id));
-  return new Set(jobs);
-}
-
 /** Keeps copies of reports, the oldest of each worker, and gives them to every controller when a term begins. */
 function keepReports(world: World, share: number, forMs: number): void {
   const { sim, network, state } = world;
