--- a/packages/testkit/src/borrowing-audit.ts
+++ b/packages/testkit/src/borrowing-audit.ts
@@ -15,8 +15,8 @@
   readonly workers: ReadonlyMap<string, SimWorker>;
   readonly users: {
     readonly told: ReadonlyMap<string, Told>;
-    /** Whether the job is wanted cancelled. */
-    isUnwanted(told: Told): boolean;
+    /** Whether the job's user has been told that it is cancelled. */
+    isCancelled(told: Told): boolean;
   };
   readonly reportMs: number;
   readonly cancelMs: number;
@@ -52,14 +52,14 @@
 
   constructor(readonly world: AuditedWorld) {}
 
-  /** GPUs that each team's tasks hold now, those that fetch their images included, for jobs that are wanted. */
+  /** GPUs that each team's tasks hold now, those that fetch their images included, for jobs that are not known to be cancelled. */
   useNow(): Map<string, number> {
     const use = new Map<string, number>();
     const { users, workers } = this.world;
     for (const { tasks } of workers.values()) {
       for (const { task, state } of tasks.values()) {
         const told = users.told.get(parseTaskName(task)!.job);
-        if (state === 'exited' || told === undefined || users.isUnwanted(told)) continue;
+        if (state === 'exited' || told === undefined || users.isCancelled(told)) continue;
         use.set(told.spec.team, (use.get(told.spec.team) ?? 0) + told.spec.gpus);
       }
     }
--- a/packages/testkit/src/loopback.ts
+++ b/packages/testkit/src/loopback.ts
@@ -148,7 +148,7 @@
   readonly cloud: SimCloud;
   readonly workers = new Map<string, SimWorker>();
   readonly breaches: { readonly rule: Rule; readonly detail: string }[] = [];
-  readonly users = { told: new Map<string, Told>(), isUnwanted: (told: Told): boolean => told.cancelAsked };
+  readonly users = { told: new Map<string, Told>(), isCancelled: (told: Told): boolean => told.final === 'cancelled' };
   readonly savedMs = new Map<string, number>();
   readonly running = new Map<string, string>();
   readonly guestTeam = 'none';
@@ -287,8 +287,8 @@
   }
 
   async cancel(id: string): Promise<void> {
-    this.users.told.get(id)!.cancelAsked = true;
     await this.#ask(`/submissions/${id}/cancel`, null);
+    this.users.told.get(id)!.final = 'cancelled';
   }
 
   async #ask(path: string, body: Buffer | null): Promise<void> {
--- a/packages/testkit/src/users.ts
+++ b/packages/testkit/src/users.ts
@@ -169,6 +169,11 @@
     return now >= cancelAt || this.#before(spec.id).some((before) => now >= before.cancelAt);
   }
 
+  /** Whether the job's user has been told that it is cancelled. What no controller has been able to take yet, none can know. */
+  isCancelled({ final }: Told): boolean {
+    return final === 'cancelled';
+  }
+
   /** Whether all that the job needs has completed. */
   isReady({ spec }: Told): boolean {
     return spec.awaits.every((id) => this.world.doneOf(id) >= (this.told.get(id)?.spec.tasks ?? Infinity));
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -181,6 +181,11 @@
   quietAt = Infinity;
   /** By task: the machine that it is on. */
   readonly #on = new Map<string, string>();
+  /** The tasks that are on machines, by job. */
+  readonly #onByJob = new Map<string, Set<string>>();
+  /** GPUs in use, by team and by machine. */
+  readonly #gpusOf = new Map<string, number>();
+  readonly #gpusOn = new Map<string, number>();
   readonly #done = new Map<string, Set<string>>();
   #jobCounter = 0;
 
@@ -384,23 +389,18 @@
     this.operations.started(job);
     const other = this.#on.get(task);
     if (other !== undefined && other !== machine) this.breach('ran_twice', `${task} on ${machine} and ${other}`);
-    this.#on.set(task, machine);
+    this.#put(task, machine, spec);
     if (spec.zone !== null && spec.zone !== worker.zone) this.breach('wrong_place', `${task} in zone ${worker.zone}`);
     if (worker.spot && !spec.spot) this.breach('wrong_place', `${task} on spot`);
-    const zones = [...this.#on].filter(([t]) => t.startsWith(`${job}/`)).map(([, m]) => this.workers.get(m)?.zone);
+    const zones = [...this.#onByJob.get(job)!].map((t) => this.workers.get(this.#on.get(t)!)?.zone);
     if (spec.oneZone && new Set(zones).size > 1) this.breach('wrong_place', `${job} in ${zones.join()}`);
     if (spec.spread && zones.filter((z) => z === worker.zone).length > Math.ceil(spec.tasks / 2)) {
       this.breach('wrong_place', `${job} not spread: ${zones.join()}`);
     }
-    let gpus = 0;
-    for (const t of this.#on.keys()) {
-      const s = this.job(parseTaskName(t)!.job)!;
-      if (s.team === spec.team) gpus += s.gpus;
-    }
+    const gpus = this.#gpusOf.get(spec.team)!;
     this.peakGpus = Math.max(this.peakGpus, gpus);
     if (gpus > this.gpusMax + 1e-9) this.breach('quota', `team ${spec.team} uses ${gpus}`);
-    const onMachine = [...this.#on].filter(([, m]) => m === machine).map(([t]) => this.job(parseTaskName(t)!.job)!);
-    const used = onMachine.reduce((sum, s) => sum + s.gpus, 0);
+    const used = this.#gpusOn.get(machine)!;
     if (used > this.roomOf(worker.type).gpus + 1e-9) this.breach('overcommitted', `${machine}: ${used} GPUs`);
     const told = this.users.told.get(job)!;
     if (!this.users.isReady(told)) this.breach('too_early', `${task} before one of ${spec.awaits.join()}`);
@@ -408,7 +408,25 @@
   }
 
   offTask(task: string, machine: string): void {
-    if (this.#on.get(task) === machine) this.#on.delete(task);
+    if (this.#on.get(task) === machine) this.#remove(task, machine);
+  }
+
+  #put(task: string, machine: string, spec: JobSpec): void {
+    const other = this.#on.get(task);
+    if (other !== undefined) this.#remove(task, other);
+    this.#on.set(task, machine);
+    const ofJob = this.#onByJob.get(spec.id) ?? new Set();
+    this.#onByJob.set(spec.id, ofJob.add(task));
+    this.#gpusOf.set(spec.team, (this.#gpusOf.get(spec.team) ?? 0) + spec.gpus);
+    this.#gpusOn.set(machine, (this.#gpusOn.get(machine) ?? 0) + spec.gpus);
+  }
+
+  #remove(task: string, machine: string): void {
+    const { id, team, gpus } = this.job(parseTaskName(task)!.job)!;
+    this.#on.delete(task);
+    this.#onByJob.get(id)!.delete(task);
+    this.#gpusOf.set(team, this.#gpusOf.get(team)! - gpus);
+    this.#gpusOn.set(machine, this.#gpusOn.get(machine)! - gpus);
   }
 
   #checkCancelled(task: string): void {
