Renting: one objective for which machine to rent: price of the room used and time to start

The one with the lowest price for a machine is dearer for each GPU, boots in 60 s against 30 s and fetches images at half the speed; the whole fleet was rented of it.

Cause: Fleet.#add took the lowest price for a whole machine.

Change: core/rental-choice.ts weighs the price of what waiting tasks would use, against the least that any type asks for that room, by the time until a task starts there (boot and fetch). core/rental-plan.ts uses it for suspects, waiting tasks and spare room alike, and each rental's log line has the figures of what was chosen and of the next best. With one type the decisions are those of before (property test). Types with a field that makes no sense are named by field and never rented; one that is gone from the list is kept while machines of it run; spot prices are those read last.

--- a/packages/clients/src/cloud.ts
+++ b/packages/clients/src/cloud.ts
@@ -4,8 +4,8 @@
   decode,
   encode,
   machineListOf,
-  type MachineType,
-  machineTypesOf,
+  type MachineTypeList,
+  readMachineTypes,
   rentedNamesOf,
   rentMap,
   type RentRequest,
@@ -34,10 +34,10 @@
     readonly timeoutMs: number,
   ) {}
 
-  async types(): Promise<MachineType[]> {
+  async types(): Promise<MachineTypeList> {
     const answer = await this.http(this.addr, 'GET', CLOUD_PATHS.types, null, this.timeoutMs);
     if (answer.status !== 200) throw new CloudTrouble('machine types', answer.status);
-    return machineTypesOf(decode(answer.body));
+    return readMachineTypes(decode(answer.body));
   }
 
   async list(): Promise<CloudMachine[]> {
--- a/packages/core/src/claim-queries.ts
+++ b/packages/core/src/claim-queries.ts
@@ -1,7 +1,7 @@
 // What follows from a claim table for others, without changing it: which tasks can be given back to the leader, which are to be
 // written as finished, what is missing and what runs.
 import type { ClaimTable } from './claims';
-import { type Amounts, type Facts, limitAllows, NOTHING, plus, SUSPECT_INTERVALS } from './facts';
+import { type Amounts, bootMsOf, type Facts, limitAllows, NOTHING, plus, SUSPECT_INTERVALS } from './facts';
 import { type Job, jobOrder } from './jobs';
 import type { Slot } from './slots';
 
@@ -100,7 +100,7 @@
   if (table.cleared) return NOTHING;
   const synchronised = [...machines.values()].filter((m) => m.synchronised).length;
   if (unheard.size > synchronised) {
-    const bootMs = Math.max(0, ...[...table.types.values()].map((t) => t.bootS * 1000));
+    const bootMs = Math.max(0, ...[...table.types.values()].map(bootMsOf));
     if (now < Math.max(openedAt + facts.reportMs * CUT_INTERVALS, fencedUntil - bootMs)) return NOTHING;
   }
   let sum = NOTHING;
--- a/packages/core/src/facts.ts
+++ b/packages/core/src/facts.ts
@@ -77,6 +77,14 @@
 
 export const NOTHING: Amounts = { cpus: 0, gpus: 0, memoryGb: 0 };
 
+/** For so long a boot is thought to take where that is not known. */
+const UNKNOWN_BOOT_MS = 60_000;
+
+/** How long a machine of the type usually takes to come up. */
+export function bootMsOf(type: MachineType | undefined): number {
+  return type === undefined || type.bootS <= 0 ? UNKNOWN_BOOT_MS : type.bootS * 1000;
+}
+
 /** How many times `need` goes into `room`. */
 export function timesIn(need: Amounts, room: Amounts): number {
   const ratio = (n: number, r: number): number => (n <= 0 ? Infinity : Math.floor((r + EPSILON) / n));
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -1,16 +1,15 @@
 // What the leader rents, drains and returns. It only plans; the controller talks to the cloud and to the owners.
-import { type CloudMachine, type JobSpec, type MachineType, type RentRequest } from '@gingerlock/wire';
+import { type CloudMachine, isRentable, type JobSpec, type MachineType, type RentRequest } from '@gingerlock/wire';
 import type { MachineRoom, PartSummary, Unmet } from './assignment';
 import { FleetInventory, type KnownMachine } from './fleet-inventory';
 import { BATCH_RANK, isSuspect, VacatingPlan } from './vacating';
+import { type PlannedRental, placeOf, RentalPlan } from './rental-plan';
 import {
-  type Amounts,
+  bootMsOf,
   type Facts,
   fits,
   hasNoGuarantee,
-  NOTHING,
   type Partition,
-  plus,
   SUSPECT_INTERVALS,
   typeAllows,
   workerLeaseBoundMs,
@@ -33,21 +32,12 @@
 }
 
 export interface FleetPlan {
-  readonly rent: RentRequest[];
+  readonly rent: PlannedRental[];
   readonly giveBack: string[];
   /** Machines that are to get no more work. */
   readonly drain: string[];
 }
 
-interface Bin {
-  readonly type: string;
-  readonly zone: string;
-  readonly spot: boolean;
-  free: Amounts;
-  /** To be rented now. */
-  readonly fresh: boolean;
-}
-
 interface Refusal {
   until: number;
   backoff: number;
@@ -79,13 +69,13 @@
   }
 
   rented(names: readonly string[], r: RentRequest, now: number): void {
-    this.#refused.delete(place(r.type, r.zone, r.spot));
+    this.#refused.delete(placeOf(r.type, r.zone, r.spot));
     this.#inventory.rented(names, r, now);
     if (names.length < r.count) this.refused(r, now);
   }
 
   refused(r: RentRequest, now: number): void {
-    const key = place(r.type, r.zone, r.spot);
+    const key = placeOf(r.type, r.zone, r.spot);
     const last = this.#refused.get(key);
     const backoff = Math.min((last?.backoff ?? this.facts.reportMs) * 2, this.facts.reportMs * 16);
     this.#refused.set(key, { until: now + backoff, backoff });
@@ -106,6 +96,11 @@
     return this.#inventory.allHeard(summaries);
   }
 
+  /** Whether there is a machine of that type. */
+  has(type: string): boolean {
+    return [...this.known.values()].some((machine) => machine.type === type);
+  }
+
   /** By name. */
   get known(): ReadonlyMap<string, KnownMachine> {
     return this.#inventory.known;
@@ -132,8 +127,13 @@
   rentMs(spec: JobSpec, types: ReadonlyMap<string, MachineType>): number {
     let least = Infinity;
     for (const type of types.values()) {
-      if (!fits(spec, type) || !type.zones.some((zone) => typeAllows(spec, type.name, zone, false))) continue;
-      least = Math.min(least, type.bootS * 1000);
+      if (
+        !isRentable(type) ||
+        !fits(spec, type) ||
+        !type.zones.some((zone) => typeAllows(spec, type.name, zone, false))
+      )
+        continue;
+      least = Math.min(least, bootMsOf(type));
     }
     return least;
   }
@@ -155,7 +155,7 @@
     const drain = new Set<string>();
     const booting: KnownMachine[] = [];
     for (const k of this.known.values()) {
-      const bootMs = (types.get(k.type)?.bootS ?? 60) * 1000;
+      const bootMs = bootMsOf(types.get(k.type));
       const room = rooms.get(k.name);
       if (k.state === 'failed' || k.state === 'vanished') giveBack.push(k.name);
       else if (k.state === 'booting' && room === undefined) {
@@ -205,123 +205,39 @@
     const silent = [...zones].filter(([, z]) => z.silent > z.heard || z.heard === 0).map(([name]) => name);
     // Silence from everywhere is trouble of our own.
     if (silent.length === zones.size) return;
-    const bootMs = Math.max(0, ...[...input.types.values()].map((t) => t.bootS * 1000));
+    const bootMs = Math.max(0, ...[...input.types.values()].map(bootMsOf));
     for (const [name, z] of zones) if (z.heard > 0) this.#silentZones.delete(name);
     for (const name of silent) this.#silentZones.set(name, now + bootMs * LATE_BOOTS + this.facts.listLagMs);
   }
 
-  #rent(input: FleetInput, booting: readonly KnownMachine[], rooms: ReadonlyMap<string, MachineRoom>): RentRequest[] {
+  #rent(input: FleetInput, booting: readonly KnownMachine[], rooms: ReadonlyMap<string, MachineRoom>): PlannedRental[] {
     const { now, types } = input;
-    const bins: Bin[] = [];
-    for (const k of booting) {
-      const t = types.get(k.type);
-      if (t !== undefined) bins.push({ type: k.type, zone: k.zone, spot: k.spot, free: amounts(t), fresh: false });
-    }
-    const perZone = new Map<string, number>();
-    const count = { ordinary: 0, spot: 0 };
-    for (const k of this.known.values()) {
-      perZone.set(k.zone, (perZone.get(k.zone) ?? 0) + 1);
-      count[k.spot ? 'spot' : 'ordinary']++;
-    }
-    const belowLimit = (spot: boolean): boolean =>
-      spot ? count.spot < this.limits.maxSpotMachines : count.ordinary < this.limits.maxOrdinaryMachines;
-    const silent = (z: string): boolean => (this.#silentZones.get(z) ?? 0) > now;
-    const open = (t: string, z: string, spot: boolean): boolean =>
-      !silent(z) && (this.#refused.get(place(t, z, spot))?.until ?? 0) <= now;
-
-    const request = (spec: Unmet['job']['spec'], zones: readonly string[] | null): boolean => {
-      const allowed = (type: MachineType, zone: string, spot: boolean): boolean =>
-        fits(spec, type) &&
-        (zones === null || zones.includes(zone)) &&
-        typeAllows(spec, type.name, zone, spot) &&
-        open(type.name, zone, spot) &&
-        belowLimit(spot) &&
-        (spot || !this.#waitsForSpot(spec));
-      if (this.#add(bins, perZone, allowed, types) === null) return false;
-      const bin = bins.at(-1)!;
-      count[bin.spot ? 'spot' : 'ordinary']++;
-      bin.free = plus(bin.free, spec, -1);
-      return true;
-    };
-
+    const isSilent = (zone: string): boolean => (this.#silentZones.get(zone) ?? 0) > now;
+    const plan = new RentalPlan({
+      facts: this.facts,
+      types,
+      booting,
+      known: this.known.values(),
+      maxOrdinaryMachines: this.limits.maxOrdinaryMachines,
+      maxSpotMachines: this.limits.maxSpotMachines,
+      isOpen: ({ type, zone, spot }) =>
+        !isSilent(zone) && (this.#refused.get(placeOf(type.name, zone, spot))?.until ?? 0) <= now,
+      isSilent,
+      onlySpot: (spec) => this.#waitsForSpot(spec),
+    });
     // What runs on a machine that has fallen silent will most likely be wanted elsewhere once its lease is over: a boot
     // begins now. More than half of them silent is no trouble of theirs.
     const suspects = [...rooms.values()].filter((m) => isSuspect(m, this.facts) && m.silentMs < this.facts.leaseMs * 2);
-    if (suspects.length * 2 < rooms.size) {
-      for (const m of suspects) {
-        const need = m.byRank.reduce((sum, a) => plus(sum, a), NOTHING);
-        if (need.cpus <= 0 && need.gpus <= 0) continue;
-        const bin = bins.find((b) => b.spot === m.spot && !silent(b.zone) && fits(need, b.free));
-        if (bin !== undefined) {
-          bin.free = plus(bin.free, need, -1);
-          continue;
-        }
-        const like = (t: MachineType, zone: string, spot: boolean): boolean =>
-          t.name === m.type && spot === m.spot && open(t.name, zone, spot) && belowLimit(spot);
-        if (this.#add(bins, perZone, like, types) === null) continue;
-        count[m.spot ? 'spot' : 'ordinary']++;
-        bins.at(-1)!.free = plus(bins.at(-1)!.free, need, -1);
-      }
-    }
-    for (const { job, count, zones } of input.unmet) {
-      const onlySpot = this.#waitsForSpot(job.spec);
-      for (let i = 0; i < count; i++) {
-        const bin = bins.find(
-          (b) =>
-            (b.spot || !onlySpot) &&
-            (zones === null || zones.includes(b.zone)) &&
-            typeAllows(job.spec, b.type, b.zone, b.spot) &&
-            fits(job.spec, b.free),
-        );
-        if (bin !== undefined) bin.free = plus(bin.free, job.spec, -1);
-        else if (!request(job.spec, zones)) break;
-      }
-    }
+    if (suspects.length * 2 < rooms.size) for (const m of suspects) plan.replace(m);
     // Room for what comes next, on top of what is asked for now, and for what new owners are still waiting to hear of: a
     // boot takes longer than most aims allow.
     let free = 0;
     for (const m of rooms.values()) if (!m.spot && m.takesWork) free += roomForServices(m);
-    for (const b of bins) if (!b.spot) free += b.free.gpus;
-    for (const target = this.#headroom(input, rooms); free < target;) {
-      const ordinary = (t: MachineType, zone: string, spot: boolean): boolean =>
-        !spot && open(t.name, zone, spot) && belowLimit(spot);
-      const type = this.#add(bins, perZone, ordinary, types);
-      if (type === null || type.gpus <= 0) break;
-      count.ordinary++;
-      free += type.gpus;
-    }
-    const groups = new Map<string, RentRequest>();
-    for (const b of bins.filter((bin) => bin.fresh)) {
-      const key = place(b.type, b.zone, b.spot);
-      const r = groups.get(key);
-      if (r !== undefined) groups.set(key, { ...r, count: Math.min(50, r.count + 1) });
-      else groups.set(key, { request: '', type: b.type, zone: b.zone, spot: b.spot, count: 1 });
-    }
+    const headroom = this.#headroom(input, rooms);
+    plan.serve(input.unmet, headroom - free);
+    plan.keepSpare(free, headroom);
     // Names are never reused: they carry the leader's term.
-    return [...groups.values()].map((r) => ({ ...r, request: `r-${this.term}-${++this.#counter}` }));
-  }
-
-  /** Adds the cheapest machine that is allowed, in the zone that has the fewest. */
-  #add(
-    bins: Bin[],
-    perZone: Map<string, number>,
-    allowed: (type: MachineType, zone: string, spot: boolean) => boolean,
-    types: ReadonlyMap<string, MachineType>,
-  ): MachineType | null {
-    let best: { type: MachineType; zone: string; spot: boolean; cost: number } | null = null;
-    for (const type of types.values()) {
-      for (const zone of type.zones) {
-        for (const spot of [false, true]) {
-          if (!allowed(type, zone, spot)) continue;
-          const cost = (spot ? type.spotPrice : type.price) * (1 + (perZone.get(zone) ?? 0) / 1000);
-          if (best === null || cost < best.cost) best = { type, zone, spot, cost };
-        }
-      }
-    }
-    if (best === null) return null;
-    perZone.set(best.zone, (perZone.get(best.zone) ?? 0) + 1);
-    bins.push({ type: best.type.name, zone: best.zone, spot: best.spot, free: amounts(best.type), fresh: true });
-    return best.type;
+    return plan.requests(() => `r-${this.term}-${++this.#counter}`);
   }
 
   /**
@@ -359,7 +275,7 @@
     for (const m of empties.sort((a, b) => b.emptyMs - a.emptyMs)) {
       if (giveBack.includes(m.name)) continue;
       const type = input.types.get(m.type)!;
-      const idle = m.emptyMs > Math.max(type.bootS * 1000 * IDLE_BOOTS, this.facts.reportMs * 5);
+      const idle = m.emptyMs > Math.max(bootMsOf(type) * IDLE_BOOTS, this.facts.reportMs * 5);
       const spare = m.spot || ordinary - type.gpus >= headroom;
       const leave =
         drain.has(m.name) || this.#draining.has(m.name) || (idle && spare && !(renting && booting.length === 0));
@@ -393,11 +309,3 @@
 function roomForServices(m: MachineRoom): number {
   return m.byRank.reduce((sum, a, rank) => sum + (rank >= BATCH_RANK ? a.gpus : 0), m.free.gpus);
 }
-
-function place(type: string, zone: string, spot: boolean): string {
-  return `${type}/${zone}/${spot ? 'spot' : 'ordinary'}`;
-}
-
-function amounts(t: MachineType): Amounts {
-  return { cpus: t.cpus, gpus: t.gpus, memoryGb: t.memoryGb };
-}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,6 +8,8 @@
 export { fetchMs, STOP_MS } from './placement';
 export * from './assignment';
 export * from './fleet';
+export * from './rental-choice';
+export * from './rental-plan';
 export * from './ownership';
 export * from './ownership-timing';
 export * from './tenure';
--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -17,10 +17,13 @@
   );
 }
 
+/** For so long a fetch is thought to take where the rate is not known. */
+const UNKNOWN_FETCH_MS = 60_000;
+
 /** How long the fetch of an image takes on a machine of this type, if nothing else is fetched. */
 export function fetchMs(imageGb: number, cached: boolean, type: MachineType | undefined): number {
   if (cached) return 0;
-  return type === undefined ? 60_000 : (imageGb / type.fetchGbPerS) * 1000;
+  return type === undefined || type.fetchGbPerS <= 0 ? UNKNOWN_FETCH_MS : (imageGb / type.fetchGbPerS) * 1000;
 }
 
 export interface Plan {
--- /dev/null
+++ b/packages/core/src/rental-choice.ts
@@ -0,0 +1,139 @@
+// Which machine to rent: the one objective for waiting tasks, for spare room and for what runs on suspect machines.
+import { isRentable, type MachineType } from '@gingerlock/wire';
+import { type Amounts, bootMsOf, type Facts, plus, timesIn } from './facts';
+import { fetchMs } from './placement';
+
+/** A kind of machine in one zone that could be rented. */
+export interface RentalOption {
+  readonly type: MachineType;
+  readonly zone: string;
+  readonly spot: boolean;
+}
+
+/** Tasks, all alike, that wait for room. */
+export interface RentalDemand {
+  readonly need: Amounts;
+  readonly count: number;
+  readonly imageGb: number;
+  /** Machine types that they may run on; null: any. */
+  readonly types: readonly string[] | null;
+  /** Whether they may run on spot machines. */
+  readonly spot: boolean;
+  /** How long each is expected to run, in milliseconds; 0: not known, or for as long as its service does. */
+  readonly runMs: number;
+}
+
+/** What an option costs, and of what that is made. */
+export interface RentalCost {
+  readonly option: RentalOption;
+  /** How soon a task could run there: boot and fetch of its image. */
+  readonly startMs: number;
+  /** Price per hour of what the waiting tasks would use, against the least that any type asks for the same room. */
+  readonly dearness: number;
+  /** Dearness, weighted by the time to start. The least is chosen. */
+  readonly cost: number;
+}
+
+export interface RentalChoice {
+  readonly chosen: RentalCost;
+  /** The best option of another type or kind; null: there is none. */
+  readonly nextBest: RentalCost | null;
+}
+
+export interface RentalSituation {
+  readonly facts: Facts;
+  readonly types: ReadonlyMap<string, MachineType>;
+  /** Machines that each zone has, those to be rented now included. */
+  readonly machinesIn: ReadonlyMap<string, number>;
+  /** The tasks to be served, and after them what else waits: it could share the machine. */
+  readonly demands: readonly RentalDemand[];
+  /** What may be rented. */
+  readonly options: readonly RentalOption[];
+}
+
+/** The time until a task starts is paid for, and it is waited for. */
+const START_WEIGHT = 2;
+
+/** A service is expected to run for so many worker leases: nothing tells how long it does. */
+const SERVICE_LEASES = 10;
+
+/** The option that serves the first demand best; null: nothing may be rented. */
+export function chooseRental(situation: RentalSituation): RentalChoice | null {
+  const byType = new Map<MachineType, TypeCost>();
+  const costs = situation.options.map((option) => {
+    const ofType = byType.get(option.type) ?? typeCost(situation, option.type);
+    byType.set(option.type, ofType);
+    return costOf(situation, option, ofType);
+  });
+  const order = costs.sort((a, b) => a.cost - b.cost || compareOptions(situation, a.option, b.option));
+  const [chosen] = order;
+  if (chosen === undefined) return null;
+  const isOther = ({ option: { type, spot } }: RentalCost): boolean =>
+    type !== chosen.option.type || spot !== chosen.option.spot;
+  return { chosen, nextBest: order.find(isOther) ?? null };
+}
+
+/** What the options of one type have in common. */
+interface TypeCost {
+  readonly startMs: number;
+  /** What the tasks that would share the machine are worth per hour, at the least price for each. */
+  readonly worth: number;
+}
+
+function typeCost({ types, demands }: RentalSituation, type: MachineType): TypeCost {
+  const [first] = demands;
+  if (first === undefined) return { startMs: bootMsOf(type), worth: 0 };
+  let left: Amounts = amountsOf(type);
+  let worth = 0;
+  for (const demand of demands) {
+    if (demand.spot !== first.spot || !allowsType(demand, type)) continue;
+    const count = Math.min(demand.count, timesIn(demand.need, left));
+    if (count <= 0) continue;
+    worth += count * leastPrice(demand, types);
+    left = plus(left, demand.need, -count);
+    if (left.cpus <= 0 || left.gpus <= 0 || left.memoryGb <= 0) break;
+  }
+  return { startMs: bootMsOf(type) + fetchMs(first.imageGb, false, type), worth };
+}
+
+function costOf(situation: RentalSituation, option: RentalOption, { startMs, worth }: TypeCost): RentalCost {
+  const { facts, demands } = situation;
+  const price = option.spot ? option.type.spotPrice : option.type.price;
+  const dearness = worth > 0 ? price / worth : price;
+  const runMs = demands[0]?.runMs ?? 0;
+  const useMs = Math.max(facts.reportMs, runMs > 0 ? runMs : facts.leaseMs * SERVICE_LEASES);
+  const slowness = 1 + (START_WEIGHT * startMs) / useMs;
+  return { option, startMs, dearness, cost: dearness * slowness };
+}
+
+/** The least price per hour of the room for one task, on any type and kind that it may run on. */
+function leastPrice(demand: RentalDemand, types: ReadonlyMap<string, MachineType>): number {
+  let least = Infinity;
+  for (const type of types.values()) {
+    const count = timesIn(demand.need, amountsOf(type));
+    if (count <= 0 || !isRentable(type) || !allowsType(demand, type)) continue;
+    const price = demand.spot ? Math.min(type.price, type.spotPrice) : type.price;
+    least = Math.min(least, price / count);
+  }
+  return least === Infinity ? 0 : least;
+}
+
+function allowsType(demand: RentalDemand, type: MachineType): boolean {
+  return demand.types === null || demand.types.includes(type.name);
+}
+
+/**
+ * The order of options that cost the same, whatever order they come in: the zone with the fewest machines first, then as
+ * the settings list the zones.
+ */
+function compareOptions({ facts, machinesIn }: RentalSituation, a: RentalOption, b: RentalOption): number {
+  const machines = ({ zone }: RentalOption): number => machinesIn.get(zone) ?? 0;
+  if (machines(a) !== machines(b)) return machines(a) - machines(b);
+  if (a.zone !== b.zone) return facts.zones.indexOf(a.zone) - facts.zones.indexOf(b.zone);
+  if (a.spot !== b.spot) return Number(a.spot) - Number(b.spot);
+  return a.type.name < b.type.name ? -1 : 1;
+}
+
+export function amountsOf(type: MachineType): Amounts {
+  return { cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb };
+}
--- a/packages/core/src/vacating.ts
+++ b/packages/core/src/vacating.ts
@@ -1,7 +1,7 @@
 // Which machines are emptied because their room can be spared.
 import { type MachineType, PRIORITIES } from '@gingerlock/wire';
 import type { MachineRoom } from './assignment';
-import { type Facts, type Partition, SUSPECT_INTERVALS } from './facts';
+import { bootMsOf, type Facts, type Partition, SUSPECT_INTERVALS } from './facts';
 
 /** Work of this rank and below makes way for services. */
 export const BATCH_RANK = PRIORITIES.indexOf('normal');
@@ -63,7 +63,7 @@
     const vacating = new Map<string, number>();
     const busy = new Set<number>();
     for (const { m, used, size } of candidates) {
-      const bootMs = (types.get(m.type)?.bootS ?? 60) * 1000;
+      const bootMs = bootMsOf(types.get(m.type));
       const since = this.#since.get(m.name) ?? now;
       // If it could not be emptied in this time it is let be for a while.
       if (now - since > bootMs * VACATE_BOOTS) {
--- a/packages/daemon/src/leader.ts
+++ b/packages/daemon/src/leader.ts
@@ -21,7 +21,6 @@
   type Condition,
   jobRecord,
   KEYS,
-  type MachineType,
   machineTypesMap,
   reclaimRecord,
   type RentRequest,
@@ -29,6 +28,7 @@
   type Round,
 } from '@gingerlock/wire';
 import { type LeaderBorrowing, unmetWithout } from './leader-borrowing';
+import { MachineOffers } from './machine-offers';
 import type { Shared } from './shared';
 import type { SeenSummary } from './summaries';
 import type { TransactionRoom } from './transaction-room';
@@ -105,16 +105,6 @@
   }
 }
 
-/** The field of a listed machine that names no type or zone of the deployment; null: there is none. */
-function oddField(
-  machine: CloudMachine,
-  types: ReadonlyMap<string, MachineType>,
-  zones: readonly string[],
-): 'breed' | 'yard' | null {
-  if (types.size > 0 && !types.has(machine.type)) return 'breed';
-  return zones.includes(machine.zone) ? null : 'yard';
-}
-
 /** A reclaim that a transaction contains. */
 interface AddedReclaim {
   readonly decision: Decision;
@@ -140,7 +130,7 @@
   #unmet: readonly Unmet[] = [];
   #drain: readonly string[] = [];
   readonly #gone = new Map<string, number>();
-  readonly #oddMachines = new Set<string>();
+  readonly #offers: MachineOffers;
   #stopped = false;
   #listed = false;
   #typesAt = -Infinity;
@@ -157,6 +147,7 @@
     this.fleet = new Fleet(shared.facts, tenure.term, shared.settings.operators);
     this.cloud = new Cloud(http, shared.settings.cloud, shared.facts.reportMs * 2);
     this.#since = shared.clock.now();
+    this.#offers = new MachineOffers(shared.facts.zones, shared.log);
     this.#trials = new TrialSchedule(shared.facts);
     void this.#cloudLoop();
   }
@@ -391,7 +382,7 @@
         if (now - this.#typesAt > facts.listLagMs * 10 || shared.store.types.size === 0) await this.#types();
         if (now - listAt > Math.max(facts.listLagMs / 2, pace)) {
           listAt = now;
-          const { failed } = this.fleet.listed(this.#knownKinds(await this.cloud.list()), clock.now());
+          const { failed } = this.fleet.listed(this.#knownMachines(await this.cloud.list()), clock.now());
           for (const name of failed) this.#gone.set(name, clock.now());
           this.#listed = true;
         }
@@ -404,25 +395,19 @@
     }
   }
 
-  /** The machines of a list that this deployment can have; of others the field that is odd is logged, once for each machine. */
-  #knownKinds(listed: readonly CloudMachine[]): CloudMachine[] {
-    const { store, facts, log } = this.shared;
-    return listed.filter((machine) => {
-      const field = oddField(machine, store.types, facts.zones);
-      if (field === null || this.fleet.known.has(machine.name)) return true;
-      if (!this.#oddMachines.has(machine.name))
-        log.error({ field, machine: machine.name }, "odd machine in the cloud's list");
-      this.#oddMachines.add(machine.name);
-      return false;
-    });
+  #knownMachines(listed: readonly CloudMachine[]): CloudMachine[] {
+    return this.#offers.knownKinds(listed, (machine) => this.fleet.known.has(machine));
   }
 
   async #types(): Promise<void> {
     const { shared } = this;
-    const types = await this.cloud.types();
+    const { store } = shared;
+    const list = await this.cloud.types();
     this.#typesAt = shared.clock.now();
+    // Before the machines have been listed it is not known which types are used.
+    const types = this.#offers.read(list, store.types.values(), (type) => !this.#listed || this.fleet.has(type));
     const value = machineTypesMap(types);
-    const before = machineTypesMap([...shared.store.types.values()]);
+    const before = machineTypesMap([...store.types.values()]);
     // Prices of spot machines move all the time; what matters to all is what the machines are.
     const still = (v: unknown): string => JSON.stringify(v).replace(/"low_price":[0-9.]+/g, '');
     if (still(value) === still(before)) return;
@@ -437,10 +422,10 @@
     const allHeard = current.length === (store.meta?.parts ?? Infinity);
     // Until all that is up has been heard, or has had the time to be, what is free is not known.
     const isFleetHeard = now - this.#since >= facts.reportMs * 2 || this.fleet.allHeard(current);
-    if (!this.#listed || !allHeard || !isFleetHeard) return;
+    if (!this.#listed || !allHeard || !isFleetHeard || this.#offers.current.size === 0) return;
     const plan = this.fleet.plan({
       now,
-      types: store.types,
+      types: this.#offers.current,
       summaries: current,
       unmet: this.#unmet,
       parts: store.partition!,
--- /dev/null
+++ b/packages/daemon/src/machine-offers.ts
@@ -0,0 +1,66 @@
+// What the cloud offers, as the leader read it last, and what is odd about it.
+import type { CloudMachine, MachineType, MachineTypeList } from '@gingerlock/wire';
+import type { Log } from './log';
+
+/** Takes the cloud's lists of types and machines, and logs each odd field of them once. */
+export class MachineOffers {
+  #current: ReadonlyMap<string, MachineType> = new Map();
+  readonly #logged = new Set<string>();
+
+  constructor(
+    readonly zones: readonly string[],
+    readonly log: Log,
+  ) {}
+
+  /** By name, with prices as they were read last; empty: nothing was read yet. */
+  get current(): ReadonlyMap<string, MachineType> {
+    return this.#current;
+  }
+
+  /**
+   * Takes a list of types. Of those that were known before and are not offered any more the ones that are still used are kept,
+   * without a price: nothing more is rented of them, and their machines are served.
+   */
+  read(
+    { types, odd }: MachineTypeList,
+    before: Iterable<MachineType>,
+    isUsed: (type: string) => boolean,
+  ): MachineType[] {
+    for (const { type, field, why } of odd) this.#logOnce(`${type} ${field}`, { type, field, why }, 'odd machine type');
+    const offered = types.map((type) => this.#inKnownZones(type));
+    const names = new Set(offered.map(({ name }) => name));
+    const kept = [...before].filter(({ name }) => !names.has(name) && isUsed(name));
+    const all = [...offered, ...kept.map((type) => ({ ...type, price: 0, spotPrice: 0 }))];
+    this.#current = new Map(all.map((type) => [type.name, type]));
+    return all;
+  }
+
+  #inKnownZones(type: MachineType): MachineType {
+    const unknown = type.zones.filter((zone) => !this.zones.includes(zone));
+    if (unknown.length === 0) return type;
+    this.#logOnce(`${type.name} zones`, { type: type.name, field: 'yards', unknown }, 'odd machine type');
+    return { ...type, zones: type.zones.filter((zone) => this.zones.includes(zone)) };
+  }
+
+  /** The machines of a list that this deployment can have, and those that are known already. */
+  knownKinds(listed: readonly CloudMachine[], isKnown: (machine: string) => boolean): CloudMachine[] {
+    return listed.filter((machine) => {
+      const field = this.#oddField(machine);
+      if (field === null || isKnown(machine.name)) return true;
+      this.#logOnce(`machine ${machine.name}`, { field, machine: machine.name }, "odd machine in the cloud's list");
+      return false;
+    });
+  }
+
+  /** The field of a listed machine that names no type or zone of the deployment; null: there is none. */
+  #oddField({ type, zone }: CloudMachine): 'breed' | 'yard' | null {
+    if (this.#current.size > 0 && !this.#current.has(type)) return 'breed';
+    return this.zones.includes(zone) ? null : 'yard';
+  }
+
+  #logOnce(key: string, fields: Record<string, unknown>, message: string): void {
+    if (this.#logged.has(key)) return;
+    this.#logged.add(key);
+    this.log.error(fields, message);
+  }
+}
--- a/packages/wire/src/cloud.ts
+++ b/packages/wire/src/cloud.ts
@@ -1,19 +1,6 @@
 import { Type } from '@sinclair/typebox';
 import { checker } from './check';
 
-export interface MachineType {
-  readonly name: string;
-  readonly cpus: number;
-  readonly gpus: number;
-  readonly memoryGb: number;
-  readonly cacheGb: number;
-  readonly fetchGbPerS: number;
-  readonly price: number;
-  readonly spotPrice: number;
-  readonly bootS: number;
-  readonly zones: readonly string[];
-}
-
 export interface CloudMachine {
   readonly name: string;
   readonly addr: string;
@@ -30,57 +17,6 @@
 
 const Num = Type.Number({ minimum: 0 });
 
-const checkTypes = checker(
-  Type.Object({
-    breeds: Type.Array(
-      Type.Object({
-        sku: Type.String(),
-        cores: Num,
-        accelerators: Num,
-        memory_gb: Num,
-        cache_gb: Num,
-        fetch_gb_per_s: Num,
-        price: Num,
-        low_price: Num,
-        ready_s: Num,
-        yards: Type.Array(Type.String()),
-      }),
-    ),
-  }),
-);
-
-export function machineTypesOf(map: unknown): MachineType[] {
-  return checkTypes(map).breeds.map((b) => ({
-    name: b.sku,
-    cpus: b.cores,
-    gpus: b.accelerators,
-    memoryGb: b.memory_gb,
-    cacheGb: b.cache_gb,
-    fetchGbPerS: b.fetch_gb_per_s,
-    price: b.price,
-    spotPrice: b.low_price,
-    bootS: b.ready_s,
-    zones: b.yards,
-  }));
-}
-
-export function machineTypesMap(types: readonly MachineType[]): unknown {
-  return {
-    breeds: types.map((t) => ({
-      sku: t.name,
-      cores: t.cpus,
-      accelerators: t.gpus,
-      memory_gb: t.memoryGb,
-      cache_gb: t.cacheGb,
-      fetch_gb_per_s: t.fetchGbPerS,
-      price: t.price,
-      low_price: t.spotPrice,
-      ready_s: t.bootS,
-      yards: t.zones,
-    })),
-  };
-}
-
 export interface RentRequest {
   readonly request: string;
   readonly type: string;
