Testkit: deployments as data: several types, zones without a controller, skew, empty starts

The rule wrong_place looks at the type too, and a job counts as left waiting only for machines of its types.

--- a/packages/testkit/src/cloud.ts
+++ b/packages/testkit/src/cloud.ts
@@ -18,8 +18,10 @@
 
 export interface CloudOptions {
   readonly sim: Scheduler;
-  readonly type: MachineType;
-  /** Machines of either kind that each zone has. */
+  readonly types: readonly MachineType[];
+  /** This share of the machines that are rented never comes up. */
+  readonly neverUp: number;
+  /** Machines of each type and either kind that each zone has. */
   readonly capacity: number;
   /** A machine has come up. */
   readonly onUp: (machine: RentedMachine) => void;
@@ -54,19 +56,14 @@
 
   constructor(readonly options: CloudOptions) {}
 
-  /** How long a machine usually takes to come up. */
-  get bootMs(): number {
-    return this.options.type.bootS * 1000;
-  }
-
   /** What is rented now, as it is. */
   get rented(): readonly RentedMachine[] {
     return this.#records.machines;
   }
 
   /** Rents a machine that comes up after so long; null: it never does. */
-  boot(zone: string, spot: boolean, afterMs: number | null): string {
-    const { sim, type, onUp } = this.options;
+  boot(type: MachineType, zone: string, spot: boolean, afterMs: number | null): string {
+    const { sim, onUp } = this.options;
     const name = `m-${String(++this.#machines).padStart(6, '0')}`;
     const described = { name, addr: `${name}:9000`, type: type.name, zone, spot, ageS: 0, bornAt: sim.now };
     this.#records.set({ ...described, state: 'booting' }, sim.now);
@@ -82,7 +79,8 @@
 
   /** Lists a machine of a type or in a zone that the deployment does not have. */
   addOdd(name: string, odd: 'type' | 'zone'): void {
-    const { sim, type } = this.options;
+    const { sim, types } = this.options;
+    const type = types[0]!;
     const machine = { name, addr: `${name}:9000`, type: type.name, zone: type.zones[0]!, spot: false, ageS: 0 };
     const strange = odd === 'type' ? { ...machine, type: 'no such type' } : { ...machine, zone: 'no such zone' };
     this.#records.set({ ...strange, state: 'running', bornAt: sim.now }, sim.now);
@@ -104,7 +102,7 @@
       case undefined:
         return answer(400, {});
       case 'types':
-        return answer(200, machineTypesMap([this.options.type]));
+        return answer(200, machineTypesMap(this.options.types));
       case 'rent':
         return this.#rent(rentRequestOf(decode(body)));
       case 'return':
@@ -115,23 +113,28 @@
     }
   }
 
-  #rent({ request, zone, spot, count }: RentRequest): HttpAnswer {
+  #rent({ request, type: name, zone, spot, count }: RentRequest): HttpAnswer {
     const known = this.#requests.get(request);
     if (known !== undefined) return answer(200, rentedMap(known));
-    const used = this.rented.filter((m) => m.zone === zone && m.spot === spot && m.state !== 'failed').length;
+    const type = this.options.types.find((t) => t.name === name);
+    if (type === undefined || !type.zones.includes(zone)) return answer(400, {});
+    const isLike = (m: RentedMachine): boolean => m.type === name && m.zone === zone && m.spot === spot;
+    const used = this.rented.filter((m) => isLike(m) && m.state !== 'failed').length;
     const granted = Math.min(count, this.options.capacity - used);
     if (granted <= 0) return answer(503, { error: 'no capacity' });
-    const names = Array.from({ length: granted }, () => this.boot(zone, spot, this.#nextBootMs()));
+    const names = Array.from({ length: granted }, () => this.boot(type, zone, spot, this.#nextBootMs(type)));
     this.#requests.set(request, names);
     return answer(200, rentedMap(names));
   }
 
-  #nextBootMs(): number | null {
+  #nextBootMs({ bootS }: MachineType): number | null {
+    const { neverUp } = this.options;
     const { random } = this.options.sim;
     const { bootTrouble } = this;
     if (this.fastBoots) return FAST_BOOT_MS.least + (FAST_BOOT_MS.most - FAST_BOOT_MS.least) * random();
     if (bootTrouble !== null && random() < bootTrouble.never) return null;
-    return this.bootMs * (0.6 + random()) * (bootTrouble?.factor ?? 1);
+    if (neverUp > 0 && random() < neverUp) return null;
+    return bootS * 1000 * (0.6 + random()) * (bootTrouble?.factor ?? 1);
   }
 
   #list(after: string, limit: number): HttpAnswer {
--- a/packages/testkit/src/faults.ts
+++ b/packages/testkit/src/faults.ts
@@ -6,7 +6,7 @@
 import type { Cut } from './network';
 import { inflictOnState, isStateFault, type StateFault } from './state-faults';
 import { inflictByUsers, isUserFault, type UserFault } from './user-faults';
-import { type World, ZONES } from './world';
+import type { World } from './world';
 
 export type Fault =
   | StateFault
@@ -222,7 +222,7 @@
       );
       return;
     case 'zone cut': {
-      const zone = ZONES[fault.zone % ZONES.length]!;
+      const zone = zoneAt(world, fault.zone);
       const inside = (host: string): boolean => world.zoneOf(host) === zone;
       sim.after(
         fault.forMs,
@@ -231,7 +231,7 @@
       return;
     }
     case 'zone apart':
-      sim.after(fault.forMs, network.wall(apartFrom(world, ZONES[fault.zone % ZONES.length]!), fault.how));
+      sim.after(fault.forMs, network.wall(apartFrom(world, zoneAt(world, fault.zone)), fault.how));
       return;
     case 'lapsed apart': {
       const name = targets.node(fault.node);
@@ -260,7 +260,7 @@
       return;
     }
     case 'zones apart': {
-      const pair = [ZONES[fault.zone % ZONES.length]!, ZONES[(fault.zone + 1) % ZONES.length]!];
+      const pair = [zoneAt(world, fault.zone), zoneAt(world, fault.zone + 1)];
       const apart = (from: string, to: string): boolean => {
         const [a, b] = [world.zoneOf(from), world.zoneOf(to)];
         return a !== null && b !== null && a !== b && pair.includes(a) && pair.includes(b);
@@ -393,3 +393,7 @@
   for (const { at, fault } of day.faults) sim.after(at, () => inflict(world, fault));
   await sim.run(day.forMs);
 }
+
+function zoneAt({ deployment: { zones } }: World, index: number): string {
+  return zones[index % zones.length]!;
+}
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -12,3 +12,4 @@
 export * from './loopback';
 export * from './world';
 export * from './faults';
+export * from './deployment';
--- a/packages/testkit/src/liveness.ts
+++ b/packages/testkit/src/liveness.ts
@@ -1,5 +1,5 @@
 // What may not fail once all troubles are over: work starts where there is room, and questions are answered.
-import { fits, plus } from '@gingerlock/core';
+import { fits, plus, typeAllows } from '@gingerlock/core';
 import { type JobSpec, parseTaskName } from '@gingerlock/wire';
 import type { World } from './world';
 
@@ -60,8 +60,7 @@
     if (gpus + spec.gpus > world.gpusMax) return false;
     const zones = this.#on(spec.id).map((machine) => world.workers.get(machine)?.zone);
     for (const worker of world.workers.values()) {
-      if (spec.zone !== null && spec.zone !== worker.zone) continue;
-      if (worker.spot && !spec.spot) continue;
+      if (!typeAllows(spec, worker.type, worker.zone, worker.spot)) continue;
       if (spec.oneZone && zones.some((z) => z !== worker.zone)) continue;
       if (spec.spread && zones.filter((z) => z === worker.zone).length >= Math.ceil(spec.tasks / 2)) continue;
       let room = world.roomOf(worker.type);
--- a/packages/testkit/src/loopback.ts
+++ b/packages/testkit/src/loopback.ts
@@ -128,6 +128,8 @@
 const LEASE_S = 3;
 const CANCEL_S = 8;
 
+/** How long the fetch of any image takes. */
+const FETCH_MS = 2000;
 const TYPE: MachineType = {
   name: 'box',
   cpus: 16,
@@ -167,7 +169,8 @@
     this.state.onStored = () => this.borrowing.audit(Infinity);
     this.cloud = new SimCloud({
       sim: this.sim,
-      type: TYPE,
+      types: [TYPE],
+      neverUp: 0,
       // The fleet can not grow.
       capacity: Math.ceil(options.machines / ZONES.length),
       onUp: ({ name, type, zone, spot }) => {
@@ -182,6 +185,10 @@
     });
   }
 
+  fetchMs(): number {
+    return FETCH_MS;
+  }
+
   get controllers(): readonly string[] {
     return Array.from({ length: this.options.controllers }, (_, i) => `node-${i}`);
   }
@@ -195,7 +202,7 @@
     await this.network.listen('cloud:1', (method, path, body) => this.cloud.handle(method, path, body));
     for (const name of this.controllers) this.network.register(`peer:${name}`, `127.0.0.1:${await freePort()}`);
     for (const name of this.controllers) await this.startController(name);
-    for (let i = 0; i < this.options.machines; i++) this.cloud.boot(ZONES[i % ZONES.length]!, false, 0);
+    for (let i = 0; i < this.options.machines; i++) this.cloud.boot(TYPE, ZONES[i % ZONES.length]!, false, 0);
     this.#auditLater();
   }
 
--- a/packages/testkit/src/operations-audit.ts
+++ b/packages/testkit/src/operations-audit.ts
@@ -51,8 +51,9 @@
   #checkRented(quietAt: number): void {
     const { world } = this;
     const { now } = world.sim;
-    for (const { name, state, bornAt } of world.cloud.rented) {
-      if (state !== 'booting' || now - Math.max(bornAt, quietAt) < world.cloud.bootMs * MOST_BOOTS) continue;
+    for (const { name, type, state, bornAt } of world.cloud.rented) {
+      const bootMs = (world.machineType(type)?.bootS ?? 0) * 1000;
+      if (state !== 'booting' || now - Math.max(bornAt, quietAt) < bootMs * MOST_BOOTS) continue;
       if (this.#forgotten.has(name)) continue;
       this.#forgotten.add(name);
       world.breach('forgotten_machine', `${name} is paid for and never came up`);
--- a/packages/testkit/src/worker.ts
+++ b/packages/testkit/src/worker.ts
@@ -38,6 +38,8 @@
   readonly reportMs: number;
   readonly leaseMs: number;
   job(id: string): JobSpec | undefined;
+  /** How long a machine of the type takes to fetch the image of a job. */
+  fetchMs(job: JobSpec, type: string): number;
   /** Whether the job was submitted with a mistake: its tasks end with an error wherever they run. */
   isBroken(id: string): boolean;
   /** A task now is on this machine, or no longer is. */
@@ -287,7 +289,7 @@
       t.cause = job === undefined ? 'unknown' : 'busy';
       return;
     }
-    t.cancelTimer = this.#after(this.#images.has(job.image) ? 10 : 2000, () => {
+    t.cancelTimer = this.#after(this.#images.has(job.image) ? 10 : world.fetchMs(job, this.type), () => {
       this.#images.add(job.image);
       t.state = 'running';
       t.runsSince = sim.now;
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -15,6 +15,7 @@
 import { BorrowingAudit, RECLAIM_PREFIX } from './borrowing-audit';
 import { SimCloud } from './cloud';
 import type { RentedMachine } from './cloud-records';
+import { type Deployment, ONE_TYPE } from './deployment';
 import { Liveness } from './liveness';
 import { Network } from './network';
 import { OperationsAudit } from './operations-audit';
@@ -28,6 +29,8 @@
 export interface WorldOptions {
   readonly seed: number;
   readonly log?: Log;
+  /** Zones, machine types and clocks; one type if not given. */
+  readonly deployment?: Deployment;
   /** How many controllers there are. */
   readonly controllers?: number;
   /** Machines that are up at the start. */
@@ -59,25 +62,11 @@
   readonly falsify?: (message: PeerMessage) => PeerMessage | null;
 }
 
-export const ZONES: readonly string[] = ['north', 'south', 'east'];
+/** How long the fetch of an image takes where the deployment does not say. */
+const USUAL_FETCH_MS = 2000;
 const TEAMS = ['red', 'blue'];
 /** A team without a guarantee. */
 const GUESTS = 'green';
-const TYPE: MachineType = {
-  name: 'box',
-  cpus: 16,
-  gpus: 4,
-  memoryGb: 64,
-  cacheGb: 100,
-  fetchGbPerS: 10,
-  price: 4,
-  spotPrice: 1,
-  bootS: 5,
-  zones: [...ZONES],
-};
-/** How far off a controller's time of day may be. */
-const SKEW_MS = 100;
-
 interface Node {
   readonly name: string;
   readonly zone: string;
@@ -147,6 +136,7 @@
   readonly nodes: Node[];
   readonly workers = new Map<string, SimWorker>();
   readonly breaches: Breach[] = [];
+  readonly deployment: Deployment;
   readonly reportMs: number;
   readonly leaseMs: number;
   readonly cancelMs: number;
@@ -190,6 +180,8 @@
   #jobCounter = 0;
 
   constructor(readonly options: WorldOptions) {
+    this.deployment = options.deployment ?? ONE_TYPE;
+    const { zones, controllerZones, types } = this.deployment;
     this.sim = new Sim(options.seed);
     this.network = new Network(this.sim);
     this.state = new SimStateService(this.sim);
@@ -202,7 +194,7 @@
     this.cancelMs = (options.cancelS ?? 20) * 1000;
     this.nodes = Array.from({ length: options.controllers ?? 3 }, (_, i) => ({
       name: `node-${i}`,
-      zone: ZONES[i % ZONES.length]!,
+      zone: controllerZones[i % controllerZones.length]!,
       controller: null,
       link: null,
       drift: (this.sim.random() - 0.5) * 0.001,
@@ -211,13 +203,14 @@
     this.network.hosts.set('state:1', (method, path, body, from) => this.state.handle(method, path, body, from));
     this.cloud = new SimCloud({
       sim: this.sim,
-      type: TYPE,
+      types,
+      neverUp: this.deployment.neverUp,
       capacity: options.capacity ?? 4,
       onUp: (machine) => this.#up(machine),
       onReturned: (name) => this.kill(name, 'gone'),
     });
     this.network.hosts.set('cloud:1', (method, path, body) => this.cloud.handle(method, path, body));
-    for (let i = 0; i < (options.machines ?? 6); i++) this.cloud.boot(ZONES[i % ZONES.length]!, false, 0);
+    for (let i = 0; i < (options.machines ?? 6); i++) this.cloud.boot(types[0]!, zones[i % zones.length]!, false, 0);
     for (const node of this.nodes) this.startNode(node.name);
   }
 
@@ -234,8 +227,17 @@
     return this.options.gpusMax ?? 10;
   }
 
+  machineType(name: string): MachineType | undefined {
+    return this.deployment.types.find((type) => type.name === name);
+  }
+
+  fetchMs({ imageGb }: JobSpec, type: string): number {
+    if (this.deployment.fetch === null) return USUAL_FETCH_MS;
+    return (imageGb / this.machineType(type)!.fetchGbPerS) * 1000;
+  }
+
   roomOf(type: string): Amounts {
-    return type === TYPE.name ? TYPE : NOTHING;
+    return this.machineType(type) ?? NOTHING;
   }
 
   get controllers(): string[] {
@@ -273,7 +275,7 @@
       services: { cloud: 'cloud:1', state: 'state:1' },
       facts: {
         count: this.nodes.length,
-        zones: ZONES,
+        zones: this.deployment.zones,
         teams: [
           ...TEAMS.map((name) => ({ name, cpus: 0, cpus_max: 0, gpus: this.guaranteedGpus, gpus_max: this.gpusMax })),
           { name: GUESTS, cpus: 0, cpus_max: 0, gpus: 0, gpus_max: this.gpusMax },
@@ -282,7 +284,7 @@
         state: { rps: 200, write_rps: 100, value_kb: 8, txn_ops: 12, ...this.#nextLimits() },
         cloud: { rps: 8, list_lag_s: 2 },
         machine_limits: { sockets: 600 },
-        skew_ms: SKEW_MS,
+        skew_ms: this.deployment.skewMs,
       },
     };
   }
@@ -300,7 +302,7 @@
     const alive = (): boolean => node.link === link;
     node.link = link;
     this.network.thaw(name);
-    node.wallOffMs = (this.sim.random() * 2 - 1) * SKEW_MS;
+    node.wallOffMs = (this.sim.random() * 2 - 1) * this.deployment.skewMs;
     const ports: ControllerPorts = {
       settings: settingsOf(this.settings(name), this.options.operators ?? {}, this.options.features),
       clock: this.sim.clock(
@@ -336,7 +338,8 @@
 
   /** The time of day of each controller jumps from one end of what is allowed to the other. */
   jumpClocks(): void {
-    for (const node of this.nodes) node.wallOffMs = node.wallOffMs > 0 ? -SKEW_MS : SKEW_MS;
+    const { skewMs } = this.deployment;
+    for (const node of this.nodes) node.wallOffMs = node.wallOffMs > 0 ? -skewMs : skewMs;
   }
 
   /** Kills a controller with no notice. */
@@ -392,6 +395,7 @@
     this.#put(task, machine, spec);
     if (spec.zone !== null && spec.zone !== worker.zone) this.breach('wrong_place', `${task} in zone ${worker.zone}`);
     if (worker.spot && !spec.spot) this.breach('wrong_place', `${task} on spot`);
+    if (spec.types?.includes(worker.type) === false) this.breach('wrong_place', `${task} on type ${worker.type}`);
     const zones = [...this.#onByJob.get(job)!].map((t) => this.workers.get(this.#on.get(t)!)?.zone);
     if (spec.oneZone && new Set(zones).size > 1) this.breach('wrong_place', `${job} in ${zones.join()}`);
     if (spec.spread && zones.filter((z) => z === worker.zone).length > Math.ceil(spec.tasks / 2)) {
@@ -464,8 +468,22 @@
 
   // --- users -------------------------------------------------------------------------------------------------------
 
+  #pick<T>(values: readonly T[]): T {
+    return values[Math.floor(this.sim.random() * values.length)]!;
+  }
+
+  /** A machine type, or any, and a zone that has it, or any. */
+  #randomPlace(spread: boolean): Pick<JobSpec, 'types' | 'zone'> {
+    const type = this.#pick([null, ...this.deployment.types]);
+    const zones = type?.zones ?? this.deployment.zones;
+    return {
+      types: type === null ? null : [type.name],
+      zone: !spread && this.sim.random() < 0.2 ? this.#pick(zones) : null,
+    };
+  }
+
   randomJob(): JobSpec {
-    const pick = <T>(values: readonly T[]): T => values[Math.floor(this.sim.random() * values.length)]!;
+    const pick = <T>(values: readonly T[]): T => this.#pick(values);
     const kind = pick(['array', 'array', 'service'] as const);
     const spread = this.sim.random() < 0.4;
     const oneZone = !spread && this.sim.random() < 0.3;
@@ -481,8 +499,7 @@
       memoryGb: 8,
       image: pick(['img-1', 'img-2', 'img-3']),
       imageGb: 30,
-      types: pick([null, ['box']]),
-      zone: !spread && this.sim.random() < 0.2 ? pick(ZONES) : null,
+      ...this.#randomPlace(spread),
       oneZone,
       spread,
       spot: kind === 'array',
