--- a/packages/core/src/assignment.ts
+++ b/packages/core/src/assignment.ts
@@ -25,7 +25,7 @@
   readonly session: number;
   /** Left after its claims and after the waiting tasks that the owner expects to bind here. */
   readonly free: Amounts;
-  /** What stopping its claims of each rank would free, by rank. */
+  /** What stopping its claims of each rank would free, and what waiting tasks of that rank are expected to take. */
   readonly byRank: readonly Amounts[];
   readonly images: readonly string[];
   readonly takesWork: boolean;
--- a/packages/core/src/claim-queries.ts
+++ b/packages/core/src/claim-queries.ts
@@ -2,8 +2,9 @@
 // written as finished, what is missing and what runs.
 import type { ClaimTable } from './claims';
 import { type Amounts, bootMsOf, type Facts, limitAllows, NOTHING, plus, SUSPECT_INTERVALS } from './facts';
+import { PRIORITIES } from '@gingerlock/wire';
 import { type Job, jobOrder } from './jobs';
-import type { Slot } from './slots';
+import type { Machine, Slot } from './slots';
 
 /** A partition of which most machines have not been heard for so many report intervals after its takeover is cut off. */
 const CUT_INTERVALS = 4;
@@ -123,3 +124,20 @@
   }
   return counts;
 }
+
+/**
+ * What waiting tasks are expected to take of each machine, by rank: they hold nothing yet and give way to more urgent ones.
+ * Told as neither free nor theirs, batch work that waited had room rented for services to come.
+ */
+export function plannedByRank(claimTable: ClaimTable): Map<Machine, Amounts[]> {
+  const planned = new Map<Machine, Amounts[]>();
+  for (const job of claimTable.wakes()) {
+    for (const { plan } of claimTable.waitingSlots(job)) {
+      if (plan === null) continue;
+      const byRank = planned.get(plan.machine) ?? PRIORITIES.map(() => NOTHING);
+      byRank[job.rank] = plus(byRank[job.rank]!, job.spec);
+      planned.set(plan.machine, byRank);
+    }
+  }
+  return planned;
+}
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -3,6 +3,7 @@
 import type { MachineRoom, PartSummary, Unmet } from './assignment';
 import { FleetInventory, type KnownMachine } from './fleet-inventory';
 import { BATCH_RANK, isSuspect, VacatingPlan } from './vacating';
+import { type RentalOption, unitPrice } from './rental-choice';
 import { type PlannedRental, placeOf, RentalPlan } from './rental-plan';
 import {
   bootMsOf,
@@ -48,6 +49,9 @@
 /** One that takes longer than this many is returned. */
 const STUCK_BOOTS = 4;
 
+/** What was refused is not asked for again for so many report intervals at the most, and after others for as many more. */
+const REFUSAL_INTERVALS = 16;
+
 export class Fleet {
   readonly #inventory: FleetInventory;
   /** By part: its owner's term, and since when that owner has told of it. */
@@ -77,10 +81,14 @@
   refused(r: RentRequest, now: number): void {
     const key = placeOf(r.type, r.zone, r.spot);
     const last = this.#refused.get(key);
-    const backoff = Math.min((last?.backoff ?? this.facts.reportMs) * 2, this.facts.reportMs * 16);
+    const backoff = Math.min((last?.backoff ?? this.facts.reportMs) * 2, this.facts.reportMs * REFUSAL_INTERVALS);
     this.#refused.set(key, { until: now + backoff, backoff });
   }
 
+  #refusalOf({ type, zone, spot }: RentalOption): Refusal | undefined {
+    return this.#refused.get(placeOf(type.name, zone, spot));
+  }
+
   returned(names: readonly string[], now: number): void {
     this.#inventory.returned(names, now);
     for (const name of names) this.#draining.delete(name);
@@ -220,8 +228,11 @@
       known: this.known.values(),
       maxOrdinaryMachines: this.limits.maxOrdinaryMachines,
       maxSpotMachines: this.limits.maxSpotMachines,
-      isOpen: ({ type, zone, spot }) =>
-        !isSilent(zone) && (this.#refused.get(placeOf(type.name, zone, spot))?.until ?? 0) <= now,
+      isOpen: (option) => !isSilent(option.zone) && (this.#refusalOf(option)?.until ?? 0) <= now,
+      wasRefused: (option) => {
+        const refusal = this.#refusalOf(option);
+        return refusal !== undefined && now - refusal.until < this.facts.reportMs * REFUSAL_INTERVALS;
+      },
       isSilent,
       onlySpot: (spec) => this.#waitsForSpot(spec),
     });
@@ -254,7 +265,7 @@
     return used * this.limits.headroom + missing;
   }
 
-  /** Machines that have been empty for about a boot time go, if enough room is left without them. */
+  /** Machines that have been empty for about a boot time go, the dearest first, if enough room is left without them. */
   #idle(
     input: FleetInput,
     rooms: ReadonlyMap<string, MachineRoom>,
@@ -272,7 +283,8 @@
       if (m.empty) empties.push(m);
     }
     const headroom = this.#headroom(input, rooms);
-    for (const m of empties.sort((a, b) => b.emptyMs - a.emptyMs)) {
+    const priceOf = (m: MachineRoom): number => unitPrice(input.types.get(m.type)!, m.spot);
+    for (const m of empties.sort((a, b) => priceOf(b) - priceOf(a) || b.emptyMs - a.emptyMs)) {
       if (giveBack.includes(m.name)) continue;
       const type = input.types.get(m.type)!;
       const idle = m.emptyMs > Math.max(bootMsOf(type) * IDLE_BOOTS, this.facts.reportMs * 5);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,7 @@
 export * from './jobs';
 export * from './rounds';
 export * from './claims';
+export { plannedByRank } from './claim-queries';
 export * from './failure-attribution';
 export * from './trials';
 export { fetchMs, STOP_MS } from './placement';
--- a/packages/core/src/rental-choice.ts
+++ b/packages/core/src/rental-choice.ts
@@ -49,6 +49,8 @@
   readonly demands: readonly RentalDemand[];
   /** What may be rented. */
   readonly options: readonly RentalOption[];
+  /** Whether the cloud had no more of it lately: it may be full still. */
+  readonly wasRefused: (option: RentalOption) => boolean;
 }
 
 /** The time until a task starts is paid for, and it is waited for. */
@@ -123,10 +125,12 @@
 }
 
 /**
- * The order of options that cost the same, whatever order they come in: the zone with the fewest machines first, then as
- * the settings list the zones.
+ * The order of options that cost the same, whatever order they come in: those that were not refused lately first, then the
+ * zone with the fewest machines, then as the settings list the zones.
  */
-function compareOptions({ facts, machinesIn }: RentalSituation, a: RentalOption, b: RentalOption): number {
+function compareOptions(situation: RentalSituation, a: RentalOption, b: RentalOption): number {
+  const { facts, machinesIn, wasRefused } = situation;
+  if (wasRefused(a) !== wasRefused(b)) return Number(wasRefused(a)) - Number(wasRefused(b));
   const machines = ({ zone }: RentalOption): number => machinesIn.get(zone) ?? 0;
   if (machines(a) !== machines(b)) return machines(a) - machines(b);
   if (a.zone !== b.zone) return facts.zones.indexOf(a.zone) - facts.zones.indexOf(b.zone);
@@ -134,6 +138,12 @@
   return a.type.name < b.type.name ? -1 : 1;
 }
 
+/** Price per hour of a machine's room, by GPU or, of one without any, by CPU: the dearest is the first to be given up. */
+export function unitPrice(type: MachineType, spot: boolean): number {
+  const units = type.gpus > 0 ? type.gpus : type.cpus;
+  return units > 0 ? (spot ? type.spotPrice : type.price) / units : 0;
+}
+
 export function amountsOf(type: MachineType): Amounts {
   return { cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb };
 }
--- a/packages/core/src/rental-plan.ts
+++ b/packages/core/src/rental-plan.ts
@@ -40,6 +40,8 @@
   /** Whether it is thought that machines can be had there, and reached. */
   readonly isOpen: (option: RentalOption) => boolean;
   readonly isSilent: (zone: string) => boolean;
+  /** Whether the cloud had no more of it lately. */
+  readonly wasRefused: (option: RentalOption) => boolean;
   /** Whether spot machines alone are rented for the job. */
   readonly onlySpot: (spec: JobSpec) => boolean;
 }
@@ -157,9 +159,9 @@
     demands: readonly RentalDemand[],
     allowed: (option: RentalOption) => boolean,
   ): Bin | null {
-    const { facts, types } = this.input;
+    const { facts, types, wasRefused } = this.input;
     const options = this.#options.filter((option) => allowed(option) && this.#isBelowLimit(option.spot));
-    const choice = chooseRental({ facts, types, machinesIn: this.#machinesIn, demands, options });
+    const choice = chooseRental({ facts, types, machinesIn: this.#machinesIn, demands, options, wasRefused });
     if (choice === null) return null;
     const { type, zone, spot } = choice.chosen.option;
     this.#countIn(zone, spot);
--- a/packages/core/src/vacating.ts
+++ b/packages/core/src/vacating.ts
@@ -1,6 +1,7 @@
 // Which machines are emptied because their room can be spared.
 import { type MachineType, PRIORITIES } from '@gingerlock/wire';
 import type { MachineRoom } from './assignment';
+import { unitPrice } from './rental-choice';
 import { bootMsOf, type Facts, type Partition, SUSPECT_INTERVALS } from './facts';
 
 /** Work of this rank and below makes way for services. */
@@ -41,11 +42,12 @@
     spareOrdinary: number,
   ): void {
     const { now, types } = input;
-    const candidates: { m: MachineRoom; used: number; size: number }[] = [];
+    const candidates: { m: MachineRoom; used: number; size: number; price: number }[] = [];
     const freeIn = new Map<string, number>();
     const spot = { free: 0, used: 0 };
     for (const m of rooms.values()) {
-      const size = types.get(m.type)?.gpus ?? 0;
+      const type = types.get(m.type);
+      const size = type?.gpus ?? 0;
       if (m.evictionNotice || m.unhealthy || isSuspect(m, this.facts)) continue;
       const sum = (from: number, to: number): number => m.byRank.slice(from, to).reduce((n, a) => n + a.gpus, 0);
       const used = m.spot ? sum(0, m.byRank.length) : sum(0, BATCH_RANK);
@@ -53,13 +55,15 @@
       if (m.takesWork && m.spot) spot.free += m.free.gpus;
       else if (m.takesWork) freeIn.set(m.zone, (freeIn.get(m.zone) ?? 0) + m.free.gpus);
       if (!m.empty && used <= size / 2 && (m.takesWork || draining.has(m.name))) {
-        candidates.push({ m, used, size });
+        candidates.push({ m, used, size, price: type === undefined ? 0 : unitPrice(type, m.spot) });
       }
     }
     const spare = { ordinary: spareOrdinary, spot: spot.free - spot.used * SPOT_SPARE };
-    // What is being emptied goes on being emptied; then the emptiest.
+    // What is being emptied goes on being emptied; then the dearest, and of those that cost the same the emptiest.
     const order = (c: (typeof candidates)[number]): number => (draining.has(c.m.name) ? 0 : 1);
-    candidates.sort((a, b) => order(a) - order(b) || a.used - b.used || (a.m.name < b.m.name ? -1 : 1));
+    candidates.sort(
+      (a, b) => order(a) - order(b) || b.price - a.price || a.used - b.used || (a.m.name < b.m.name ? -1 : 1),
+    );
     const vacating = new Map<string, number>();
     const busy = new Set<number>();
     for (const { m, used, size } of candidates) {
--- a/packages/core/test/claims.test.ts
+++ b/packages/core/test/claims.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { jobRecord, type MachineType, type Round, type WorkerReport } from '@gingerlock/wire';
-import { CALLS_PER_TERM, ClaimTable, JobTable, pack, type Slot } from '../src/index';
+import { jobRecord, type MachineType, PRIORITIES, type Round, type WorkerReport } from '@gingerlock/wire';
+import { CALLS_PER_TERM, ClaimTable, JobTable, pack, plannedByRank, type Slot } from '../src/index';
 import { FACTS, specOf } from './fixtures';
 
 const facts = { ...FACTS, controllers: 1 };
@@ -377,3 +377,22 @@
   assert.equal(claimTable.failures.verdictOn(spec.id), null);
   assert.ok(claimTable.slots.get(spec.id)!.get(0)!.claim!.attempt > attempt);
 });
+
+// Batch work that waited for the next report was told of as neither free room nor its own: room for services was rented for it.
+test('what waiting tasks are expected to take is told by their rank, until they are bound', () => {
+  const jobs = new JobTable(() => 64);
+  const claimTable = claimTableOf(jobs, 0, ['m-1']);
+  claimTable.report(report('m-1', 1, 2 * CALLS_PER_TERM), 100, true);
+  assigned(jobs, 2, 5);
+  claimTable.syncJob(spec.id, 200);
+  const machine = claimTable.machines.get('m-1')!;
+  assert.deepEqual([...plannedByRank(claimTable)], []);
+  const { rooms } = pack(claimTable, 300);
+  const rank = PRIORITIES.indexOf('high');
+  const planned = plannedByRank(claimTable).get(machine)!;
+  assert.deepEqual(
+    planned.map(({ gpus }) => gpus),
+    PRIORITIES.map((_, i) => (i === rank ? 4 : 0)),
+  );
+  assert.equal(rooms.get(machine)!.gpus + planned[rank]!.gpus, type.gpus);
+});
--- a/packages/core/test/fleet.test.ts
+++ b/packages/core/test/fleet.test.ts
@@ -237,3 +237,22 @@
   assert.deepEqual(plan('guests', true).drain, ['m-1']);
   assert.deepEqual(plan('red', true).drain, []);
 });
+
+// The dearer type for each GPU was kept, and the cheaper one given back, for it had been empty for a moment longer.
+test('of machines whose room can be spared the dearest for each GPU go first, empty or nearly so', () => {
+  const dear = { ...type, name: 'dear', gpus: 2, cpus: 4, memoryGb: 16, price: 3, spotPrice: 0.8 };
+  const two = new Map([type, dear].map((t) => [t.name, t]));
+  const drained = (rooms: readonly MachineRoom[], headroom: number): readonly string[] => {
+    const fleet = new Fleet(facts, 1, { ...limits, headroom });
+    return fleet.plan({ now: 100, types: two, summaries: summaries(1, rooms), unmet: [], parts: PARTS }).drain;
+  };
+  const half = { cpus: 4, gpus: 2, memoryGb: 16 };
+  const empty = (name: string, over: Partial<MachineRoom>): MachineRoom => roomOf(name, { empty: true, ...over });
+  const busy = used('m-1', 4);
+  const box = empty('m-2', { emptyMs: 90_000 });
+  const dearBox = empty('m-3', { type: 'dear', free: half, emptyMs: 60_000 });
+  assert.deepEqual(drained([busy, box, dearBox], 0.5), ['m-3']);
+  const one = { cpus: 2, gpus: 1, memoryGb: 8 };
+  const nearlyEmpty = roomOf('m-6', { type: 'dear', free: one, byRank: [one, NOTHING, NOTHING, NOTHING] });
+  assert.deepEqual(drained([used('m-4', 1), used('m-5', 2), nearlyEmpty], 0.5), ['m-6']);
+});
--- a/packages/core/test/rental-choice.test.ts
+++ b/packages/core/test/rental-choice.test.ts
@@ -72,6 +72,7 @@
       demands,
       machinesIn: new Map(ZONES.map((zone, i) => [zone, machinesIn[i]!])),
       options: allOptions(all).filter((_, i) => isOpen[i % isOpen.length]),
+      wasRefused: () => false,
     }));
 
 function allOptions(all: readonly MachineType[]): RentalOption[] {
@@ -195,6 +196,7 @@
     maxSpotMachines: Infinity,
     isOpen: () => true,
     isSilent: () => false,
+    wasRefused: () => false,
     onlySpot: () => false,
     ...over,
   });
@@ -239,6 +241,19 @@
   assert.deepEqual(rented(later), { large: 2 });
 });
 
+// Zones that were full were asked again and again before one that was not, for it had more machines.
+test('of zones that cost the same one that was not refused lately is taken first', () => {
+  const plan = planOf({
+    known: Array.from({ length: 9 }, () => ({ zone: 'east', spot: false })),
+    wasRefused: ({ zone }) => zone !== 'east',
+  });
+  plan.serve([waiting(8)], 0);
+  assert.deepEqual(
+    plan.requests(() => 'r').map(({ zone, count }) => [zone, count]),
+    [['east', 2]],
+  );
+});
+
 test('the room of a suspect machine is rented anew, of smaller machines where no large one can be had', () => {
   const machine = { spot: false, byRank: [{ cpus: 16, gpus: 8, memoryGb: 64 }, NOTHING, NOTHING, NOTHING] };
   const suspect = { ...machine } as unknown as Parameters<RentalPlan['replace']>[0];
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -11,6 +11,7 @@
   pack,
   ClaimTable,
   type PartSummary,
+  plannedByRank,
   plus,
   type Slot,
   type Tenure,
@@ -403,8 +404,9 @@
   summary(now: number): PartSummary {
     const { claimTable } = this;
     const machines: MachineRoom[] = [];
+    const planned = plannedByRank(claimTable);
     for (const m of claimTable.machines.values()) {
-      const byRank: Amounts[] = PRIORITIES.map(() => NOTHING);
+      const byRank: Amounts[] = planned.get(m) ?? PRIORITIES.map(() => NOTHING);
       for (const slot of m.claims.values()) {
         if (slot.claim!.stopGraceS === null) byRank[slot.job.rank] = plus(byRank[slot.job.rank]!, slot.job.spec);
       }
