Settings without a safe bound are refused; tests of skew, zones without a controller and cuts of each zone

Need: a lease and cancel_s that leave an owner without the state service no time to answer workers would have it refuse healthy ones between two reads. cancel_s must be longer than lease_s by more than 1.2 report_s; the start ends with exit code 2 and the paths. Clocks that are far off only lengthen waits, so they are no reason to refuse.

--- a/packages/core/test/ownership.test.ts
+++ b/packages/core/test/ownership.test.ts
@@ -281,6 +281,39 @@
   );
 });
 
+/** Whether an owner restarted by its clock takes the one before for gone only when it is; clocks are off by what is given. */
+function waitsLongEnough(told: number, at: number, takeMs: number, offs: readonly [number, number]): boolean {
+  const ownership = (process: string): Ownership =>
+    new Ownership('0', { ...facts, skewMs: told }, { node: 'b', process }, () => 0);
+  const store = new Store();
+  take(ownershipOf('a', 'a0'), store, 1, 0);
+  store.dropLease(1);
+  take(ownership('b1'), store, 3, at, at + takeMs, offs[0]);
+  const backAt = at + takeMs + 1000;
+  const second = take(ownership('b2'), store, 3, backAt, backAt, offs[1]);
+  return at + takeMs + answerBoundMs(facts) + facts.leaseMs <= second.fencedUntil;
+}
+
+// A deployment came whose clocks are off by ten times what had been played.
+test('the fencing period holds with clocks at both ends of what the settings say, and not with clocks beyond them', () => {
+  const draw = (skewMs: number): [fc.Arbitrary<number>, fc.Arbitrary<number>, fc.Arbitrary<[number, number]>] => {
+    const off = fc.constantFrom(-skewMs, 0, skewMs);
+    return [fc.integer({ min: 0, max: 60_000 }), fc.integer({ min: 0, max: 900 }), fc.tuple(off, off)];
+  };
+  for (const skewMs of [100, 1000, 5000]) {
+    fc.assert(
+      fc.property(...draw(skewMs), (at, takeMs, offs) => waitsLongEnough(skewMs, at, takeMs, offs)),
+      { seed: 391, numRuns: 300 },
+    );
+  }
+  // A mutant that takes all clocks for right.
+  const mutant = fc.check(
+    fc.property(...draw(5000), (at, takeMs, offs) => waitsLongEnough(0, at, takeMs, offs)),
+    { seed: 391, numRuns: 300 },
+  );
+  assert.ok(mutant.failed);
+});
+
 // After a crash in the middle of a cut the wait for a cancellation began anew, though the controller that had crashed was back
 // and could say that it owned nothing.
 test('an owner before that has given the resource up leaves a worker lease, and the one before it its own time', () => {
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { type Static, type TSchema, Type } from '@sinclair/typebox';
 import { Value } from '@sinclair/typebox/value';
-import type { Facts } from '@gingerlock/core';
+import { answerBoundMs, type Facts } from '@gingerlock/core';
 import type { PeerAddress } from '@gingerlock/peer';
 import { parse as parseYaml } from 'yaml';
 import { type Features, FeaturesFile, featuresOf, unfitForBorrowing } from './features';
@@ -107,13 +107,37 @@
   return features;
 }
 
+/**
+ * Between the end of a worker's lease and the latest end of cancelled tasks an owner without the state service may answer
+ * workers. If that is no longer than a report interval, owners would refuse healthy workers between two reads.
+ */
+function checkAnswerBound(facts: Facts): void {
+  if (answerBoundMs(facts) > facts.reportMs) return;
+  throw new SettingsError(
+    'settings: facts.workers.cancel_s, facts.workers.lease_s, facts.workers.report_s: cancel_s must be longer than lease_s by more than 1.2 report_s',
+  );
+}
+
 export function settingsOf(platform: unknown, operators: unknown, features: unknown = {}): Settings {
   const p = check(PlatformFile, platform, 'settings');
   const o = check(OperatorsFile, operators ?? {}, "operators' settings");
   const f = p.facts;
-  if (f.workers.cancel_s <= f.workers.lease_s) {
-    throw new SettingsError('settings: facts.workers.cancel_s: must be longer than lease_s');
-  }
+  const facts: Facts = {
+    controllers: f.count,
+    zones: f.zones,
+    teams: new Map(
+      f.teams.map((t) => [
+        t.name,
+        { name: t.name, cpus: t.cpus, gpus: t.gpus, cpusMax: t.cpus_max, gpusMax: t.gpus_max },
+      ]),
+    ),
+    reportMs: f.workers.report_s * 1000,
+    leaseMs: f.workers.lease_s * 1000,
+    cancelMs: f.workers.cancel_s * 1000,
+    skewMs: f.skew_ms,
+    listLagMs: f.cloud.list_lag_s * 1000,
+  };
+  checkAnswerBound(facts);
   const smaller = (limit: keyof typeof StateLimits): number =>
     Math.min(f.state[limit], f.state.next?.[limit] ?? Infinity);
   return {
@@ -130,21 +154,7 @@
     txnOps: smaller('txn_ops'),
     cloudRps: f.cloud.rps,
     sockets: f.machine_limits.sockets,
-    facts: {
-      controllers: f.count,
-      zones: f.zones,
-      teams: new Map(
-        f.teams.map((t) => [
-          t.name,
-          { name: t.name, cpus: t.cpus, gpus: t.gpus, cpusMax: t.cpus_max, gpusMax: t.gpus_max },
-        ]),
-      ),
-      reportMs: f.workers.report_s * 1000,
-      leaseMs: f.workers.lease_s * 1000,
-      cancelMs: f.workers.cancel_s * 1000,
-      skewMs: f.skew_ms,
-      listLagMs: f.cloud.list_lag_s * 1000,
-    },
+    facts,
     operators: {
       headroom: o.headroom ?? OPERATOR_DEFAULTS.headroom,
       maxOrdinaryMachines: o.max_ordinary_machines ?? OPERATOR_DEFAULTS.maxOrdinaryMachines,
--- a/packages/testkit/test/deployments.test.ts
+++ b/packages/testkit/test/deployments.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { playDay, TWO_TYPES, World } from '../src/index';
+import { ONE_TYPE, playDay, TWO_TYPES, World } from '../src/index';
 import { combination, deployment, size } from './day-generator';
 
 test('a fleet of two types that starts empty gets its work done', async () => {
@@ -37,3 +37,36 @@
     },
   );
 });
+
+test('a cut of any zone breaks no rule, of the one without a controller too, and its machines serve again', async () => {
+  for (const [zone, name] of TWO_TYPES.zones.entries()) {
+    const world = new World({ seed: 40 + zone, machines: 8, capacity: 4, deployment: TWO_TYPES });
+    const faults = [{ at: 20_000, fault: { kind: 'zone cut' as const, zone, how: 'hold' as const, forMs: 40_000 } }];
+    let startsThere = 0;
+    const { onTask } = world;
+    world.onTask = (task, machine) => {
+      if (world.sim.now > 60_000 && world.workers.get(machine)?.zone === name) startsThere++;
+      onTask.call(world, task, machine);
+    };
+    await playDay(world, { seed: 40 + zone, forMs: 200_000, faults });
+    assert.deepEqual(world.breaches, [], name);
+    assert.deepEqual(world.users.open(), [], name);
+    assert.ok(startsThere > 0, `${name} serves again`);
+  }
+});
+
+test('clocks that jump from one end of a second to the other break no rule while controllers change', async () => {
+  const faults = [
+    { at: 5000, fault: { kind: 'clocks jump' as const, everyMs: 700, forMs: 90_000 } },
+    { at: 10_000, fault: { kind: 'leaders end' as const, times: 4, everyMs: 4000, backMs: 500 } },
+    { at: 30_000, fault: { kind: 'rolling restarts' as const, everyMs: 3000, backMs: 400 } },
+    { at: 45_000, fault: { kind: 'cancel now' as const, count: 6, hangMs: 8000 } },
+    { at: 46_000, fault: { kind: 'state outage' as const, forMs: 25_000 } },
+  ];
+  for (const seed of [61, 62, 63]) {
+    const world = new World({ seed, machines: 6, deployment: { ...ONE_TYPE, skewMs: 1000 } });
+    await playDay(world, { seed, forMs: 200_000, faults });
+    assert.deepEqual(world.breaches, [], `seed ${seed}`);
+    assert.deepEqual(world.users.open(), [], `seed ${seed}`);
+  }
+});
