--- /dev/null
+++ b/packages/daemon/src/fleet-manager.ts
@@ -0,0 +1,181 @@
+// The leader's dealings with the cloud: reads its lists, rents and returns machines as the fleet's plan says.
+import { Cloud, type Http, sleep, URGENCY } from '@gingerlock/clients';
+import { Fleet, type PartSummary, type Tenure, type Unmet } from '@gingerlock/core';
+import {
+  type CloudMachine,
+  type JobSpec,
+  KEYS,
+  machineTypesMap,
+  type RentRequest,
+  RETURN_MOST,
+} from '@gingerlock/wire';
+import { MachineOffers } from './machine-offers';
+import type { Shared } from './shared';
+
+/** What the leader knows of the work and of the machines, as of now. */
+export interface FleetView {
+  summaries(now: number): readonly PartSummary[];
+  /** Tasks that have no room anywhere. */
+  unmet(): readonly Unmet[];
+}
+
+/** Machines that get no more work, and those that are surely gone: told to the owners again and again. */
+export interface FleetOrders {
+  readonly drain: readonly string[];
+  readonly gone: readonly string[];
+}
+
+/** How often a rental is sent under one name while its outcome is not known. */
+const RENT_TRIES = 4;
+
+export class FleetManager {
+  readonly #fleet: Fleet;
+  readonly #cloud: Cloud;
+  readonly #offers: MachineOffers;
+  /** Since when it has listened to the owners without standing still. */
+  #since: number;
+  #drain: readonly string[] = [];
+  readonly #gone = new Map<string, number>();
+  #stopped = false;
+  #listed = false;
+  #typesAt = -Infinity;
+  #toldAt = -Infinity;
+
+  constructor(
+    readonly shared: Shared,
+    readonly tenure: Tenure,
+    http: Http,
+    readonly view: FleetView,
+  ) {
+    this.#fleet = new Fleet(shared.facts, tenure.term, shared.settings.operators);
+    this.#cloud = new Cloud(http, shared.settings.cloud, shared.facts.reportMs * 2);
+    this.#offers = new MachineOffers(shared.facts.zones, shared.log);
+    this.#since = shared.clock.now();
+    void this.#loop();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  /** This controller stood still: what is free, up and asked for has to be heard anew before the fleet is changed. */
+  resumedAfterStall(now: number): void {
+    this.#since = now;
+  }
+
+  orders(): FleetOrders {
+    return { drain: this.#drain, gone: [...this.#gone.keys()] };
+  }
+
+  /** How long until a machine that is rented now could run a task of the job, in milliseconds; Infinity: none can be had. */
+  rentMs(job: JobSpec): number {
+    return this.#fleet.rentMs(job, this.shared.store.types);
+  }
+
+  #isLeading(): boolean {
+    return this.tenure.isCurrent && !this.#stopped;
+  }
+
+  /** Whether the cloud may be asked for changes now: looked at again before each request. */
+  #mayManage(): boolean {
+    return this.#isLeading() && this.shared.leaseValid() && this.shared.fresh();
+  }
+
+  async #loop(): Promise<void> {
+    const { shared } = this;
+    const { facts, clock, settings } = shared;
+    const pace = Math.max(facts.reportMs / 3, 3000 / settings.cloudRps);
+    let listAt = -Infinity;
+    while (!this.#stopped) {
+      try {
+        const now = clock.now();
+        if (now - this.#typesAt > facts.listLagMs * 10 || shared.store.types.size === 0) await this.#types();
+        if (now - listAt > Math.max(facts.listLagMs / 2, pace)) {
+          listAt = now;
+          const { failed } = this.#fleet.listed(this.#knownMachines(await this.#cloud.list()), clock.now());
+          for (const name of failed) this.#gone.set(name, clock.now());
+          this.#listed = true;
+        }
+        if (this.#mayManage()) await this.#manage();
+      } catch (error) {
+        shared.log.info({ error: String(error) }, 'cloud trouble');
+      }
+      for (const [name, at] of this.#gone) if (clock.now() - at > facts.leaseMs * 2) this.#gone.delete(name);
+      await sleep(clock, pace);
+    }
+  }
+
+  #knownMachines(listed: readonly CloudMachine[]): CloudMachine[] {
+    return this.#offers.knownKinds(listed, (machine) => this.#fleet.known.has(machine));
+  }
+
+  async #types(): Promise<void> {
+    const { shared } = this;
+    const { store } = shared;
+    const list = await this.#cloud.types();
+    this.#typesAt = shared.clock.now();
+    // Before the machines have been listed it is not known which types are used.
+    const types = this.#offers.read(list, store.types.values(), (type) => !this.#listed || this.#fleet.has(type));
+    const value = machineTypesMap(types);
+    const before = machineTypesMap([...store.types.values()]);
+    // Prices of spot machines move all the time; what matters to all is what the machines are.
+    const still = (v: unknown): string => JSON.stringify(v).replace(/"low_price":[0-9.]+/g, '');
+    if (still(value) === still(before)) return;
+    await shared.settle(URGENCY.accept, [this.tenure.condition], [{ put: KEYS.types, value }], () => this.#isLeading());
+  }
+
+  async #manage(): Promise<void> {
+    const { shared } = this;
+    const { facts, clock, store, log } = shared;
+    const now = clock.now();
+    const current = this.view.summaries(now);
+    const allHeard = current.length === (store.meta?.parts ?? Infinity);
+    // Until all that is up has been heard, or has had the time to be, what is free is not known.
+    const isFleetHeard = now - this.#since >= facts.reportMs * 2 || this.#fleet.allHeard(current);
+    if (!this.#listed || !allHeard || !isFleetHeard || this.#offers.current.size === 0) return;
+    const plan = this.#fleet.plan({
+      now,
+      types: this.#offers.current,
+      summaries: current,
+      unmet: this.view.unmet(),
+      parts: store.partition!,
+    });
+    this.#drain = plan.drain;
+    if (now - this.#toldAt > facts.listLagMs) {
+      this.#toldAt = now;
+      log.debug(this.#fleet.figures(current, store.types), 'fleet');
+    }
+    if (plan.giveBack.length > 0) await this.#giveBack(plan.giveBack.slice(0, RETURN_MOST));
+    // The lead may have been lost, or this controller have stood still, while the cloud was asked: the next leader rents too.
+    for (const r of plan.rent) if (this.#mayManage()) await this.#rent(r);
+  }
+
+  async #giveBack(names: readonly string[]): Promise<void> {
+    const { clock, log } = this.shared;
+    if (!(await this.#cloud.giveBack(names))) return;
+    this.#fleet.returned(names, clock.now());
+    for (const name of names) this.#gone.set(name, clock.now());
+    log.info({ machines: names }, 'machines returned');
+  }
+
+  async #rent(r: RentRequest): Promise<void> {
+    const { clock, log, facts } = this.shared;
+    // An unknown outcome is asked again under the same name: that rents nothing twice.
+    for (let tries = 0; tries < RENT_TRIES && this.#mayManage(); tries++) {
+      const result = await this.#cloud.rent(r);
+      if (result.kind === 'rented') {
+        this.#fleet.rented(result.names, r, clock.now());
+        log.info({ ...r, machines: result.names }, 'machines rented');
+        return;
+      }
+      if (result.kind === 'no capacity') {
+        this.#fleet.refused(r, clock.now());
+        log.info({ ...r }, 'no capacity');
+        return;
+      }
+      log.info({ ...r, why: result.why }, 'rental not answered');
+      await sleep(clock, facts.reportMs / 2);
+    }
+    this.#fleet.refused(r, clock.now());
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/job-batch.ts
@@ -0,0 +1,70 @@
+// Changes of job records that the leader writes together.
+import { assignedUnfinished, type Job, joinRounds } from '@gingerlock/core';
+import { type Change, type Condition, jobRecord, KEYS, type Round } from '@gingerlock/wire';
+import type { TransactionRoom } from './transaction-room';
+
+/** The record of a job with rounds added to it. */
+export function recordWith(job: Job, failing: boolean, added: readonly Round[]): unknown {
+  return jobRecord.write({
+    final: null,
+    spec: job.spec,
+    acceptedAt: job.acceptedAt,
+    cancelled: false,
+    failing,
+    rounds: joinRounds([...job.rounds, ...added], (task) => job.isFinished(task)),
+  });
+}
+
+/** How the job's record is to end now: all tasks are finished or, of a job that is cancelled, gone; null: not yet. */
+export function finalOf(job: Job): 'done' | 'cancelled' | null {
+  if (job.cancelled) return assignedUnfinished(job) === 0 ? 'cancelled' : null;
+  return job.spec.kind === 'array' && job.complete ? 'done' : null;
+}
+
+/** Changes of job records in one transaction, each against the version that was read. */
+export class JobBatch {
+  readonly conditions: Condition[] = [];
+  readonly changes: Change[] = [];
+  readonly jobs = new Set<string>();
+  readonly #owners = new Set<string>();
+
+  constructor(
+    entitlement: Condition,
+    readonly room: TransactionRoom,
+  ) {
+    this.#add([entitlement], []);
+  }
+
+  #add(conditions: readonly Condition[], changes: readonly Change[]): boolean {
+    if (!this.room.add(conditions, changes)) return false;
+    this.conditions.push(...conditions);
+    this.changes.push(...changes);
+    return true;
+  }
+
+  /** Writes the record of a job, and other changes that belong to it; false: the transaction has no room for them. */
+  put(job: Job, record: unknown, ...others: readonly Change[]): boolean {
+    const key = KEYS.job(job.id);
+    if (!this.#add([{ key, version: job.version }], [{ put: key, value: record }, ...others])) return false;
+    this.jobs.add(job.id);
+    return true;
+  }
+
+  /** False: the transaction has no room for it. */
+  remove(key: string): boolean {
+    return this.#add([], [{ remove: key }]);
+  }
+
+  /** Removes the key if it still has that version; false: the transaction has no room for it. */
+  removeIf(key: string, version: number): boolean {
+    return this.#add([{ key, version }], [{ remove: key }]);
+  }
+
+  /** Makes the transaction rest on the partition's owner; false: it has no room for that. */
+  requireOwner(condition: Condition): boolean {
+    if (this.#owners.has(condition.key)) return true;
+    if (!this.#add([condition], [])) return false;
+    this.#owners.add(condition.key);
+    return true;
+  }
+}
