--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -418,8 +418,7 @@
     this.unheard.delete(m.name);
     this.#clear(now);
     if (mayGrant) this.#grant(m, now, commands);
-    // One whose name is not written yet could be given no work, and is not idle for that.
-    if (!m.isMember || m.claims.size > 0 || r.tasks.some((t) => t.state !== 'exited')) m.emptySince = now;
+    if (m.claims.size > 0 || r.tasks.some((t) => t.state !== 'exited')) m.emptySince = now;
     return { kind: 'answer', token: this.token(m), commands };
   }
 
