--- a/packages/core/src/assignment.ts
+++ b/packages/core/src/assignment.ts
@@ -110,6 +110,8 @@
   readonly assignments: readonly Assignment[];
   readonly unmet: readonly Unmet[];
   readonly groups: readonly GroupPlacement[];
+  /** Machines with room for some members of a group that lacks room for others. */
+  readonly partialRoom: ReadonlySet<string>;
   /** By machine that takes work: what it has left. */
   readonly free: ReadonlyMap<string, Amounts>;
 }
@@ -147,7 +149,13 @@
   const ordered = jobs.filter((j) => j.ready && !j.cancelled).sort(jobOrder);
   if (input.heldBack !== null) for (const job of ordered) run.assignWithinGuarantee(job);
   for (const job of ordered) run.assign(job);
-  return { assignments: run.assignments, unmet: run.unmet, groups: run.groups, free: run.free() };
+  return {
+    assignments: run.assignments,
+    unmet: run.unmet,
+    groups: run.groups,
+    partialRoom: run.partialRoom,
+    free: run.free(),
+  };
 }
 
 /** What is free on the machines that take work, less what earlier assignments will take there. */
@@ -223,6 +231,7 @@
   readonly assignments: Assignment[] = [];
   readonly unmet: Unmet[] = [];
   readonly groups: GroupPlacement[] = [];
+  readonly partialRoom = new Set<string>();
   /** Whether a group keeps room already that is not enough for it: at most one does. */
   #isRoomHeld = false;
   readonly #bins: Bin[];
@@ -327,6 +336,7 @@
       return;
     }
     this.unmet.push({ job, count: free.missing, zones: free.zones });
+    for (const { machine } of free.chosen) this.partialRoom.add(machine);
     if (this.#isRoomHeld || !groups.holdsPartialRoom(job)) return;
     this.#isRoomHeld = true;
     for (const { machine } of free.chosen) this.#take(this.#binOf(machine), job);
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,5 +1,6 @@
 export * from './controller';
 export * from './settings';
+export { featuresOf } from './features';
 export { SILENT, type Log } from './log';
 export { type ControllerLimits, Shared } from './shared';
 export { SummaryAssembly, summaryMessages } from './summary-pieces';
@@ -7,5 +8,7 @@
 export { LeaderBorrowing } from './leader-borrowing';
 export { PartOwner } from './owner';
 export { OwnerReclaims } from './owner-reclaims';
+export { LeaderGroups } from './leader-groups';
+export { OwnerGroups } from './owner-groups';
 export type { Reply } from './reply';
 export { openServer } from './server';
--- a/packages/daemon/src/leader-groups.ts
+++ b/packages/daemon/src/leader-groups.ts
@@ -37,6 +37,7 @@
   /** By job: since when it could have been placed, and when the log said last that it can't. */
   #waiting = new Map<string, { readonly since: number; toldAt: number }>();
   #lines: PendingLine[] = [];
+  #partialRoom: ReadonlySet<string> = new Set();
 
   constructor(
     readonly shared: Shared,
@@ -86,16 +87,31 @@
     return longest;
   }
 
-  /** Machines that members are on or are to be on: they are not emptied, nor given back while idle. */
+  /**
+   * Machines that members are on, are to be on or were on a moment ago, and those with room for some members of a group that waits for
+   * more: they are not emptied, nor given back while idle.
+   */
   pinnedMachines(): Set<string> {
-    const pinned = new Set<string>();
+    const pinned = new Set(this.#partialRoom);
     for (const { record } of this.shared.store.groups.values()) {
-      if (record.state === 'ending') continue;
-      for (const { machine } of record.members) pinned.add(machine);
+      for (const { machine } of record.members) if (machine !== record.avoid) pinned.add(machine);
     }
     return pinned;
   }
 
+  /** Room for members whose machine is lost: a boot may begin while the others are still being stopped. */
+  endingDemand(): Unmet[] {
+    const { store } = this.shared;
+    const demand: Unmet[] = [];
+    for (const [id, { record }] of store.groups) {
+      const job = store.jobs.live.get(id);
+      if (record.state !== 'ending' || job === undefined || job.cancelled || !job.isGroup) continue;
+      const count = record.members.filter(({ machine }) => machine === record.avoid).length;
+      if (count > 0) demand.push({ job, count, zones: job.spec.zone === null ? null : [job.spec.zone] });
+    }
+    return demand;
+  }
+
   // --- transactions ------------------------------------------------------------------------------------------------
 
   /** Begins a transaction: what the one before would have told of is told or dropped. */
@@ -190,7 +206,8 @@
   }
 
   /** Notes since when groups wait, and says from time to time of each what it lacks. */
-  noteUnplaced({ unmet }: AssignmentResult, now: number): void {
+  noteUnplaced({ unmet, partialRoom }: AssignmentResult, now: number): void {
+    this.#partialRoom = partialRoom;
     const before = this.#waiting;
     this.#waiting = new Map();
     for (const entry of unmet) {
--- a/packages/daemon/src/leader.ts
+++ b/packages/daemon/src/leader.ts
@@ -152,7 +152,7 @@
       result.unmet,
       reclaims.map(({ decision }) => decision),
     );
-    this.#unmet = [...unmet, ...this.#strandedTasks(current)];
+    this.#unmet = [...unmet, ...this.#strandedTasks(current), ...(this.groups?.endingDemand() ?? [])];
     this.#clearMarks(batch);
     this.#removeAbandoned(batch);
     if (batch.changes.length === 0) {
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -115,7 +115,8 @@
 function checkFeatures(value: unknown, { teams, objectives }: PlatformFacts): Features {
   const file = check(FeaturesFile, value ?? {}, 'features');
   const features = featuresOf(file);
-  const wrongClass = unfitClasses(file.replica_groups?.classes, classesOf(objectives ?? []));
+  const declared = features.replicaGroups === null ? [] : file.replica_groups!.classes;
+  const wrongClass = unfitClasses(declared, classesOf(objectives ?? []));
   if (wrongClass !== null) throw new SettingsError(`features: ${wrongClass}`);
   const unfit = features.borrowing === null ? null : unfitForBorrowing(teams);
   if (unfit !== null) throw new SettingsError(`settings: ${unfit}, which borrowing can not work with`);
--- a/packages/daemon/src/users.ts
+++ b/packages/daemon/src/users.ts
@@ -1,6 +1,7 @@
 // What users ask for: submissions, polls and cancellations.
 import { type TxnResult, URGENCY } from '@gingerlock/clients';
 import { coverPerPartition, assignedUnfinished, type Job, neverRuns } from '@gingerlock/core';
+import { isGroupSpec } from '@gingerlock/replica-groups';
 import {
   decodeSubmission,
   encodeJobState,
@@ -11,6 +12,7 @@
   type JobState,
   KEYS,
   Malformed,
+  mostMembers,
 } from '@gingerlock/wire';
 import { refusal, type Reply } from './reply';
 import type { Shared } from './shared';
@@ -82,7 +84,7 @@
     const { id } = spec;
     if (this.#known(id)) return this.poll(id);
     if (this.shared.store.types.size === 0) return refusal(503, 'machine types are not known yet', 1);
-    const never = neverRuns(spec, this.shared.settings.facts, [...this.shared.store.types.values()]);
+    const never = this.#whyNever(spec);
     if (never !== null) {
       // Another controller may have accepted it under other settings or types.
       const known = await this.poll(id);
@@ -117,6 +119,15 @@
     }
   }
 
+  /** Why the job can never run; null: it can. */
+  #whyNever(spec: JobSpec): string | null {
+    const { facts, features, valueBytes } = this.shared.settings;
+    const most = mostMembers(valueBytes);
+    if (isGroupSpec(features.replicaGroups, spec) && spec.tasks > most)
+      return `a replica group has ${most} members at the most`;
+    return neverRuns(spec, facts, [...this.shared.store.types.values()]);
+  }
+
   /** The answer to a submission that names jobs which it can't wait for; null: it can. */
   async #checkDependencies(spec: JobSpec): Promise<Reply | null> {
     const { jobs } = this.shared.store;
--- a/packages/daemon/test/features.test.ts
+++ b/packages/daemon/test/features.test.ts
@@ -64,3 +64,34 @@
   // Amounts are decimal numbers, says the protocol.
   assert.doesNotThrow(() => settingsOf(withTeams([{ ...team, gpus: 2.5 }]), {}, { borrowing: { enabled: true } }));
 });
+
+test('replica groups are off unless their file says otherwise, and their classes are checked', () => {
+  const groups = { enabled: true, classes: ['main', 'mid'] };
+  assert.equal(settingsOf(platform, {}, {}).features.replicaGroups, null);
+  assert.equal(
+    settingsOf(platform, {}, { replica_groups: { ...groups, enabled: false } }).features.replicaGroups,
+    null,
+  );
+  const on = settingsOf(platform, {}, { replica_groups: { ...groups, backoff_reports: 2 } }).features.replicaGroups!;
+  assert.deepEqual([...on.classes], ['main', 'mid']);
+  assert.equal(on.backoffReports, 2);
+  const objectives = [{ kind: 'wait', class: 'main', within_s: 6, share: 0.8 }, { kind: 'guarantee' }];
+  const listing = { ...platform, facts: { ...platform.facts, objectives } };
+  const wrong: [unknown, unknown, RegExp][] = [
+    [platform, { ...groups, classes: ['main', 'main'] }, /replica_groups\.classes\.1/],
+    [platform, { ...groups, classes: [] }, /replica_groups\.classes/],
+    [platform, { enabled: true }, /replica_groups\.classes/],
+    [platform, { ...groups, members: 3 }, /replica_groups\.members/],
+    [platform, { ...groups, serve_lease_share: 0 }, /replica_groups\.serve_lease_share/],
+    [platform, { ...groups, hold_reports: '8' }, /replica_groups\.hold_reports/],
+    [listing, groups, /replica_groups\.classes\.1.*no class mid/],
+  ];
+  for (const [settings, file, path] of wrong) {
+    assert.throws(
+      () => settingsOf(settings, {}, { replica_groups: file }),
+      (error: Error) => error instanceof SettingsError && path.test(error.message),
+      JSON.stringify(file),
+    );
+  }
+  assert.doesNotThrow(() => settingsOf(listing, {}, { replica_groups: { ...groups, classes: ['main'] } }));
+});
--- a/packages/replica-groups/src/part-groups.ts
+++ b/packages/replica-groups/src/part-groups.ts
@@ -35,6 +35,11 @@
     return this.#kept.get(machine) ?? NOTHING;
   }
 
+  /** By task: the machine on which room is kept for it. */
+  get keptTasks(): ReadonlyMap<string, string> {
+    return this.#machineFor;
+  }
+
   machineFor(task: string): string | null {
     return this.#machineFor.get(task) ?? null;
   }
--- a/packages/replica-groups/src/settings.ts
+++ b/packages/replica-groups/src/settings.ts
@@ -23,7 +23,7 @@
 };
 
 /** The pause doubles so many times at the most. */
-const MOST_DOUBLINGS = 5;
+const MOST_DOUBLINGS = 4;
 
 /** A generation that served for so many worker leases has not failed, whatever ends it. */
 const STABLE_LEASES = 3;
@@ -78,6 +78,10 @@
   return facts.leaseMs * STABLE_LEASES;
 }
 
+export function longestBackoffMs(settings: ReplicaGroupSettings, facts: Facts): number {
+  return settings.backoffReports * facts.reportMs * 2 ** MOST_DOUBLINGS;
+}
+
 /** The pause before the next generation: none after one that served, otherwise growing, and different for each group. */
 export function backoffMs(
   settings: ReplicaGroupSettings,
--- /dev/null
+++ b/packages/replica-groups/test/fixtures.ts
@@ -0,0 +1,57 @@
+import type { Facts } from '@gingerlock/core';
+import type { JobSpec, MachineType } from '@gingerlock/wire';
+import { REPLICA_GROUP_DEFAULTS, type ReplicaGroupSettings } from '../src/index';
+
+export const FACTS: Facts = {
+  controllers: 3,
+  zones: ['a', 'b', 'c'],
+  teams: new Map(),
+  reportMs: 1000,
+  leaseMs: 6000,
+  cancelMs: 20_000,
+  skewMs: 100,
+  listLagMs: 2000,
+};
+
+export const SETTINGS: ReplicaGroupSettings = { ...REPLICA_GROUP_DEFAULTS, classes: new Set(['replicated']) };
+
+export const BOX: MachineType = {
+  name: 'box',
+  cpus: 8,
+  gpus: 4,
+  memoryGb: 32,
+  cacheGb: 100,
+  fetchGbPerS: 10,
+  price: 4,
+  spotPrice: 1,
+  bootS: 10,
+  zones: ['a', 'b', 'c'],
+};
+
+/** A service of three members. */
+export function specOf(over: Partial<JobSpec> = {}): JobSpec {
+  return {
+    id: 'j-1',
+    jobClass: 'replicated',
+    team: 'red',
+    kind: 'service',
+    priority: 'high',
+    tasks: 3,
+    cpus: 2,
+    gpus: 1,
+    memoryGb: 8,
+    image: 'img',
+    imageGb: 30,
+    types: null,
+    zone: null,
+    oneZone: false,
+    spread: false,
+    spot: false,
+    estimateS: 0,
+    checkpointS: 0,
+    saveS: 0,
+    deadlineS: null,
+    awaits: [],
+    ...over,
+  };
+}
--- /dev/null
+++ b/packages/replica-groups/test/next-record.test.ts
@@ -0,0 +1,195 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Job } from '@gingerlock/core';
+import type { GroupMember, GroupRecord } from '@gingerlock/wire';
+import fc from 'fast-check';
+import {
+  backoffMs,
+  GROUP_MOVES,
+  type GroupContext,
+  type GroupReport,
+  holdBoundMs,
+  longestBackoffMs,
+  mayPlace,
+  MEMBER_PHASES,
+  type MemberReport,
+  nextRecord,
+  reserve,
+  serveLeaseBoundMs,
+  stableMs,
+  startBoundMs,
+} from '../src/index';
+import { BOX, FACTS, SETTINGS, specOf } from './fixtures';
+
+const TYPES = new Map([[BOX.name, BOX]]);
+const MEMBERS: readonly GroupMember[] = [
+  { part: 0, machine: 'm-1', attempt: null },
+  { part: 0, machine: 'm-2', attempt: null },
+  { part: 1, machine: 'm-3', attempt: null },
+];
+
+/** A group of three, all of which are assigned or none. */
+function groupJob(isAssigned = true): Job {
+  const job = new Job('j-1');
+  job.spec = specOf();
+  job.isGroup = true;
+  const rounds = [
+    { from: 0, count: 2, part: 0, zone: null, term: 1 },
+    { from: 2, count: 1, part: 1, zone: null, term: 2 },
+  ];
+  job.rounds = isAssigned ? rounds : [];
+  return job;
+}
+
+function contextOf(wall: number, reports: readonly (GroupReport | null)[] = []): GroupContext {
+  const reportOf = (part: number): GroupReport | null => reports[part] ?? null;
+  return { settings: SETTINGS, facts: FACTS, types: TYPES, wall, longestSaveS: 0, reportOf };
+}
+
+/** What the two owners tell if all members are in the same phase, but for those that are named. */
+function reportsOf(phase: MemberReport['phase'], over: Record<number, Partial<MemberReport>> = {}): GroupReport[] {
+  const member = (rank: number): MemberReport => ({ rank, phase, attempt: 100 + rank, reason: null, ...over[rank] });
+  return [[0, 1], [2]].map((ranks) => ({ job: 'j-1', generation: 1, members: ranks.map(member) }));
+}
+
+const reserved = reserve(null, MEMBERS, 1000);
+
+function next(
+  record: GroupRecord | null,
+  wall: number,
+  reports: readonly (GroupReport | null)[] = [],
+  job = groupJob(),
+): GroupRecord {
+  const found = nextRecord(job, record, contextOf(wall, reports));
+  assert.ok(found !== null);
+  return found;
+}
+
+test('a group goes from reserved to serving only as all members are held, and then all run', () => {
+  assert.equal(reserved.generation, 1);
+  for (const late of [0, 1, 2]) {
+    const reports = reportsOf('held', { [late]: { phase: 'pending' } });
+    assert.equal(nextRecord(groupJob(), reserved, contextOf(1100, reports)), null);
+  }
+  assert.equal(nextRecord(groupJob(), reserved, contextOf(1100, [reportsOf('held')[0]!, null])), null);
+  const admitted = next(reserved, 1100, reportsOf('held'));
+  assert.equal(admitted.state, 'admitted');
+  assert.equal(
+    nextRecord(groupJob(), admitted, contextOf(1200, reportsOf('running', { 2: { phase: 'starting' } }))),
+    null,
+  );
+  const serving = next(admitted, 4000, reportsOf('running'));
+  assert.equal(serving.state, 'serving');
+  assert.deepEqual(
+    serving.members.map(({ attempt }) => attempt),
+    [100, 101, 102],
+  );
+  // Nothing is told of a group that serves well.
+  assert.equal(nextRecord(groupJob(), serving, contextOf(1e9)), null);
+});
+
+test('reports on another generation count for nothing', () => {
+  const old = reportsOf('held').map((report) => ({ ...report, generation: 2 }));
+  assert.equal(nextRecord(groupJob(), reserved, contextOf(1100, old)), null);
+});
+
+test('one lost member, or a time-out, ends the generation in every state', () => {
+  const admitted = next(reserved, 1100, reportsOf('held'));
+  const serving = next(admitted, 4000, reportsOf('running'));
+  for (const record of [reserved, admitted, serving]) {
+    const lost = reportsOf('running', { 1: { phase: 'lost', reason: 'machine silent' } });
+    const ending = next(record, 5000, lost);
+    assert.equal(ending.state, 'ending');
+    assert.equal(ending.reason, 'machine silent');
+    assert.equal(ending.avoid, 'm-2');
+    // One that was given back, by whomever, is as lost.
+    const job = groupJob();
+    job.rounds = job.rounds.slice(0, 1);
+    assert.equal(next(record, 5000, [], job).state, 'ending');
+  }
+  const holdMs = holdBoundMs(SETTINGS, FACTS, 0);
+  assert.equal(nextRecord(groupJob(), reserved, contextOf(1000 + holdMs)), null);
+  assert.equal(next(reserved, 1001 + holdMs).reason, 'room was not kept in time');
+  const startMs = startBoundMs(SETTINGS, FACTS, specOf(), TYPES);
+  assert.equal(nextRecord(groupJob(), admitted, contextOf(1100 + startMs)), null);
+  assert.equal(next(admitted, 1101 + startMs).reason, 'members did not start in time');
+});
+
+test('the next generation waits until all members are given back and all leases have run out', () => {
+  const serving = next(next(reserved, 1100, reportsOf('held')), 4000, reportsOf('running'));
+  const ending = next(serving, 5000, reportsOf('running', { 0: { phase: 'lost', reason: 'member ended' } }));
+  const over = 5000 + serveLeaseBoundMs(SETTINGS, FACTS);
+  assert.equal(ending.leasesUntil, over);
+  assert.equal(nextRecord(groupJob(), ending, contextOf(over + 1e6)), null, 'members are assigned still');
+  assert.equal(nextRecord(groupJob(false), ending, contextOf(over - 1)), null, 'a lease may be held still');
+  const waiting = next(ending, over, [], groupJob(false));
+  assert.deepEqual([waiting.state, waiting.members], ['waiting', []]);
+  // A generation that never served gave no leases.
+  const early = next(reserved, 2000, reportsOf('held', { 0: { phase: 'lost' } }));
+  assert.equal(next(early, 2001, [], groupJob(false)).state, 'waiting');
+});
+
+test('pauses grow with failures up to a bound, differ between groups, and end with a generation that served', () => {
+  const pauses = [0, 1, 2, 3, 4, 5, 6, 20].map((failures) => backoffMs(SETTINGS, FACTS, 'j-1', 7, failures));
+  assert.equal(pauses[0], 0);
+  for (let i = 2; i < 6; i++) assert.ok(Math.abs(pauses[i]! - 2 * pauses[i - 1]!) < 1e-6);
+  for (const pause of pauses) assert.ok(pause <= longestBackoffMs(SETTINGS, FACTS));
+  const others = new Set(['j-2', 'j-3', 'j-4'].map((job) => backoffMs(SETTINGS, FACTS, job, 7, 3)));
+  assert.equal(others.size, 3);
+  const waiting: GroupRecord = { ...reserved, state: 'waiting', since: 50_000, failures: 2, members: [] };
+  const pause = backoffMs(SETTINGS, FACTS, 'j-1', 1, 2);
+  assert.equal(mayPlace(groupJob(false), waiting, contextOf(50_000 + pause - 1)), false);
+  assert.equal(mayPlace(groupJob(false), waiting, contextOf(50_000 + pause)), true);
+  assert.equal(reserve(waiting, MEMBERS, 60_000).generation, 2);
+  const serving = next(next(reserved, 1100, reportsOf('held')), 4000, reportsOf('running'));
+  const lost = reportsOf('running', { 0: { phase: 'lost', reason: 'machine lost' } });
+  assert.equal(next({ ...serving, failures: 3 }, 4000 + stableMs(FACTS), lost).failures, 0);
+  assert.equal(next({ ...serving, failures: 3 }, 4000, lost).failures, 4);
+});
+
+test('tasks that were started one by one end, and begin again as a group', () => {
+  const ending = next(null, 1000);
+  assert.deepEqual([ending.state, ending.reason, ending.generation], ['ending', 'started as single tasks', 0]);
+  assert.equal(next(ending, 2000, [], groupJob(false)).state, 'waiting');
+});
+
+test('whatever owners tell and whenever: each record may follow the one before, and a cancelled group changes no more', () => {
+  const report = fc.record({
+    rank: fc.integer({ min: 0, max: 4 }),
+    phase: fc.constantFrom(...MEMBER_PHASES),
+    attempt: fc.nat(),
+    reason: fc.constantFrom(null, 'machine lost' as const, 'member ended' as const),
+  });
+  const told = fc.array(
+    fc.record({ generation: fc.integer({ min: 0, max: 2 }), members: fc.array(report, { maxLength: 4 }) }),
+    {
+      maxLength: 2,
+    },
+  );
+  const step = fc.record({ told, assigned: fc.boolean(), waitMs: fc.integer({ min: 0, max: 40_000 }) });
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 30 }), (steps) => {
+      let record: GroupRecord | null = null;
+      let wall = 1000;
+      for (const { told: reports, assigned, waitMs } of steps) {
+        wall += waitMs;
+        const context = contextOf(
+          wall,
+          reports.map((entry) => ({ job: 'j-1', ...entry })),
+        );
+        const job = groupJob(assigned);
+        const before: GroupRecord | null = record;
+        const canPlace = mayPlace(job, before, context);
+        if (canPlace) assert.ok(!assigned && (before === null || before.state === 'waiting'));
+        const after: GroupRecord | null = canPlace ? reserve(before, MEMBERS, wall) : nextRecord(job, before, context);
+        if (after === null) continue;
+        assert.ok(GROUP_MOVES[before?.state ?? 'waiting'].includes(after.state));
+        assert.equal(after.generation, (before?.generation ?? 0) + (after.state === 'reserved' ? 1 : 0));
+        job.cancelled = true;
+        assert.equal(nextRecord(job, before, context), null);
+        record = after;
+      }
+    }),
+    { seed: 391, numRuns: 1000 },
+  );
+});
--- a/packages/testkit/src/cloud.ts
+++ b/packages/testkit/src/cloud.ts
@@ -56,7 +56,12 @@
   readonly #requests = new Map<string, string[]>();
   #machines = 0;
 
-  constructor(readonly options: CloudOptions) {}
+  /** Machines of each type and either kind that each zone has now. */
+  capacity: number;
+
+  constructor(readonly options: CloudOptions) {
+    this.capacity = options.capacity;
+  }
 
   /** How many machines there have ever been. */
   get machinesRented(): number {
@@ -127,7 +132,7 @@
     if (type === undefined || !type.zones.includes(zone)) return answer(400, {});
     const isLike = (m: RentedMachine): boolean => m.type === name && m.zone === zone && m.spot === spot;
     const used = this.rented.filter((m) => isLike(m) && m.state !== 'failed').length;
-    const granted = Math.min(count, this.options.capacity - used);
+    const granted = Math.min(count, this.capacity - used);
     if (granted <= 0) return answer(503, { error: 'no capacity' });
     const names = Array.from({ length: granted }, () => this.boot(type, zone, spot, this.#nextBootMs(type)));
     this.#requests.set(request, names);
--- a/packages/testkit/src/faults.ts
+++ b/packages/testkit/src/faults.ts
@@ -2,6 +2,7 @@
 import { KEYS } from '@gingerlock/wire';
 import { type BorrowingFault, borrowingFaultMs, inflictBorrowing, isBorrowingFault } from './borrowing-faults';
 import { inflictOperations, isOperationsFault, type OperationsFault, operationsFaultMs } from './operations-faults';
+import { type GroupFault, groupFaultMs, inflictOnGroups, isGroupFault } from './group-faults';
 import { FaultTargets } from './fault-targets';
 import type { Cut } from './network';
 import { inflictOnState, isStateFault, type StateFault } from './state-faults';
@@ -13,6 +14,7 @@
   | UserFault
   | OperationsFault
   | BorrowingFault
+  | GroupFault
   | { readonly kind: 'crash'; readonly nodes: readonly number[]; readonly backMs: number }
   /** Ends again and again, and is back within a fraction of a second. */
   | { readonly kind: 'flapping'; readonly node: number; readonly times: number; readonly everyMs: number }
@@ -73,6 +75,7 @@
   world.came(fault.kind);
   if (isOperationsFault(fault)) return inflictOperations(world, fault, (i) => targets.node(i));
   if (isBorrowingFault(fault)) return inflictBorrowing(world, fault);
+  if (isGroupFault(fault)) return inflictOnGroups(world, fault);
   if (isStateFault(fault)) return inflictOnState(world, fault, targets);
   if (isUserFault(fault)) return inflictByUsers(world, fault, targets);
   switch (fault.kind) {
@@ -328,6 +331,7 @@
 function lastsMs(fault: Fault, controllers: number): number {
   if (isOperationsFault(fault)) return operationsFaultMs(fault);
   if (isBorrowingFault(fault)) return borrowingFaultMs(fault, controllers);
+  if (isGroupFault(fault)) return groupFaultMs(fault);
   switch (fault.kind) {
     case 'crash':
       return fault.backMs;
--- /dev/null
+++ b/packages/testkit/src/group-audit.ts
@@ -0,0 +1,180 @@
+// Checks replica groups against what really runs: their records as they are stored, every start, and what owners keep room for.
+import type { PartOwner } from '@gingerlock/daemon';
+import { GROUP_MOVES } from '@gingerlock/replica-groups';
+import { type GroupRecord, groupRecord, KEYS, ownerRecord, parseKey, parseTaskName, taskName } from '@gingerlock/wire';
+import type { World } from './world';
+
+/** An owner that reads the state service has taken a change in after so many report intervals. */
+const READ_INTERVALS = 3;
+
+/** Once all troubles are over, a group may be on its way for so many times `cancel_s`, beside what its times allow. */
+const ON_THE_WAY_CANCELS = 2;
+
+interface SeenRecord {
+  readonly record: GroupRecord;
+  readonly version: number;
+  readonly at: number;
+}
+
+/** For how long a group had some members up, and all of them, in milliseconds. */
+export interface GroupUptime {
+  partialMs: number;
+  wholeMs: number;
+}
+
+export class GroupAudit {
+  /** By job: the record that is stored now, and since when. */
+  readonly seen = new Map<string, SeenRecord>();
+  /** By task: the last generation in which it was started. */
+  readonly #startedIn = new Map<string, number>();
+  /** By task and attempt: the generation in which it was started. */
+  readonly #generationOf = new Map<string, number>();
+  readonly uptime = new Map<string, GroupUptime>();
+  /** How often groups came to each state. */
+  readonly moves = new Map<string, number>();
+  #auditedAt = 0;
+  readonly #reported = new Set<string>();
+
+  constructor(readonly world: World) {}
+
+  /** A record was stored. */
+  stored(key: string): void {
+    const parsed = parseKey(key);
+    if (parsed.kind !== 'group') return;
+    const { value, version } = this.world.state.data.get(key)!;
+    const record = groupRecord.read(value);
+    const before = this.seen.get(parsed.job)?.record;
+    this.seen.set(parsed.job, { record, version, at: this.world.sim.now });
+    this.moves.set(record.state, (this.moves.get(record.state) ?? 0) + 1);
+    this.#checkMove(parsed.job, before, record);
+    if (record.state === 'admitted') this.#checkHeld(parsed.job, record);
+  }
+
+  #checkMove(job: string, before: GroupRecord | undefined, { state, generation }: GroupRecord): void {
+    const from = before?.state ?? 'waiting';
+    const expected = (before?.generation ?? 0) + (state === 'reserved' ? 1 : 0);
+    if (GROUP_MOVES[from].includes(state) && generation === expected) return;
+    this.world.breach('group_moved', `${job}: ${from} of ${before?.generation ?? 0} to ${state} of ${generation}`);
+  }
+
+  /** All members' room is kept as the record says so, by the owners that have the partitions then. */
+  #checkHeld(job: string, { members, generation }: GroupRecord): void {
+    for (const [rank, { part, machine }] of members.entries()) {
+      const owner = this.#ownerOf(part);
+      const slot = owner?.claimTable.slots.get(job)?.get(rank);
+      if (owner === undefined || slot === undefined || slot.job.cancelled) continue;
+      const isHeld = owner.claimTable.reservations.machineFor(slot.name) === machine && slot.startedIn !== generation;
+      if (!isHeld) this.world.breach('member_unheld', `${slot.name} is admitted and not kept on ${machine}`);
+    }
+  }
+
+  /** The owner that the state service names, if its process is there. */
+  #ownerOf(part: number): PartOwner | undefined {
+    const { nodes, state } = this.world;
+    const entry = state.data.get(KEYS.owner(String(part)));
+    if (entry === undefined) return undefined;
+    const { node, term } = ownerRecord.read(entry.value);
+    const controller = nodes.find(({ name }) => name === node)?.controller;
+    return controller?.owned().find((owner) => owner.part === part && owner.tenure.term === term);
+  }
+
+  /** A start command that was not known yet has come to a worker. */
+  started(task: string, attempt: number, machine: string): void {
+    const { job, index } = parseTaskName(task)!;
+    const { world } = this;
+    if (!world.isGroup(job)) return;
+    const record = this.seen.get(job)?.record;
+    const isAdmitted = record !== undefined && record.state !== 'waiting' && record.state !== 'reserved';
+    if (!isAdmitted || record.members[index]?.machine !== machine) {
+      world.breach('member_unheld', `${task} starts on ${machine} while its group is ${record?.state ?? 'not placed'}`);
+      return;
+    }
+    const { generation } = record;
+    if (this.#startedIn.get(task) === generation)
+      world.breach('member_restarted', `${task} twice in generation ${generation}`);
+    this.#startedIn.set(task, generation);
+    this.#generationOf.set(`${task} ${attempt}`, generation);
+  }
+
+  /** Looks at everything once more: to be called again and again. */
+  audit(quietAt: number): void {
+    const { now } = this.world.sim;
+    const sinceMs = now - this.#auditedAt;
+    this.#auditedAt = now;
+    this.#checkRuns(sinceMs);
+    for (const { controller } of this.world.nodes)
+      for (const owner of controller?.owned() ?? []) this.#checkKept(owner);
+    if (now > quietAt) this.#checkStuck(quietAt);
+  }
+
+  /** All members on machines are of one generation, and none is of a group that is withdrawn. */
+  #checkRuns(sinceMs: number): void {
+    const generations = new Map<string, Set<number>>();
+    for (const { tasks } of this.world.workers.values()) {
+      for (const { task, attempt, state } of tasks.values()) {
+        const { job } = parseTaskName(task)!;
+        const generation = this.#generationOf.get(`${task} ${attempt}`);
+        if (state === 'exited' || generation === undefined) continue;
+        generations.set(job, (generations.get(job) ?? new Set()).add(generation));
+      }
+    }
+    for (const [job, found] of generations) {
+      if (found.size > 1) this.world.breach('two_generations', `${job}: ${[...found].join()}`);
+      const state = this.seen.get(job)?.record.state;
+      if (state === 'waiting' || state === 'reserved') this.world.breach('withdrawn_runs', `${job} is ${state}`);
+    }
+    this.#countUptime(sinceMs);
+  }
+
+  #countUptime(sinceMs: number): void {
+    for (const { spec } of this.world.users.open()) {
+      if (!this.world.isGroup(spec.id)) continue;
+      const up = this.world.tasksOn(spec.id);
+      const uptime = this.uptime.get(spec.id) ?? { partialMs: 0, wholeMs: 0 };
+      this.uptime.set(spec.id, uptime);
+      if (up >= spec.tasks) uptime.wholeMs += sinceMs;
+      else if (up > 0) uptime.partialMs += sinceMs;
+    }
+  }
+
+  /** No room is kept without a record that says so. An owner that can't read the state service can't know. */
+  #checkKept({ groups, shared, part, claimTable }: PartOwner): void {
+    const { clock, replica } = shared;
+    const { now } = this.world.sim;
+    const isFresh = replica.contactAt !== null && clock.now() - replica.contactAt < this.world.reportMs;
+    if (groups === null || !isFresh) return;
+    for (const [task, machine] of groups.members.keptTasks) {
+      const { job, index } = parseTaskName(task)!;
+      const stored = this.seen.get(job);
+      const isKept = stored?.record.state === 'reserved' || stored?.record.state === 'admitted';
+      if (isKept && stored.record.members[index]?.machine === machine) continue;
+      if (now - (stored?.at ?? 0) < this.world.reportMs * READ_INTERVALS) continue;
+      if (claimTable.slots.get(job)?.get(index)?.job.cancelled === true) continue;
+      this.world.breach('kept_in_vain', `partition ${part} keeps ${machine} for ${task}`);
+    }
+  }
+
+  /** Once all troubles are over, a group is not on its way for ever. */
+  #checkStuck(quietAt: number): void {
+    const { world } = this;
+    const bound = world.groupBoundMs + world.cancelMs * ON_THE_WAY_CANCELS;
+    for (const [job, { record, at, version }] of this.seen) {
+      if (!world.state.data.has(KEYS.group(job))) {
+        this.seen.delete(job);
+        continue;
+      }
+      if (record.state === 'waiting' || record.state === 'serving') continue;
+      const key = `${job} ${version}`;
+      if (world.sim.now - Math.max(at, quietAt) < bound || this.#reported.has(key)) continue;
+      this.#reported.add(key);
+      world.breach('group_stuck', `${job} is ${record.state} since ${Math.round(at)}: ${record.reason}`);
+    }
+  }
+
+  /** Whether all members of the group run, as its record says. */
+  serves(job: string): boolean {
+    const record = this.seen.get(job)?.record;
+    if (record?.state !== 'serving') return false;
+    return record.members.every((_, rank) => this.world.runningTasks().has(taskName(job, rank)));
+  }
+}
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -9,6 +9,8 @@
 export * from './ownership-audit';
 export * from './borrowing-audit';
 export * from './borrowing-faults';
+export * from './group-audit';
+export * from './group-faults';
 export * from './loopback';
 export * from './world';
 export * from './faults';
--- a/packages/testkit/src/rules.ts
+++ b/packages/testkit/src/rules.ts
@@ -18,6 +18,14 @@
  * replica_reclaimed: a replica is stopped for a service of lower priority, or a task for one that is no more urgent and of its own team.
  * endless_reclaim:  once all troubles are over, a reclaim stands for ever.
  * overcommitted:    the tasks on a machine use more than it has.
+ * Those of replica groups; see `GroupAudit`:
+ * group_moved:      a record follows another one that it can't follow.
+ * member_unheld:    a group is admitted, or a member starts, while the room of one is not kept.
+ * member_restarted: a member is started twice in a generation.
+ * two_generations:  members of two generations of a group are on machines at once.
+ * withdrawn_runs:   a member of a group that waits or is only reserved is on a machine.
+ * kept_in_vain:     an owner keeps room for a member without a record that says so.
+ * group_stuck:      once all troubles are over, a group is on its way from one state to the next for ever.
  * The statements on which ran_twice and wrong_place rest; see `OwnershipAudit`:
  * deposed_owner:    a worker is answered by a controller whose own copy of the records shows another owner.
  * free_but_running: a task that may be started, or assigned anew, runs.
@@ -51,7 +59,14 @@
   | 'overcommitted'
   | 'condemned_healthy'
   | 'retried_often'
-  | 'forgotten_machine';
+  | 'forgotten_machine'
+  | 'group_moved'
+  | 'member_unheld'
+  | 'member_restarted'
+  | 'two_generations'
+  | 'withdrawn_runs'
+  | 'kept_in_vain'
+  | 'group_stuck';
 
 export interface Breach {
   readonly rule: Rule;
--- a/packages/testkit/src/worker.ts
+++ b/packages/testkit/src/worker.ts
@@ -50,7 +50,7 @@
   /** A task that had run for so long was stopped, with what it did saved or lost. */
   stoppedTask(task: string, runMs: number, isSaved: boolean): void;
   /** A start command that was not known yet has come. */
-  onCommanded(task: string): void;
+  onCommanded(task: string, attempt: number, machine: string): void;
 }
 
 /** A stand-in of one worker, by the protocol's page. */
@@ -235,7 +235,7 @@
     switch (c.op) {
       case 'start':
         if (known === undefined) {
-          this.world.onCommanded(c.task);
+          this.world.onCommanded(c.task, c.attempt, this.name);
           this.#start(c.task, c.attempt);
         }
         return;
--- a/packages/testkit/src/world.ts
+++ b/packages/testkit/src/world.ts
@@ -4,6 +4,7 @@
   Controller,
   type ControllerLimits,
   type ControllerPorts,
+  featuresOf,
   type Log,
   type Reply,
   settingsOf,
@@ -12,10 +13,18 @@
 import { type Amounts, NOTHING } from '@gingerlock/core';
 import { decodePeer, encodePeer, MAX_FRAME_BYTES, type PeerLink, type PeerMessage } from '@gingerlock/peer';
 import { decodeReport, type JobSpec, holdRecord, KEYS, LEAD, type MachineType, parseTaskName } from '@gingerlock/wire';
+import {
+  holdBoundMs,
+  isGroupSpec,
+  longestBackoffMs,
+  type ReplicaGroupSettings,
+  startBoundMs,
+} from '@gingerlock/replica-groups';
 import { BorrowingAudit, RECLAIM_PREFIX } from './borrowing-audit';
 import { SimCloud } from './cloud';
 import type { RentedMachine } from './cloud-records';
 import { type Deployment, ONE_TYPE } from './deployment';
+import { GroupAudit } from './group-audit';
 import { Liveness } from './liveness';
 import { Network } from './network';
 import { OperationsAudit } from './operations-audit';
@@ -128,6 +137,11 @@
   }
 }
 
+/** Null: replica groups are off. */
+function groupSettingsOf(features: unknown): ReplicaGroupSettings | null {
+  return featuresOf((features ?? {}) as Parameters<typeof featuresOf>[0]).replicaGroups;
+}
+
 export class World implements WorkerWorld {
   readonly sim: Sim;
   readonly network: Network;
@@ -158,6 +172,11 @@
   readonly liveness = new Liveness(this);
   readonly ownership = new OwnershipAudit(this);
   readonly borrowing = new BorrowingAudit(this);
+  readonly groups = new GroupAudit(this);
+  /** Null: replica groups are off. */
+  replicaGroups: ReplicaGroupSettings | null;
+  /** What is on of the features, for controllers that start from now on. */
+  #features: unknown;
   /** By task: for how long it had run when it was last saved. */
   readonly savedMs = new Map<string, number>();
   /** Run time of tasks that were stopped, in seconds of GPUs, that was not saved. */
@@ -180,12 +199,15 @@
   #jobCounter = 0;
 
   constructor(readonly options: WorldOptions) {
+    this.#features = options.features;
+    this.replicaGroups = groupSettingsOf(options.features);
     this.deployment = options.deployment ?? ONE_TYPE;
     const { zones, controllerZones, types } = this.deployment;
     this.sim = new Sim(options.seed);
     this.network = new Network(this.sim);
     this.state = new SimStateService(this.sim);
     this.state.onStored = (key) => {
+      if (this.replicaGroups !== null) this.groups.stored(key);
       if (this.options.features !== undefined && key.startsWith(RECLAIM_PREFIX)) this.borrowing.audit(Infinity);
     };
     this.state.onInvalid = (why) => this.breach('refused', why);
@@ -304,7 +326,7 @@
     this.network.thaw(name);
     node.wallOffMs = (this.sim.random() * 2 - 1) * this.deployment.skewMs;
     const ports: ControllerPorts = {
-      settings: settingsOf(this.settings(name), this.options.operators ?? {}, this.options.features),
+      settings: settingsOf(this.settings(name), this.options.operators ?? {}, this.#features),
       clock: this.sim.clock(
         node.drift,
         () => node.wallOffMs,
@@ -455,7 +477,8 @@
   }
 
   /** A start command has come to a worker. */
-  onCommanded(task: string): void {
+  onCommanded(task: string, attempt: number, machine: string): void {
+    this.groups.started(task, attempt, machine);
     const { cancelledAt } = this.users.told.get(parseTaskName(task)?.job ?? '') ?? { cancelledAt: null };
     if (cancelledAt === null) return;
     this.came('started though cancelled');
@@ -470,6 +493,7 @@
     this.liveness.audit(this.quietAt);
     this.operations.audit(this.quietAt);
     if (this.options.features !== undefined) this.borrowing.audit(this.quietAt);
+    if (this.replicaGroups !== null) this.groups.audit(this.quietAt);
   }
 
   // --- users -------------------------------------------------------------------------------------------------------
@@ -530,6 +554,39 @@
     return this.#done.get(id)?.size ?? 0;
   }
 
+  /** Controllers that start from now on have other features. */
+  switchFeatures(features: unknown): void {
+    this.#features = features;
+    this.replicaGroups = groupSettingsOf(features);
+  }
+
+  /** Whether the tasks of the job are the members of a replica group. */
+  isGroup(job: string): boolean {
+    const spec = this.job(job);
+    return spec !== undefined && isGroupSpec(this.replicaGroups, spec);
+  }
+
+  /** How long a group may be on its way from one state to the next, with its longest pause. */
+  get groupBoundMs(): number {
+    const settings = this.replicaGroups;
+    if (settings === null) return 0;
+    const { types } = this.deployment;
+    const facts = settingsOf(this.settings(this.nodes[0]!.name), {}).facts;
+    const largest = { ...this.#largestImage(), kind: 'service' as const };
+    const starts = startBoundMs(settings, facts, largest, new Map(types.map((type) => [type.name, type])));
+    return starts + holdBoundMs(settings, facts, this.longestSaveMs / 1000) + longestBackoffMs(settings, facts);
+  }
+
+  #largestImage(): JobSpec {
+    const specs = [...this.users.told.values()].map(({ spec }) => spec);
+    return specs.reduce((a, b) => (a.imageGb > b.imageGb ? a : b));
+  }
+
+  /** How many tasks of the job are on machines. */
+  tasksOn(job: string): number {
+    return this.#onByJob.get(job)?.size ?? 0;
+  }
+
   runningTasks(): ReadonlyMap<string, string> {
     return this.#on;
   }
--- /dev/null
+++ b/packages/testkit/test/replica-groups.test.ts
@@ -0,0 +1,232 @@
+// Replica groups on days on which machines and several controllers fail: what must never happen is audited at every step (`GroupAudit`),
+// and once the troubles are over every group serves again within a bound that follows from the settings (docs/replica-groups-design.md).
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { type Fault, GROUP_CLASS, playDay, World, type WorldOptions } from '../src/index';
+import { groupCombination, groupsOfDay } from './group-day-generator';
+
+/** Services of the class of their own, or all services of a day, are replica groups. */
+const FEATURES = { replica_groups: { enabled: true, classes: [GROUP_CLASS], backoff_reports: 1 } };
+const ALL_SERVICES = { replica_groups: { enabled: true, classes: [GROUP_CLASS, 'service'], backoff_reports: 1 } };
+
+const RUNS = Number(process.env.GINGERLOCK_RUNS ?? 6);
+const SEED = Number(process.env.GINGERLOCK_SEED ?? 391);
+
+type TimedFault = { readonly at: number; readonly fault: Fault };
+
+const groups = (over: Partial<Fault & { kind: 'groups' }> = {}): Fault => ({
+  kind: 'groups',
+  count: 3,
+  members: 3,
+  gpus: 2,
+  everyMs: 1500,
+  place: 'any',
+  ...over,
+});
+
+/** Few ordinary jobs come beside the groups, unless a day is about them. */
+const FEW = 0.3;
+
+async function play(options: Partial<WorldOptions>, faults: readonly TimedFault[], forMs = 120_000): Promise<World> {
+  const seed = options.seed ?? 1;
+  const usual = { controllers: 3, machines: 6, capacity: 8, gpusMax: 40, load: FEW, features: FEATURES };
+  const world = new World({ seed, ...usual, ...options });
+  await playDay(world, { seed, forMs, faults });
+  return world;
+}
+
+/** The groups of the day that are wanted and do not serve. */
+function unserved(world: World): string[] {
+  return world.users
+    .open()
+    .filter(
+      (told) => world.isGroup(told.spec.id) && !world.users.isUnwanted(told) && !world.groups.serves(told.spec.id),
+    )
+    .map(({ spec }) => `${spec.id} ${world.groups.seen.get(spec.id)?.record.state ?? 'not placed'}`);
+}
+
+/** All that was accepted, but for groups, is over, and all groups serve that are wanted. */
+function checkEnd(world: World): void {
+  assert.deepEqual(world.breaches, []);
+  assert.deepEqual(unserved(world), []);
+  const open = world.users.open().filter((told) => !world.isGroup(told.spec.id) || world.users.isUnwanted(told));
+  assert.deepEqual(
+    open.map(({ spec }) => spec.id),
+    [],
+  );
+}
+
+test('on a quiet day each group is placed whole, once, and keeps serving', async () => {
+  const world = await play({}, [{ at: 8000, fault: groups() }]);
+  checkEnd(world);
+  assert.equal(world.groups.moves.get('serving'), 3);
+  assert.equal(world.groups.moves.get('ending') ?? 0, 0);
+});
+
+for (const controllers of [3, 5]) {
+  test(`no rule of groups is broken by generated troubles with ${controllers} controllers, and all groups serve again`, async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.integer({ min: 1, max: 1_000_000 }),
+        groupsOfDay,
+        fc.boolean(),
+        fc.array(groupCombination, { minLength: 1, maxLength: 3 }),
+        async (seed, submitted, allServices, combinations) => {
+          const faults = [{ at: 5000, fault: submitted }, ...combinations.flat()];
+          const features = allServices ? ALL_SERVICES : FEATURES;
+          const world = await play({ seed, controllers, capacity: 12, load: 1, features }, faults, 220_000);
+          checkEnd(world);
+        },
+      ),
+      {
+        numRuns: RUNS,
+        seed: SEED,
+        ...(process.env.GINGERLOCK_PATH === undefined ? {} : { path: process.env.GINGERLOCK_PATH }),
+        endOnFailure: true,
+        includeErrorInReport: true,
+      },
+    );
+  });
+}
+
+for (const state of ['reserved', 'admitted', 'serving', 'ending'] as const) {
+  for (const what of ['die', 'hang', 'mute', 'notice'] as const) {
+    test(`machines of members ${what} as groups are ${state}, twice in a row and two at once`, async () => {
+      const trouble = (machines: number, afterMs: number): Fault => ({
+        kind: 'members trouble',
+        state,
+        what,
+        machines,
+        afterMs,
+        share: 1,
+        forMs: 6000,
+      });
+      // Groups come to the state for the first time, and again because of the first trouble.
+      const first: Fault = {
+        kind: 'members trouble',
+        state: 'serving',
+        what: 'die',
+        machines: 1,
+        afterMs: 0,
+        share: 1,
+        forMs: 1000,
+      };
+      const world = await play({ seed: 4 }, [
+        { at: 8000, fault: groups() },
+        { at: 8000, fault: trouble(1, 0) },
+        { at: 40_000, fault: first },
+        { at: 40_000, fault: trouble(2, 150) },
+        { at: 52_000, fault: trouble(2, 0) },
+      ]);
+      checkEnd(world);
+      assert.ok((world.happened.get(`members ${what} while ${state}`) ?? 0) > 0);
+    });
+  }
+}
+
+for (const who of ['leader', 'owners', 'all'] as const) {
+  test(`controllers (${who}) end between any two writes of a group`, async () => {
+    for (const state of ['reserved', 'admitted', 'serving', 'ending', 'waiting'] as const) {
+      const crash = (afterMs: number): Fault => ({
+        kind: 'crash at group',
+        who,
+        state,
+        afterMs,
+        backMs: 2500,
+        forMs: 15_000,
+      });
+      const dies: Fault = {
+        kind: 'members trouble',
+        state: 'serving',
+        what: 'die',
+        machines: 1,
+        afterMs: 500,
+        share: 1,
+        forMs: 8000,
+      };
+      const world = await play({ seed: 6, controllers: 5 }, [
+        { at: 8000, fault: crash(0) },
+        { at: 8000, fault: groups({ count: 2 }) },
+        { at: 40_000, fault: dies },
+        { at: 40_000, fault: crash(70) },
+      ]);
+      checkEnd(world);
+      assert.ok((world.happened.get(`crash while ${state}`) ?? 0) > 0, state);
+    }
+  });
+}
+
+test('a group that is cancelled in any state leaves nothing running or kept', async () => {
+  for (const state of ['reserved', 'admitted', 'serving', 'ending'] as const) {
+    const world = await play({ seed: 8 }, [
+      { at: 8000, fault: { kind: 'groups cancelled', state, share: 1, forMs: 80_000 } },
+      { at: 8000, fault: groups({ count: 4 }) },
+      {
+        at: 40_000,
+        fault: {
+          kind: 'members trouble',
+          state: 'serving',
+          what: 'die',
+          machines: 1,
+          afterMs: 0,
+          share: 1,
+          forMs: 1000,
+        },
+      },
+    ]);
+    checkEnd(world);
+    assert.ok((world.happened.get(`cancelled while ${state}`) ?? 0) > 0, state);
+    assert.deepEqual(
+      [...world.state.data.keys()].filter((key) => key.startsWith('g/g/')),
+      [],
+      state,
+    );
+  }
+});
+
+test('with no room at all a group keeps nothing, and is up once there is room', async () => {
+  const world = new World({ seed: 9, machines: 1, capacity: 0, gpusMax: 40, features: FEATURES, load: 0.01 });
+  const faults = [{ at: 3000, fault: groups({ count: 1, members: 4 }) }];
+  world.sim.after(60_000, () => {
+    assert.equal(world.groups.moves.get('reserved') ?? 0, 0, 'nothing was reserved');
+    assert.equal(world.runningTasks().size, 0);
+    world.cloud.capacity = 6;
+  });
+  await playDay(world, { seed: 9, forMs: 120_000, faults });
+  checkEnd(world);
+  assert.equal(world.groups.moves.get('serving'), 1);
+});
+
+test('two groups and ordinary jobs contend for the last machines, and none is left half placed', async () => {
+  const world = await play({ seed: 12, machines: 4, capacity: 2, gpusMax: 16, load: 2 }, [
+    { at: 4000, fault: groups({ count: 2, members: 4, everyMs: 10 }) },
+    {
+      at: 30_000,
+      fault: { kind: 'members trouble', state: 'serving', what: 'die', machines: 1, afterMs: 0, share: 1, forMs: 2000 },
+    },
+  ]);
+  checkEnd(world);
+});
+
+test('a team exactly at its limit places a whole group and not one member more', async () => {
+  const world = await play({ seed: 13, gpusMax: 6, load: 0.01 }, [
+    { at: 4000, fault: groups({ count: 2, members: 3, everyMs: 10 }) },
+  ]);
+  assert.deepEqual(world.breaches, []);
+  assert.equal(world.peakGpus, 6);
+  // Each of the two teams has room for one group.
+  const perTeam = new Map<string, number>();
+  for (const { spec } of world.users.open())
+    if (world.groups.serves(spec.id)) perTeam.set(spec.team, (perTeam.get(spec.team) ?? 0) + 1);
+  for (const [team, count] of perTeam) assert.equal(count, 1, team);
+});
+
+test('groups on spot machines are taken back whole and come up again', async () => {
+  const world = await play({ seed: 14 }, [
+    { at: 4000, fault: groups({ place: 'spot' }) },
+    { at: 40_000, fault: { kind: 'spot wave', share: 1, noticeMs: 3000 } },
+  ]);
+  checkEnd(world);
+  assert.ok((world.groups.moves.get('ending') ?? 0) > 0);
+});
--- a/packages/wire/test/formats.test.ts
+++ b/packages/wire/test/formats.test.ts
@@ -247,3 +247,62 @@
     params,
   );
 });
+
+const group: fc.Arbitrary<wire.GroupRecord> = fc.record(
+  {
+    generation: count,
+    state: fc.constantFrom(...wire.GROUP_STATES),
+    since: fc.double({ min: 0, max: 1e13, noNaN: true }),
+    reason: fc.constantFrom(...wire.GROUP_REASONS),
+    failures: fc.integer({ min: 0, max: 100 }),
+    leasesUntil: fc.double({ min: 0, max: 1e13, noNaN: true }),
+    avoid: fc.option(word),
+    members: fc.array(
+      fc.record({ part: fc.integer({ min: 0, max: 6 }), machine: word, attempt: fc.option(count) }, plain),
+      { maxLength: 5 },
+    ),
+  },
+  plain,
+);
+
+test('the record of a replica group survives its round trip, and no other value is taken for one', () => {
+  fc.assert(
+    fc.property(group, (record) => {
+      const stored = wire.decode(wire.encode(wire.groupRecord.write(record)));
+      assert.deepEqual(wire.groupRecord.read(stored), record);
+    }),
+    params,
+  );
+  fc.assert(
+    fc.property(fc.anything(), (value) => {
+      try {
+        wire.groupRecord.read(value);
+      } catch (error) {
+        assert.ok(error instanceof wire.Malformed);
+      }
+    }),
+    params,
+  );
+  assert.deepEqual(wire.parseKey(wire.KEYS.group('j-000007')), { kind: 'group', job: 'j-000007' });
+});
+
+test('as many members as are allowed fit into a value', () => {
+  for (const kb of [2, 8, 16]) {
+    const most = wire.mostMembers(kb * 1024);
+    const member = { part: 999, machine: 'm'.repeat(64), attempt: 2 ** 48 };
+    const record: wire.GroupRecord = {
+      generation: 2 ** 31,
+      state: 'serving',
+      since: 1_790_000_000_000.123,
+      reason: 'members did not start in time',
+      failures: 1000,
+      leasesUntil: 1_790_000_000_000.123,
+      avoid: member.machine,
+      members: Array.from({ length: most }, () => member),
+    };
+    const text = JSON.stringify(wire.groupRecord.write(record), (_key, value: unknown) =>
+      typeof value === 'bigint' ? Number(value) : value,
+    );
+    assert.ok(text.length <= kb * 1024, `${text.length}`);
+  }
+});
