--- a/packages/daemon/src/features.ts
+++ b/packages/daemon/src/features.ts
@@ -65,10 +65,10 @@
 }
 
 /** What is wrong with the classes that are declared as replica groups, as path and reason; null: nothing. `known`: null: not listed. */
-export function unfitClasses(classes: readonly string[] | undefined, known: ReadonlySet<string> | null): string | null {
-  for (const [i, name] of (classes ?? []).entries()) {
+export function unfitClasses(classes: readonly string[], known: ReadonlySet<string> | null): string | null {
+  for (const [i, name] of classes.entries()) {
     const path = `replica_groups.classes.${i}`;
-    if (classes!.indexOf(name) !== i) return `${path}: ${name} stands twice`;
+    if (classes.indexOf(name) !== i) return `${path}: ${name} stands twice`;
     if (known !== null && !known.has(name)) return `${path}: the platform's settings have no class ${name}`;
   }
   return null;
--- a/packages/replica-groups/test/next-record.test.ts
+++ b/packages/replica-groups/test/next-record.test.ts
@@ -169,7 +169,7 @@
   const step = fc.record({ told, assigned: fc.boolean(), waitMs: fc.integer({ min: 0, max: 40_000 }) });
   fc.assert(
     fc.property(fc.array(step, { maxLength: 30 }), (steps) => {
-      let record: GroupRecord | null = null;
+      let record = null as GroupRecord | null;
       let wall = 1000;
       for (const { told: reports, assigned, waitMs } of steps) {
         wall += waitMs;
