--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -92,6 +92,20 @@
     return this.#refused.get(placeOf(type.name, zone, spot));
   }
 
+  /** Whether the cloud had no more lately of any type and kind that the job may run on in the zone. */
+  isFullFor(spec: JobSpec, zone: string, types: ReadonlyMap<string, MachineType>, now: number): boolean {
+    const options = [...types.values()]
+      .filter((type) => isRentable(type) && type.zones.includes(zone) && fits(spec, type))
+      .flatMap((type) => [false, true].map((spot) => ({ type, zone, spot })))
+      .filter(({ type, spot }) => typeAllows(spec, type.name, zone, spot));
+    return options.every((option) => this.#wasRefused(option, now));
+  }
+
+  #wasRefused(option: RentalOption, now: number): boolean {
+    const refusal = this.#refusalOf(option);
+    return refusal !== undefined && now - refusal.until < this.facts.reportMs * REFUSAL_INTERVALS;
+  }
+
   returned(names: readonly string[], now: number): void {
     this.#inventory.returned(names, now);
     for (const name of names) this.#draining.delete(name);
@@ -250,10 +264,7 @@
       maxOrdinaryMachines: this.limits.maxOrdinaryMachines,
       maxSpotMachines: this.limits.maxSpotMachines,
       isOpen: (option) => !isSilent(option.zone) && (this.#refusalOf(option)?.until ?? 0) <= now,
-      wasRefused: (option) => {
-        const refusal = this.#refusalOf(option);
-        return refusal !== undefined && now - refusal.until < this.facts.reportMs * REFUSAL_INTERVALS;
-      },
+      wasRefused: (option) => this.#wasRefused(option, now),
       isSilent,
       onlySpot: (spec) => this.#waitsForSpot(spec),
     });
--- a/packages/daemon/src/controller.ts
+++ b/packages/daemon/src/controller.ts
@@ -26,6 +26,7 @@
 import { PeerChannel } from './peer-channel';
 import { PeerConfirmation } from './peer-confirmation';
 import { PeerHealth } from './peer-health';
+import { Rendezvous } from './rendezvous';
 import { refusal, type Reply } from './reply';
 import { ReportRelay } from './report-relay';
 import type { Settings } from './settings';
@@ -58,6 +59,7 @@
   readonly #http: Http;
   readonly #budget: Budget;
   readonly #users: Users;
+  readonly #rendezvous: Rendezvous | null;
   readonly #owners = new Map<number, PartOwner>();
   readonly #ownership: OwnershipManager;
   readonly #peers: PeerChannel;
@@ -143,6 +145,7 @@
       this.#groupReports,
     );
     this.#users = new Users(this.shared, (id) => this.#summaries.runningTasks(id));
+    this.#rendezvous = features.replicaGroups === null ? null : new Rendezvous(this.shared, features.replicaGroups);
     this.#budgetSharing = new BudgetSharing(this.#budget, this.#peers, ports.clock, facts.reportMs);
     this.#confirmation = new PeerConfirmation(this.state, this.replica, this.#peers, facts.reportMs);
     this.#formerOwners = new FormerOwnerQueries(this.#owners, this.#peers, facts.reportMs);
@@ -470,4 +473,9 @@
   cancel(id: string): Promise<Reply> {
     return this.#users.cancel(id);
   }
+
+  /** Null: replica groups are off, and there is no such request. */
+  get rendezvous(): Rendezvous | null {
+    return this.#rendezvous;
+  }
 }
--- a/packages/daemon/src/fleet-manager.ts
+++ b/packages/daemon/src/fleet-manager.ts
@@ -74,6 +74,11 @@
     return this.#fleet.rentMs(job, this.shared.store.types);
   }
 
+  /** Whether the cloud had no room lately for the job in the zone. */
+  isFullFor(job: JobSpec, zone: string): boolean {
+    return this.#fleet.isFullFor(job, zone, this.#offers.current, this.shared.clock.now());
+  }
+
   #isLeading(): boolean {
     return this.tenure.isCurrent && !this.#stopped;
   }
--- a/packages/daemon/src/leader-groups.ts
+++ b/packages/daemon/src/leader-groups.ts
@@ -19,7 +19,7 @@
   type ReplicaGroupSettings,
   reserve,
 } from '@gingerlock/replica-groups';
-import { type GroupRecord, groupRecord, KEYS } from '@gingerlock/wire';
+import { type GroupRecord, groupRecord, type JobSpec, KEYS } from '@gingerlock/wire';
 import type { GroupReports } from './group-reports';
 import { type JobBatch, recordWith } from './job-batch';
 import type { Shared } from './shared';
@@ -33,9 +33,26 @@
   readonly message: string;
 }
 
+/** What the placement of groups asks of the fleet. */
+export interface FleetOfGroups {
+  /** Machines that are to get no more work, whether their owners know it yet or not. */
+  draining(): readonly string[];
+  /** Whether the cloud had no room lately for the job in the zone. */
+  isFullFor(job: JobSpec, zone: string): boolean;
+}
+
+const NO_FLEET: FleetOfGroups = { draining: () => [], isFullFor: () => false };
+
 export class LeaderGroups implements GroupPlanner {
+  fleet: FleetOfGroups = NO_FLEET;
+  /** By job that is to be in one zone: where room is asked for, until it is placed or the zone is full. */
+  readonly #wantedZones = new Map<string, string>();
+  /** Machines of reservations that are on their way into the state service. */
+  #inFlight: readonly string[] = [];
   /** By job: since when it could have been placed, and when the log said last that it can't. */
   #waiting = new Map<string, { readonly since: number; toldAt: number }>();
+  /** By job: the record that was seen last, and since when. */
+  readonly #known = new Map<string, { readonly version: number; readonly since: number }>();
   #lines: PendingLine[] = [];
   #partialRoom: ReadonlySet<string> = new Set();
 
@@ -52,7 +69,28 @@
   }
 
   choose(job: Job, candidates: readonly GroupCandidate[]): GroupChoice {
-    return chooseMachines(job, candidates, this.shared.facts.zones, this.#stored(job)?.record.avoid ?? null);
+    const draining = new Set(this.fleet.draining());
+    const open = candidates.filter(({ machine }) => !draining.has(machine));
+    const chooseIn = (zones: readonly string[]): GroupChoice =>
+      chooseMachines(job, open, zones, this.#stored(job)?.record.avoid ?? null);
+    const choice = chooseIn(this.shared.facts.zones);
+    if (choice.missing > 0 && job.spec.oneZone) return chooseIn([this.#wantedZone(job, chooseIn)]);
+    this.#wantedZones.delete(job.id);
+    return choice;
+  }
+
+  /** The one zone in which room is asked for: another one only once the cloud has none there, or machines would be rented in each by turns. */
+  #wantedZone(job: Job, chooseIn: (zones: readonly string[]) => GroupChoice): string {
+    const { zone: asked } = job.spec;
+    const known = this.#wantedZones.get(job.id);
+    if (asked !== null) return asked;
+    if (known !== undefined && !this.fleet.isFullFor(job.spec, known)) return known;
+    const { zones } = this.shared.facts;
+    const withRoom = zones.filter((zone) => !this.fleet.isFullFor(job.spec, zone));
+    const among = withRoom.length > 0 ? withRoom : zones;
+    const best = among.reduce((a, b) => (chooseIn([b]).missing < chooseIn([a]).missing ? b : a));
+    this.#wantedZones.set(job.id, best);
+    return best;
   }
 
   holdsPartialRoom(job: Job): boolean {
@@ -72,6 +110,7 @@
       facts,
       types: store.types,
       wall: clock.wall(),
+      storedForMs: stored === null ? 0 : clock.now() - this.#knownSince(job.id, stored.version),
       longestSaveS: this.#longestSaveS(),
       reportOf: (part) => {
         const term = store.owners.get(String(part))?.record.term ?? 0;
@@ -80,6 +119,15 @@
     };
   }
 
+  /** Since when this process has known the record. A new leader counts anew. */
+  #knownSince(job: string, version: number): number {
+    const known = this.#known.get(job);
+    if (known?.version === version) return known.since;
+    const since = this.shared.clock.now();
+    this.#known.set(job, { version, since });
+    return since;
+  }
+
   /** The longest that any task may take to save. */
   #longestSaveS(): number {
     let longest = 0;
@@ -92,7 +140,7 @@
    * more: they are not emptied, nor given back while idle.
    */
   pinnedMachines(): Set<string> {
-    const pinned = new Set(this.#partialRoom);
+    const pinned = new Set([...this.#partialRoom, ...this.#inFlight]);
     for (const { record } of this.shared.store.groups.values()) {
       for (const { machine } of record.members) if (machine !== record.avoid) pinned.add(machine);
     }
@@ -117,6 +165,7 @@
   /** Begins a transaction: what the one before would have told of is told or dropped. */
   begin(): void {
     this.#lines = [];
+    this.#inFlight = [];
   }
 
   /** The transaction was carried out. */
@@ -133,6 +182,7 @@
     }
     for (const [id, { version }] of store.groups) {
       if (store.jobs.live.get(id)?.isGroup === true) continue;
+      this.#known.delete(id);
       if (!batch.removeIf(KEYS.group(id), version)) return;
     }
   }
@@ -165,6 +215,7 @@
       if (batch.jobs.has(placement.job.id) || !this.#addReservation(batch, placement)) continue;
       for (const { part, machine } of placement.members) meant.push({ part, machine, need: placement.job.spec });
     }
+    this.#inFlight = meant.map(({ machine }) => machine);
     return meant;
   }
 
--- a/packages/daemon/src/leader.ts
+++ b/packages/daemon/src/leader.ts
@@ -68,6 +68,15 @@
       unmet: () => this.#unmet,
       pinned: () => groups?.pinnedMachines() ?? NOTHING_PINNED,
     });
+    this.#joinGroups();
+  }
+
+  #joinGroups(): void {
+    if (this.groups === null) return;
+    this.groups.fleet = {
+      draining: () => this.orders().drain,
+      isFullFor: (job, zone) => this.#fleet.isFullFor(job, zone),
+    };
   }
 
   stop(): void {
--- a/packages/daemon/src/server.ts
+++ b/packages/daemon/src/server.ts
@@ -1,5 +1,5 @@
 import { fastify, type FastifyInstance, type FastifyReply } from 'fastify';
-import { MAX_BODY_BYTES } from '@gingerlock/wire';
+import { MAX_BODY_BYTES, RENDEZVOUS_PATH } from '@gingerlock/wire';
 import type { Controller } from './controller';
 import type { Log } from './log';
 import type { Reply } from './reply';
@@ -53,5 +53,8 @@
   app.post('/submissions/:id/cancel', async (request, reply) =>
     send(reply, await controller.cancel(id(request.params))),
   );
+  const { rendezvous } = controller;
+  if (rendezvous !== null)
+    app.post(RENDEZVOUS_PATH, async (request, reply) => send(reply, await rendezvous.ask(body(request.body))));
   return app;
 }
--- a/packages/replica-groups/src/next-record.ts
+++ b/packages/replica-groups/src/next-record.ts
@@ -26,6 +26,8 @@
   readonly types: ReadonlyMap<string, MachineType>;
   /** Time of day, in milliseconds. */
   readonly wall: number;
+  /** For how long this process has known the stored record; steady milliseconds. */
+  readonly storedForMs: number;
   /** The longest that a task which was stopped for members may take to save, in seconds. */
   readonly longestSaveS: number;
   /** What the owner of the partition tells of the group, having read its stored record; null: nothing yet. */
@@ -39,7 +41,7 @@
   since: 0,
   reason: 'all members are gone',
   failures: 0,
-  leasesUntil: 0,
+  hasServed: false,
   avoid: null,
   members: [],
 };
@@ -64,7 +66,7 @@
     generation: record.generation + 1,
     since: wall,
     reason: 'room was found',
-    leasesUntil: 0,
+    hasServed: false,
     avoid: null,
     members,
   });
@@ -85,9 +87,12 @@
   }
 }
 
-function afterEnding(job: Job, record: GroupRecord, { wall }: GroupContext): GroupRecord | null {
-  if (assignedUnfinished(job) > 0 || wall < record.leasesUntil) return null;
-  return moveTo(record, 'waiting', { since: wall, leasesUntil: 0, members: [] });
+/** A controller that answered a member as the end was being written may have given it a lease until then, and not later. */
+function afterEnding(job: Job, record: GroupRecord, context: GroupContext): GroupRecord | null {
+  const { settings, facts, wall, storedForMs } = context;
+  if (assignedUnfinished(job) > 0) return null;
+  if (record.hasServed && storedForMs < serveLeaseBoundMs(settings, facts)) return null;
+  return moveTo(record, 'waiting', { since: wall, hasServed: false, members: [] });
 }
 
 function whileAssigned(job: Job, record: GroupRecord, context: GroupContext): GroupRecord | null {
@@ -139,7 +144,7 @@
 }
 
 function end(record: GroupRecord, reason: GroupReason, machine: string | null, context: GroupContext): GroupRecord {
-  const { settings, facts, wall } = context;
+  const { facts, wall } = context;
   const hasServed = record.state === 'serving';
   const isStable = hasServed && wall - record.since >= stableMs(facts);
   return moveTo(record, 'ending', {
@@ -147,6 +152,6 @@
     reason,
     avoid: machine,
     failures: isStable ? 0 : record.failures + 1,
-    leasesUntil: hasServed ? wall + serveLeaseBoundMs(settings, facts) : 0,
+    hasServed,
   });
 }
--- a/packages/replica-groups/src/settings.ts
+++ b/packages/replica-groups/src/settings.ts
@@ -1,5 +1,5 @@
 // What operators set for replica groups, and the times that follow from the platform's settings. All times in milliseconds.
-import { bootMsOf, DRIFT, type Facts, hashOf } from '@gingerlock/core';
+import { bootMsOf, DRIFT, type Facts, hashOf, marginMs } from '@gingerlock/core';
 import type { JobSpec, MachineType } from '@gingerlock/wire';
 
 export interface ReplicaGroupSettings {
@@ -69,9 +69,9 @@
   return facts.leaseMs * settings.serveLeaseShare;
 }
 
-/** Members that asked before a moment have surely stopped serving so long after it, by another controller's time of day. */
+/** Members that asked before a moment have surely stopped serving so long after it, by the steady clock of another machine. */
 export function serveLeaseBoundMs(settings: ReplicaGroupSettings, facts: Facts): number {
-  return serveLeaseMs(settings, facts) * (1 + DRIFT) + 2 * facts.skewMs;
+  return serveLeaseMs(settings, facts) * (1 + DRIFT) + marginMs(facts);
 }
 
 export function stableMs(facts: Facts): number {
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -12,6 +12,8 @@
 export * from './group-audit';
 export * from './group-faults';
 export * from './loopback';
+export * from './loopback-groups';
+export * from './member-process';
 export * from './world';
 export * from './faults';
 export * from './deployment';
--- /dev/null
+++ b/packages/testkit/src/member-process.ts
@@ -0,0 +1,151 @@
+// A stand-in of a member of a replica group, as a process of its own: it loads, meets the others at the controllers, answers, and dies. Rank 0,
+// the head, answers clients; the others answer the head.
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import { nodeHttp } from '@gingerlock/clients';
+import {
+  decodeRendezvousAnswer,
+  encodeRendezvousQuestion,
+  RENDEZVOUS_PATH,
+  type RendezvousAnswer,
+} from '@gingerlock/wire';
+
+export interface MemberOptions {
+  readonly task: string;
+  readonly attempt: number;
+  /** Where it listens. All members of a group listen at the same port, each on its own machine's address. */
+  readonly host: string;
+  readonly port: number;
+  /** Addresses of the controllers. */
+  readonly controllers: readonly string[];
+  readonly loadMs: number;
+  /** Whether it stops serving when its lease has run out. */
+  readonly keepsLease: boolean;
+  /** Whether it takes part only under its own generation, and as the head answers only with parts of its own. */
+  readonly checksGeneration: boolean;
+}
+
+/** What one member adds to an answer. */
+export interface AnswerPart {
+  readonly rank: number;
+  readonly generation: number;
+  readonly attempt: number;
+}
+
+/** An answer of the head. */
+export interface GroupAnswer {
+  readonly generation: number;
+  readonly worldSize: number;
+  readonly parts: readonly AnswerPart[];
+}
+
+/** Paths at a member: of clients, and of the head. */
+export const ASK_PATH = '/ask';
+export const PART_PATH = '/part';
+
+/** A member asks again after this share of the time that it may serve. */
+const RENEW_SHARE = 0.3;
+
+/** While it may not serve, it asks so often. */
+const RETRY_MS = 100;
+
+const REQUEST_MS = 1000;
+
+/** Why a request is not answered, as a status. */
+const NOT_SERVING = 503;
+const OTHER_GENERATION = 409;
+const NOT_THE_HEAD = 421;
+
+class Member {
+  #group: RendezvousAnswer | null = null;
+  #servesUntil = -Infinity;
+  #asked = 0;
+  readonly #http = nodeHttp();
+
+  constructor(readonly options: MemberOptions) {}
+
+  async run(): Promise<void> {
+    await pause(this.options.loadMs);
+    createServer((request, response) => {
+      this.#handle(request, response).catch(() => answer(response, NOT_SERVING, null));
+    }).listen(this.options.port, this.options.host);
+    for (;;) {
+      await this.#meet();
+      await pause(this.#serves() ? this.#group!.serveMs * RENEW_SHARE : RETRY_MS);
+    }
+  }
+
+  /** The lease counts from the sending of the question: an answer that comes late gives so much less. */
+  async #meet(): Promise<void> {
+    const { task, attempt, controllers } = this.options;
+    const sentAt = performance.now();
+    const controller = controllers[this.#asked++ % controllers.length]!;
+    try {
+      const question = encodeRendezvousQuestion({ task, attempt });
+      const { status, body } = await this.#http(controller, 'POST', RENDEZVOUS_PATH, question, REQUEST_MS);
+      if (status === 200) {
+        this.#group = decodeRendezvousAnswer(body);
+        this.#servesUntil = Math.max(this.#servesUntil, sentAt + this.#group.serveMs);
+      } else if (status === OTHER_GENERATION) {
+        this.#servesUntil = -Infinity;
+      }
+    } catch {
+      // Another controller is asked; until one answers, the lease runs.
+    }
+  }
+
+  #serves(): boolean {
+    return this.#group !== null && (performance.now() < this.#servesUntil || !this.options.keepsLease);
+  }
+
+  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://member');
+    if (!this.#serves()) return answer(response, NOT_SERVING, null);
+    if (url.pathname === PART_PATH) return this.#takePart(Number(url.searchParams.get('generation')), response);
+    if (this.#group!.rank !== 0) return answer(response, NOT_THE_HEAD, null);
+    return this.#answerClient(this.#group!, response);
+  }
+
+  #takePart(generation: number, response: ServerResponse): void {
+    const group = this.#group!;
+    if (this.options.checksGeneration && generation !== group.generation)
+      return answer(response, OTHER_GENERATION, null);
+    answer(response, 200, { rank: group.rank, generation: group.generation, attempt: this.options.attempt });
+  }
+
+  /** Answers only once every member has taken part, and while it may serve itself. */
+  async #answerClient(
+    { generation, worldSize, members, rank }: RendezvousAnswer,
+    response: ServerResponse,
+  ): Promise<void> {
+    const own: AnswerPart = { rank, generation, attempt: this.options.attempt };
+    const others = members.filter((_, other) => other !== rank);
+    const parts = [own, ...(await Promise.all(others.map((host) => this.#partOf(host, generation))))];
+    const isOfOne = parts.every((part) => part.generation === generation);
+    if (this.options.checksGeneration && !isOfOne) return answer(response, OTHER_GENERATION, null);
+    if (!this.#serves()) return answer(response, NOT_SERVING, null);
+    answer(response, 200, { generation, worldSize, parts } satisfies GroupAnswer);
+  }
+
+  async #partOf(host: string, generation: number): Promise<AnswerPart> {
+    const path = `${PART_PATH}?generation=${generation}`;
+    const { status, body } = await this.#http(`${host}:${this.options.port}`, 'GET', path, null, REQUEST_MS);
+    if (status !== 200) throw new Error(`member refuses: ${status}`);
+    return JSON.parse(body.toString()) as AnswerPart;
+  }
+}
+
+function answer(response: ServerResponse, status: number, value: unknown): void {
+  response.writeHead(status, { connection: 'close' }).end(value === null ? '' : JSON.stringify(value));
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+/** Runs a member until it is killed, or until the process that started it is gone. */
+export function runMember(options: MemberOptions): void {
+  process.stdin.on('end', () => process.exit()).resume();
+  void new Member(options).run();
+}
--- a/packages/wire/src/group-record.ts
+++ b/packages/wire/src/group-record.ts
@@ -48,8 +48,8 @@
   readonly reason: GroupReason;
   /** Generations in a row that ended before they had served for long enough. */
   readonly failures: number;
-  /** Time of day (ms) until which members of a generation that has ended may hold a lease to serve; 0: none was given. */
-  readonly leasesUntil: number;
+  /** It served in this generation: members may hold leases to serve. */
+  readonly hasServed: boolean;
   /** The machine for which the last generation ended: the next one is placed elsewhere if it can be. */
   readonly avoid: string | null;
   /** None while the group waits. */
@@ -63,7 +63,7 @@
     at: Type.Number(),
     w: Type.Integer({ minimum: 0, maximum: GROUP_REASONS.length - 1 }),
     f: Type.Integer({ minimum: 0 }),
-    l: Type.Number({ minimum: 0 }),
+    l: Type.Integer({ minimum: 0, maximum: 1 }),
     a: Type.Union([Type.Null(), Type.String()]),
     m: Type.Array(
       Type.Tuple([
@@ -82,7 +82,7 @@
     at: group.since,
     w: GROUP_REASONS.indexOf(group.reason),
     f: group.failures,
-    l: group.leasesUntil,
+    l: group.hasServed ? 1 : 0,
     a: group.avoid,
     m: group.members.map(({ part, machine, attempt }) => [part, machine, attempt === null ? null : integer(attempt)]),
   }),
@@ -95,7 +95,7 @@
       since: g.at,
       reason: GROUP_REASONS[g.w]!,
       failures: g.f,
-      leasesUntil: g.l,
+      hasServed: g.l === 1,
       avoid: g.a,
       members: g.m.map(([part, machine, attempt]) => ({ part, machine, attempt })),
     };
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -6,3 +6,5 @@
 export * from './state';
 export * from './records';
 export * from './group-record';
+export * from './rendezvous';
+export * from './addresses';
