Pieces: one assembly by sender for lists of claims and reports on groups

With borrowing and groups both on, a machine on which nothing is kept is granted to without looking at each task, as with either alone.

--- a/packages/daemon/src/claim-lists.ts
+++ b/packages/daemon/src/claim-lists.ts
@@ -2,7 +2,7 @@
 import type { HeldTask, MachineClaims, PartClaims } from '@gingerlock/borrowing';
 import type { ClaimTable } from '@gingerlock/core';
 import type { PeerMessage, PeerMessages } from '@gingerlock/peer';
-import { FRAME_SHARE, PieceAssembly, splitBySize } from './pieces';
+import { contentsOf, SenderAssemblies } from './pieces';
 
 /** Bytes of the numbers of one task, rounded up. */
 const TASK_BYTES = 32;
@@ -32,8 +32,7 @@
 
 export function claimListMessages(claims: PartClaims, sequence: number, frameBytes: number): PeerMessage[] {
   const { part, term, revision } = claims;
-  const runs = splitBySize(claims.machines, machineBytes, frameBytes * FRAME_SHARE);
-  const contents = runs.length === 0 ? [[]] : runs;
+  const contents = contentsOf(claims.machines, machineBytes, frameBytes);
   return contents.map((run, index) => ({
     kind: 'ClaimList',
     part,
@@ -54,16 +53,12 @@
 /** The newest list of each partition. */
 export class ClaimLists {
   readonly #seen = new Map<number, SeenClaims>();
-  readonly #assemblies = new Map<string, PieceAssembly<PeerMessages['ClaimList']>>();
+  readonly #assemblies = new SenderAssemblies<PeerMessages['ClaimList']>();
 
   /** Takes a piece from another controller. */
   onPiece(from: string, piece: PeerMessages['ClaimList'], now: number): void {
-    const key = `${from} ${piece.part}`;
-    const assembly = this.#assemblies.get(key) ?? new PieceAssembly();
-    this.#assemblies.set(key, assembly);
-    const all = assembly.add(piece);
+    const all = this.#assemblies.add(from, piece);
     if (all === null) return;
-    this.#assemblies.delete(key);
     const { part, term, revision } = piece;
     this.note({ part, term, revision, machines: all.flatMap((p) => p.machines) }, now);
   }
--- a/packages/daemon/src/combined-reservations.ts
+++ b/packages/daemon/src/combined-reservations.ts
@@ -1,11 +1,13 @@
 // Room that is kept for reclaims and for replica groups, as one.
-import { type Amounts, plus, type Reservations } from '@gingerlock/core';
+import { type Amounts, NOTHING, plus, type Reservations } from '@gingerlock/core';
 
 export class CombinedReservations implements Reservations {
   constructor(readonly all: readonly Reservations[]) {}
 
   keptOn(machine: string): Amounts {
-    return this.all.map((reservations) => reservations.keptOn(machine)).reduce((sum, kept) => plus(sum, kept));
+    // Where nothing is kept, granting does not look at tasks one by one.
+    const kept = this.all.map((reservations) => reservations.keptOn(machine)).filter((amounts) => amounts !== NOTHING);
+    return kept.length === 0 ? NOTHING : kept.reduce((sum, amounts) => plus(sum, amounts));
   }
 
   machineFor(task: string): string | null {
--- a/packages/daemon/src/group-reports.ts
+++ b/packages/daemon/src/group-reports.ts
@@ -2,7 +2,7 @@
 import type { GroupReport, PartGroupReport } from '@gingerlock/replica-groups';
 import type { PeerGroupReport, PeerMessage, PeerMessages } from '@gingerlock/peer';
 import { GROUP_REASONS } from '@gingerlock/wire';
-import { FRAME_SHARE, PieceAssembly, splitBySize } from './pieces';
+import { contentsOf, SenderAssemblies } from './pieces';
 
 /** Bytes of the numbers of one member, and of the lengths around one group, rounded up. */
 const MEMBER_BYTES = 24;
@@ -36,8 +36,7 @@
 
 export function groupReportMessages(report: PartGroupReport, sequence: number, frameBytes: number): PeerMessage[] {
   const { part, term, revision } = report;
-  const runs = splitBySize(report.groups, groupBytes, frameBytes * FRAME_SHARE);
-  const contents = runs.length === 0 ? [[]] : runs;
+  const contents = contentsOf(report.groups, groupBytes, frameBytes);
   return contents.map((run, index) => ({
     kind: 'GroupReports',
     part,
@@ -53,16 +52,12 @@
 /** The newest report of each partition. */
 export class GroupReports {
   readonly #seen = new Map<number, PartGroupReport & { readonly byJob: ReadonlyMap<string, GroupReport> }>();
-  readonly #assemblies = new Map<string, PieceAssembly<PeerMessages['GroupReports']>>();
+  readonly #assemblies = new SenderAssemblies<PeerMessages['GroupReports']>();
 
   /** Takes a piece from another controller. */
   onPiece(from: string, piece: PeerMessages['GroupReports']): void {
-    const key = `${from} ${piece.part}`;
-    const assembly = this.#assemblies.get(key) ?? new PieceAssembly();
-    this.#assemblies.set(key, assembly);
-    const all = assembly.add(piece);
+    const all = this.#assemblies.add(from, piece);
     if (all === null) return;
-    this.#assemblies.delete(key);
     const { part, term, revision } = piece;
     this.note({ part, term, revision, groups: all.flatMap(({ groups }) => groups.map(fromPeer)) });
   }
--- a/packages/daemon/src/pieces.ts
+++ b/packages/daemon/src/pieces.ts
@@ -48,3 +48,25 @@
 function isOfSame(a: Piece, b: Piece): boolean {
   return a.term === b.term && a.revision === b.revision && a.sequence === b.sequence && a.pieces === b.pieces;
 }
+
+/** The runs of content that go into one message each: one at the least, so that nothing is told too. */
+export function contentsOf<T>(items: readonly T[], sizeOf: (item: T) => number, frameBytes: number): T[][] {
+  const runs = splitBySize(items, sizeOf, frameBytes * FRAME_SHARE);
+  return runs.length === 0 ? [[]] : runs;
+}
+
+/** What several controllers send in pieces, of several partitions each. */
+export class SenderAssemblies<P extends Piece & { readonly part: number }> {
+  /** By sender and partition: a whole of which not all pieces have come yet. */
+  readonly #assemblies = new Map<string, PieceAssembly<P>>();
+
+  /** Takes a piece; returns all pieces of the whole once they are there. */
+  add(from: string, piece: P): readonly P[] | null {
+    const key = `${from} ${piece.part}`;
+    const assembly = this.#assemblies.get(key) ?? new PieceAssembly<P>();
+    this.#assemblies.set(key, assembly);
+    const all = assembly.add(piece);
+    if (all !== null) this.#assemblies.delete(key);
+    return all;
+  }
+}
