Reverted: idle machines that go back take no spare room along

Cause of the first, as far as it is seen: with more room free at once each owner that has lost what was known of the array starts all of it again; the bound allows for three times. Not mended here. Without the mend another machine is rented for the share of spare room of one that goes back, as before; docs name it.

--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -239,8 +239,7 @@
   #leaving(rooms: ReadonlyMap<string, MachineRoom>): MachineRoom[] {
     return [...rooms.values()].filter(
       (m) =>
-        // Its owner may not have heard yet that it is kept.
-        (this.#draining.has(m.name) || m.draining) &&
+        this.#draining.has(m.name) &&
         machineUse(m) === 'idle' &&
         !m.unhealthy &&
         !m.evictionNotice &&
@@ -292,8 +291,7 @@
     let used = 0;
     for (const m of rooms.values()) {
       const type = input.types.get(m.type);
-      // One that gets no more work tells of no room: taken for full, an idle one had another rented for the spare room that it took along.
-      if (type !== undefined && !m.spot && machineUse(m) !== 'idle') used += type.gpus - roomForServices(m);
+      if (type !== undefined && !m.spot) used += type.gpus - roomForServices(m);
     }
     const missing = input.summaries.reduce((sum, s) => sum + s.missing.gpus, 0);
     return used * this.limits.headroom + missing;
--- a/packages/core/test/fleet.test.ts
+++ b/packages/core/test/fleet.test.ts
@@ -157,23 +157,6 @@
   assert.deepEqual(planWith(600, drained, 1).giveBack, ['m-1']);
 });
 
-// Its room was told as none, so it counted as full: for the share of it that is kept as spare room another machine was rented.
-test('while an idle machine is given back, none is rented in its place', () => {
-  const fleet = new Fleet(facts, 1, { ...limits, headroom: 0.2 });
-  const others = [used('m-2', 3), used('m-3', 3), used('m-4', 4)];
-  fleet.listed(
-    ['m-1', 'm-2', 'm-3', 'm-4'].map((n) => listed(n, 100)),
-    0,
-  );
-  const idle = roomOf('m-1', { empty: true, emptyMs: 60_000 });
-  const leaving = { ...idle, draining: true, takesWork: false, free: NOTHING };
-  const planWith = (now: number, machine: MachineRoom): FleetPlan =>
-    fleet.plan({ now, types, summaries: summaries(1, [machine, ...others]), unmet: [], parts: PARTS });
-  assert.deepEqual(planWith(100, idle).drain, ['m-1']);
-  const next = planWith(200, leaving);
-  assert.deepEqual([next.rent, next.giveBack], [[], ['m-1']]);
-});
-
 test('a machine that never comes up is returned, one that is only late is rented once more', () => {
   const fleet = new Fleet(facts, 1, limits);
   fleet.rented(['m-9'], { request: 'r', type: 'box', zone: 'a', spot: false, count: 1 }, 0);
