Testkit: a machine that was returned leaves the cloud's list and its place is free

Symptom: on loopback a replica group whose machines were returned waited for good; every scale-out was refused for lack of capacity, and the same machines were scaled in again every 28 s. Cause: the cloud stand-in left taking returned machines off its records to the deployment, and the one on loopback did not do it, so that they stayed listed as running and used up the capacity of their zones. Change: the stand-in does it itself, for both kinds of deployment.

--- a/packages/testkit/src/standins/cloud.ts
+++ b/packages/testkit/src/standins/cloud.ts
@@ -123,13 +123,19 @@
       case 'rent':
         return this.#rent(rentRequestOf(decode(body)));
       case 'return':
-        for (const name of returnedNamesOf(decode(body))) this.options.onReturned(name);
+        for (const name of returnedNamesOf(decode(body))) this.#takeBack(name);
         return answer(200, {});
       case 'list':
         return this.#list(request.after, request.limit);
     }
   }
 
+  /** A machine that was returned is not listed any more, and its place is free. */
+  #takeBack(name: string): void {
+    this.options.onReturned(name);
+    this.end(name, 'gone');
+  }
+
   #rent({ request, type: name, zone, spot, count }: RentRequest): HttpResponse {
     const known = this.#requests.get(request);
     if (known !== undefined) return answer(200, rentedMap(known));
