Assignment: a group counts as held back only where GPUs are held back for other teams

Symptom: with fewer GPUs free in all than a replica group needs, the group was offered no machine at all: it asked the cloud for machines for all of its members though some machines stood free, those machines were scaled in as idle, and work of lower priority never made way for it. Cause: the check for GPUs held back for the guarantees of other teams lacked the case that none are. Fewer than zero free GPUs 'would stay', so the group counted as held back and was not searched a place. Change: the group is always searched a place; where GPUs are held back, it asks for what lacks of them instead of for all of its members, and the machines that would fit it are known, so that they are not scaled in meanwhile. Looked for elsewhere: tasks of ordinary jobs (assignment.ts, #isHeldBack) test for it; the planner of reclaims does not ask.

--- a/packages/core/src/scheduling/group-assignment.ts
+++ b/packages/core/src/scheduling/group-assignment.ts
@@ -33,30 +33,38 @@
    * `mayAssign` false the assignment has reached its size: the group is not placed.
    */
   assign(job: Job, team: Team, mayAssign: boolean): UnschedulableDemand | null {
-    const { groups, preempts } = this.input;
+    const { groups } = this.input;
     const used = this.capacity.usedBy(team.name);
     if (groups === null || !groups.mayPlace(job) || countWithinLimit(team, used, job.spec) < job.spec.tasks)
       return null;
-    const isSearched = mayAssign && !this.#isHeldBack(job, team);
-    const shape = groupShapeOf(job);
-    const zonesOfAlike = this.#zonesByUnplacedShape.get(shape);
+    const zonesOfAlike = this.#zonesByUnplacedShape.get(groupShapeOf(job));
     if (zonesOfAlike !== undefined) return { job, count: job.spec.tasks, zones: zonesOfAlike };
-    const free = groups.choose(job, isSearched ? this.#candidates(job, false) : []);
-    const choice = free.missing > 0 && isSearched && preempts ? groups.choose(job, this.#candidates(job, true)) : free;
-    if (choice.missing === 0) {
+    const free = groups.choose(job, mayAssign ? this.#candidates(job, false) : []);
+    const choice = free.missing > 0 && mayAssign ? this.#chooseWithPreemption(job, free, groups) : free;
+    const lackingMembers = this.#membersWithoutGpus(job, team);
+    if (choice.missing === 0 && lackingMembers === 0) {
       this.#place(job, choice);
       return null;
     }
-    if (isSearched) this.#zonesByUnplacedShape.set(shape, free.zones);
     for (const { machine } of free.chosen) this.partlyFittingMachines.add(machine);
-    this.#holdPartialCapacity(job, free, groups);
-    return { job, count: free.missing, zones: free.zones };
+    if (choice.missing === 0) return { job, count: lackingMembers, zones: null };
+    if (mayAssign) this.#zonesByUnplacedShape.set(groupShapeOf(job), free.zones);
+    if (lackingMembers === 0) this.#holdPartialCapacity(job, free, groups);
+    return { job, count: Math.max(free.missing, lackingMembers), zones: free.zones };
   }
 
-  /** Whether the group would use GPUs that are held back for the guarantees of other teams. */
-  #isHeldBack(job: Job, team: Team): boolean {
-    const needGpus = job.spec.gpus * job.spec.tasks;
-    return needGpus > 0 && this.capacity.wouldLeaveFewerGpus(needGpus, this.capacity.gpusHeldBackFrom(team.name));
+  /** Machines in place of less urgent work too, where that may be preempted; otherwise the choice without it. */
+  #chooseWithPreemption(job: Job, free: GroupChoice, groups: GroupPlanner): GroupChoice {
+    return this.input.preempts ? groups.choose(job, this.#candidates(job, true)) : free;
+  }
+
+  /** For how many members there are no GPUs besides those that are held back for the guarantees of other teams. */
+  #membersWithoutGpus(job: Job, team: Team): number {
+    const { gpus, tasks } = job.spec;
+    const heldBackGpus = this.capacity.gpusHeldBackFrom(team.name);
+    if (heldBackGpus === 0 || gpus === 0) return 0;
+    const lackingGpus = this.capacity.gpusLackingFor(gpus * tasks, heldBackGpus);
+    return Math.min(tasks, Math.ceil(lackingGpus / gpus));
   }
 
   /** Holds what fits some members of the first group that asks for it, so that the jobs after it leave it free. */
--- a/packages/core/src/scheduling/remaining-capacity.ts
+++ b/packages/core/src/scheduling/remaining-capacity.ts
@@ -56,6 +56,11 @@
 
   /** Whether fewer GPUs than `heldBackGpus` would stay free if so many more were used. */
   wouldLeaveFewerGpus(gpus: number, heldBackGpus: number): boolean {
-    return this.#freeGpus - gpus < heldBackGpus;
+    return this.gpusLackingFor(gpus, heldBackGpus) > 0;
+  }
+
+  /** How many GPUs are too few for so many more to be used while `heldBackGpus` stay free. */
+  gpusLackingFor(gpus: number, heldBackGpus: number): number {
+    return Math.max(0, gpus + heldBackGpus - this.#freeGpus);
   }
 }
