Replica groups: a group in its backoff keeps the machines that it will be placed on

Symptom: a replica group whose second generation failed stayed 'waiting' for good, where the cloud had no other machines; where it had, the group came back a boot later and machines were paid for in vain. Cause: the leader exempts machines of members from scaling in, but the record of a group that waits has no members, and a group in its backoff was no demand. The machines that had just been emptied counted as idle and were returned within a second of 'group waiting', those that the group needed to be whole among them. The machine to be avoided was given up while the group was still ending, also where it was the only one. Change: the assignment chooses machines for a group in its backoff as it does for one that may be placed, takes nothing from the jobs behind it, and hands them on to be exempt; what lacks is demand at once. Between the end of a generation and the next assignment the machines of that generation stay exempt. The planner of replica-groups/test/assignment.test.ts got the new method of the interface; its checks are as they were.

--- a/packages/core/src/scheduling/assignment-types.ts
+++ b/packages/core/src/scheduling/assignment-types.ts
@@ -78,6 +78,8 @@
   readonly groups: readonly GroupPlacement[];
   /** Names of machines that fit some members of a group of which others fit nowhere. */
   readonly partlyFittingMachines: ReadonlySet<string>;
+  /** Names of machines that groups could be placed on now but for their backoff. */
+  readonly backoffMachines: ReadonlySet<string>;
   /** By name of each machine that takes work: what is left free on it. */
   readonly free: ReadonlyMap<string, Resources>;
 }
--- a/packages/core/src/scheduling/assignment.ts
+++ b/packages/core/src/scheduling/assignment.ts
@@ -73,6 +73,7 @@
       unschedulable: this.#unschedulable,
       groups: this.#groups.placements,
       partlyFittingMachines: this.#groups.partlyFittingMachines,
+      backoffMachines: this.#groups.backoffMachines,
       free: this.#capacity.freeByMachine(),
     };
   }
--- a/packages/core/src/scheduling/group-assignment.ts
+++ b/packages/core/src/scheduling/group-assignment.ts
@@ -1,7 +1,14 @@
 // The assignment of replica groups, of which all members are placed at once or none.
 import type { Team } from '../cluster/cluster-config';
 import { countWithinLimit } from '../cluster/quota';
-import { countFitting, fitsIn } from '../cluster/resources';
+import {
+  addResources,
+  countFitting,
+  fitsIn,
+  NO_RESOURCES,
+  type Resources,
+  subtractResources,
+} from '../cluster/resources';
 import type { Job } from '../jobs/jobs';
 import type { AssignmentInput, GroupPlacement, UnschedulableDemand } from './assignment-types';
 import { startCostMs } from './bin-choice';
@@ -13,11 +20,21 @@
 import { STOP_MS } from './start-time';
 import { boundZone } from './zone-choice';
 
+/** Which resources of machines count for a group. */
+interface CandidateSearch {
+  /** Whether those of less urgent work count too. */
+  readonly preempting: boolean;
+  /** Whether those are left out that earlier groups in their backoff will use. */
+  readonly besideBackoffUse: boolean;
+}
+
 /** The replica groups of one assignment of all jobs. */
 export class GroupAssignment {
   readonly placements: GroupPlacement[] = [];
   /** Names of machines that fit some members of a group of which others fit nowhere. */
   readonly partlyFittingMachines = new Set<string>();
+  /** By name of each machine that groups in their backoff could be placed on now: what they would use there. */
+  readonly #backoffUseByMachine = new Map<string, Resources>();
   /** By shape of groups that did not fit: the zones in which more machines would help. Free resources only shrink. */
   readonly #zonesByUnplacedShape = new Map<string, readonly string[]>();
   /** Whether resources are held already for a group that does not fit as a whole: at most one holds any. */
@@ -28,36 +45,41 @@
     readonly capacity: RemainingCapacity,
   ) {}
 
+  /** Names of machines that groups could be placed on now but for their backoff. */
+  get backoffMachines(): ReadonlySet<string> {
+    return new Set(this.#backoffUseByMachine.keys());
+  }
+
   /**
    * Places all members of a replica group, or none; returns the demand that stays unschedulable, or null. With
-   * `mayAssign` false the assignment has reached its size: the group is not placed.
+   * `mayAssign` false the assignment has reached its size: the group is not placed. Nor is one in its backoff, which
+   * takes nothing from the jobs after it, but is demand for the machines that it will need.
    */
   assign(job: Job, team: Team, mayAssign: boolean): UnschedulableDemand | null {
     const { groups } = this.input;
     const used = this.capacity.usedBy(team.name);
-    if (groups === null || !groups.mayPlace(job) || countWithinLimit(team, used, job.spec) < job.spec.tasks)
-      return null;
+    if (groups === null || countWithinLimit(team, used, job.spec) < job.spec.tasks) return null;
+    const isBackingOff = groups.isBackingOff(job);
+    if (!isBackingOff && !groups.mayPlace(job)) return null;
     const zonesOfAlike = this.#zonesByUnplacedShape.get(groupShapeOf(job));
     if (zonesOfAlike !== undefined) return { job, count: job.spec.tasks, zones: zonesOfAlike };
-    const free = groups.choose(job, mayAssign ? this.#candidates(job, false) : []);
-    const choice = free.missing > 0 && mayAssign ? this.#chooseWithPreemption(job, free, groups) : free;
+    const search = { preempting: false, besideBackoffUse: isBackingOff };
+    const free = groups.choose(job, mayAssign ? this.#candidates(job, search) : []);
+    const mayPreempt = free.missing > 0 && mayAssign && this.input.preempts;
+    const choice = mayPreempt ? groups.choose(job, this.#candidates(job, { ...search, preempting: true })) : free;
     const lackingMembers = this.#membersWithoutGpus(job, team);
     if (choice.missing === 0 && lackingMembers === 0) {
-      this.#place(job, choice);
+      if (isBackingOff) this.#noteBackoffUse(job, choice);
+      else this.#place(job, choice);
       return null;
     }
     for (const { machine } of free.chosen) this.partlyFittingMachines.add(machine);
     if (choice.missing === 0) return { job, count: lackingMembers, zones: null };
     if (mayAssign) this.#zonesByUnplacedShape.set(groupShapeOf(job), free.zones);
-    if (lackingMembers === 0) this.#holdPartialCapacity(job, free, groups);
+    if (lackingMembers === 0 && !isBackingOff) this.#holdPartialCapacity(job, free, groups);
     return { job, count: Math.max(free.missing, lackingMembers), zones: free.zones };
   }
 
-  /** Machines in place of less urgent work too, where that may be preempted; otherwise the choice without it. */
-  #chooseWithPreemption(job: Job, free: GroupChoice, groups: GroupPlanner): GroupChoice {
-    return this.input.preempts ? groups.choose(job, this.#candidates(job, true)) : free;
-  }
-
   /** For how many members there are no GPUs besides those that are held back for the guarantees of other teams. */
   #membersWithoutGpus(job: Job, team: Team): number {
     const { gpus, tasks } = job.spec;
@@ -74,6 +96,13 @@
     for (const { machine } of chosen) this.capacity.take(this.capacity.binOf(machine), job);
   }
 
+  #noteBackoffUse(job: Job, { chosen }: GroupChoice): void {
+    for (const { machine } of chosen) {
+      const used = this.#backoffUseByMachine.get(machine) ?? NO_RESOURCES;
+      this.#backoffUseByMachine.set(machine, addResources(used, job.spec));
+    }
+  }
+
   #place(job: Job, { chosen }: GroupChoice): void {
     const members = chosen.map(({ machine }) => {
       const bin = this.capacity.binOf(machine);
@@ -86,21 +115,23 @@
     this.placements.push({ job, members });
   }
 
-  /** The machines on which members of the group could run; with `preempting`, in place of less urgent work too. */
-  #candidates(job: Job, preempting: boolean): GroupCandidate[] {
+  /** The machines on which members of the group could run. */
+  #candidates(job: Job, search: CandidateSearch): GroupCandidate[] {
     return this.capacity.bins
       .filter((bin) => mayRunIn(job, bin))
-      .map((bin) => this.#candidateOf(job, bin, preempting))
+      .map((bin) => this.#candidateOf(job, bin, search))
       .filter(({ capacity }) => capacity > 0);
   }
 
-  #candidateOf(job: Job, bin: MachineBin, preempting: boolean): GroupCandidate {
-    const available = preempting ? freeWithPreemption(bin, job.ownPriority) : bin.free;
+  #candidateOf(job: Job, bin: MachineBin, { preempting, besideBackoffUse }: CandidateSearch): GroupCandidate {
+    const { name, zone } = bin.machine;
+    const free = preempting ? freeWithPreemption(bin, job.ownPriority) : bin.free;
+    const backoffUse = besideBackoffUse ? (this.#backoffUseByMachine.get(name) ?? NO_RESOURCES) : NO_RESOURCES;
     const stopMs = preempting && !fitsIn(job.spec, bin.free) ? STOP_MS : 0;
     return {
-      machine: bin.machine.name,
-      zone: bin.machine.zone,
-      capacity: countFitting(job.spec, available),
+      machine: name,
+      zone,
+      capacity: countFitting(job.spec, subtractResources(free, backoffUse)),
       costMs: startCostMs(job, bin, this.input, undefined) + stopMs,
     };
   }
--- a/packages/core/src/scheduling/group-planner.ts
+++ b/packages/core/src/scheduling/group-planner.ts
@@ -27,6 +27,8 @@
 export interface GroupPlanner {
   /** Whether the group may be placed now. */
   mayPlace(job: Job): boolean;
+  /** Whether nothing but the backoff after a failed generation keeps the group from being placed. */
+  isBackingOff(job: Job): boolean;
   /** Chooses machines for the members among the candidates. */
   choose(job: Job, candidates: readonly GroupCandidate[]): GroupChoice;
   /** Whether free resources that fit only some members are held back from the jobs after the group. */
--- a/packages/daemon/src/leader/leader-groups.ts
+++ b/packages/daemon/src/leader/leader-groups.ts
@@ -14,6 +14,7 @@
   chooseMachines,
   type GroupContext,
   holdsPartialCapacity,
+  isBackingOff,
   mayPlace,
   nextRecord,
   type ReplicaGroupSettings,
@@ -58,7 +59,8 @@
   /** The longest time that any task may take to save its state, in seconds. */
   #longestSaveS = 0;
   #pendingLines: PendingLine[] = [];
-  #partlyFittingMachines: ReadonlySet<string> = new Set();
+  /** Machines that groups needed at the last assignment: of members, and for members that are to be placed. */
+  #neededMachines: ReadonlySet<string> = new Set();
 
   constructor(
     readonly context: ControllerContext,
@@ -74,6 +76,10 @@
     return mayPlace(job, this.#stored(job)?.record ?? null, this.#contextOf(job));
   }
 
+  isBackingOff(job: Job): boolean {
+    return isBackingOff(job, this.#stored(job)?.record ?? null, this.#contextOf(job));
+  }
+
   choose(job: Job, candidates: readonly GroupCandidate[]): GroupChoice {
     const { zones } = this.context.clusterConfig;
     const draining = new Set(this.fleetView.draining());
@@ -126,14 +132,18 @@
 
   /**
    * Machines that are neither drained for consolidation nor scaled in while idle: those of members now, before or soon,
-   * and those that fit some members of a group that waits for more.
+   * those that a group in its backoff could be placed on, and those that fit some members of a group that waits for
+   * more. A group that has just come to wait has no members any more: until the next assignment has chosen machines for
+   * it, those of its last generation are pinned.
    */
   pinnedMachines(): Set<string> {
-    const pinned = new Set([...this.#partlyFittingMachines, ...this.#machinesInFlight]);
-    for (const { record } of this.context.clusterState.groups.values()) {
-      for (const { machine } of record.members) if (machine !== record.avoid) pinned.add(machine);
-    }
-    return pinned;
+    return new Set([...this.#neededMachines, ...this.#machinesInFlight, ...this.#machinesOfMembers()]);
+  }
+
+  /** The machines of the members of all groups. One to be avoided may be the only one there is. */
+  #machinesOfMembers(): string[] {
+    const records = [...this.context.clusterState.groups.values()].map(({ record }) => record);
+    return records.flatMap(({ members }) => members.map(({ machine }) => machine));
   }
 
   /**
@@ -237,8 +247,8 @@
   }
 
   /** Takes in which groups the assignment could not place. */
-  noteUnplaced({ unschedulable, partlyFittingMachines }: AssignmentResult, now: number): void {
-    this.#partlyFittingMachines = partlyFittingMachines;
+  noteUnplaced({ unschedulable, partlyFittingMachines, backoffMachines }: AssignmentResult, now: number): void {
+    this.#neededMachines = new Set([...partlyFittingMachines, ...backoffMachines, ...this.#machinesOfMembers()]);
     this.#waiting.update(unschedulable, now);
   }
 }
--- a/packages/replica-groups/src/next-record.ts
+++ b/packages/replica-groups/src/next-record.ts
@@ -57,15 +57,29 @@
 }
 
 /** Whether the group may be placed now: it waits, and its backoff is over. */
-export function mayPlace(
-  job: Job,
-  stored: GroupRecord | null,
-  { settings, clusterConfig, wallNow: wall }: GroupContext,
-): boolean {
+export function mayPlace(job: Job, stored: GroupRecord | null, context: GroupContext): boolean {
+  return isWaiting(job, stored) && context.wallNow >= backoffUntil(job, stored, context);
+}
+
+/** Whether the group waits and could be placed but for its backoff. */
+export function isBackingOff(job: Job, stored: GroupRecord | null, context: GroupContext): boolean {
+  return isWaiting(job, stored) && context.wallNow < backoffUntil(job, stored, context);
+}
+
+/** Whether the group is to be placed, now or after its backoff. */
+function isWaiting(job: Job, stored: GroupRecord | null): boolean {
   if (job.isCancelled || assignedUnfinished(job) > 0) return false;
-  if (stored === null) return true;
-  if (stored.state !== 'waiting') return false;
-  return wall >= stored.since + backoffMs(settings, clusterConfig, job.id, stored.generation, stored.failures);
+  return stored === null || stored.state === 'waiting';
+}
+
+/** When the backoff of a group that waits is over, as time of day in milliseconds; -Infinity: it has none. */
+export function backoffUntil(
+  { id }: Job,
+  stored: GroupRecord | null,
+  { settings, clusterConfig }: Pick<GroupContext, 'settings' | 'clusterConfig'>,
+): number {
+  if (stored === null) return -Infinity;
+  return stored.since + backoffMs(settings, clusterConfig, id, stored.generation, stored.failures);
 }
 
 /**
--- a/packages/replica-groups/test/assignment.test.ts
+++ b/packages/replica-groups/test/assignment.test.ts
@@ -29,6 +29,7 @@
 
 const PLANNER: GroupPlanner = {
   mayPlace: () => true,
+  isBackingOff: () => false,
   choose: (job, candidates) => chooseMachines(job, candidates, CONFIG.zones, null),
   holdsPartialCapacity: () => false,
 };
