Audit: no machine is returned without which a group that waits does not fit any more

The new check, group_machine_returned, looks at each machine that controllers return once all faults are over: a group for which nothing is assigned and that has fitted on the machines that are up, and its team's limit, for a heartbeat interval must fit without that machine. Machines that can't be heard, are at fault or are taken back may go. 'members fail' is a new fault: the process of a member ends with an error each time that its group has come to serve. It is the work's own doing, so audits of progress hold meanwhile.

--- a/packages/testkit/src/audits/invariants.ts
+++ b/packages/testkit/src/audits/invariants.ts
@@ -94,7 +94,9 @@
   /** An owner keeps resources reserved for a member without a record that says so. */
   | 'kept_in_vain'
   /** Once all faults are over, a group never gets from one state to the next. */
-  | 'group_stuck';
+  | 'group_stuck'
+  /** Once all faults are over, a machine is returned without which a group that waits does not fit any more. */
+  | 'group_machine_returned';
 
 /** The id of an invariant. */
 export type Invariant =
--- a/packages/testkit/src/faults/group-faults.ts
+++ b/packages/testkit/src/faults/group-faults.ts
@@ -1,6 +1,6 @@
 // What replica groups have to live through: machines and controllers that end as a group comes to a state, and users
 // who cancel it then.
-import type { JobSpec, GroupState } from '@gingerlock/wire';
+import { type JobSpec, type GroupState, taskName } from '@gingerlock/wire';
 import type { World } from '../simulation/world';
 import { type FaultTargets, pollFor } from './fault-targets';
 import { type FaultOfKind, type FaultTable, statedDurationMs } from './fault-table';
@@ -27,6 +27,11 @@
       readonly share: number;
       readonly forMs: number;
     }
+  /**
+   * The process of one member fails after its group has served for a moment, each time that it comes to serve. That is
+   * the work's own doing and no fault of the deployment: audits of progress hold meanwhile.
+   */
+  | { readonly kind: 'members fail'; readonly afterMs: number; readonly times: number; readonly forMs: number }
   /** Controllers end as a group comes to a state, again and again. */
   | {
       readonly kind: 'crash at group';
@@ -52,6 +57,7 @@
       }),
     durationMs: ({ forMs, afterMs }) => forMs * 2 + afterMs,
   },
+  'members fail': { inject: failMembers, durationMs: () => 0 },
   'crash at group': { inject: crashAtGroup, durationMs: ({ forMs, afterMs, backMs }) => forMs + afterMs + backMs },
   'groups cancelled': {
     inject: (world, fault) =>
@@ -119,6 +125,24 @@
   if (machines.length > 0) world.recordOccurrence(`members ${what} while ${state}`);
 }
 
+function failMembers(world: World, fault: FaultOfKind<GroupFault, 'members fail'>): void {
+  const timesByJob = new Map<string, number>();
+  onState(world, { state: 'serving', forMs: fault.forMs }, (job) => {
+    const times = timesByJob.get(job) ?? 0;
+    if (times >= fault.times) return;
+    timesByJob.set(job, times + 1);
+    world.sim.after(fault.afterMs, () => failMember(world, taskName(job, times % world.job(job)!.tasks)));
+  });
+}
+
+function failMember(world: World, name: string): void {
+  for (const worker of world.workers.values()) {
+    const attempts = [...worker.tasks.values()].filter(({ task }) => task === name).map(({ attempt }) => attempt);
+    for (const attempt of attempts) worker.fail(name, attempt);
+  }
+  world.recordOccurrence('member failed');
+}
+
 function crashAtGroup(world: World, fault: FaultOfKind<GroupFault, 'crash at group'>, targets: FaultTargets): void {
   const { sim } = world;
   let nextAt = sim.now;
--- a/packages/testkit/src/standins/worker.ts
+++ b/packages/testkit/src/standins/worker.ts
@@ -159,6 +159,11 @@
     sim.after(LEASE_CHECK_MS, () => this.#watchLease());
   }
 
+  /** How long ago the last heartbeat that was answered was sent, or the agent epoch began. */
+  get unansweredMs(): number {
+    return this.world.sim.now - this.#leaseFrom;
+  }
+
   /** A `/inspect` request. */
   inspect(): HttpResponse {
     return { status: 200, body: this.#body() };
--- a/packages/testkit/test/support/group-mutants.ts
+++ b/packages/testkit/test/support/group-mutants.ts
@@ -16,6 +16,7 @@
   | 'withdrawn_runs'
   | 'kept_in_vain'
   | 'group_stuck'
+  | 'group_machine_returned'
 >;
 
 const dies = (state: 'reserved' | 'serving'): Fault => ({
@@ -28,6 +29,8 @@
   forMs: 25_000,
 });
 
+const GROUPS_ON = { replica_groups: { enabled: true, classes: [GROUP_CLASS] } };
+
 const withGroups = (...faults: readonly Fault[]): Pick<Mutant, 'faults' | 'options'> => ({
   options: {
     gpusMax: 40,
@@ -147,4 +150,15 @@
     forMs: 160_000,
     apply: () => patch(LeaderGroups.prototype, 'addChanges', () => () => undefined),
   },
+  group_machine_returned: {
+    // Each member takes a whole machine, and there are few of them.
+    options: { capacity: 2, gpusMax: 40, load: 0.01, features: GROUPS_ON },
+    faults: [
+      { kind: 'groups', count: 1, members: 3, gpus: 4, everyMs: 1, place: 'any' },
+      { kind: 'members fail', afterMs: 500, times: 10, forMs: 140_000 },
+    ],
+    broken: 'the leader keeps no machines for a group in its backoff',
+    forMs: 180_000,
+    apply: () => patch(LeaderGroups.prototype, 'isBackingOff', () => () => false),
+  },
 };
