--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -4,6 +4,7 @@
 export * from './simulation/network';
 export * from './simulation/traffic';
 export * from './standins/state-service';
+export * from './standins/cloud';
 export * from './standins/worker';
 export * from './audits/invariants';
 export * from './standins/users';
--- /dev/null
+++ b/packages/testkit/test/loopback-stop.test.ts
@@ -0,0 +1,25 @@
+// The process of a loopback test that has passed goes on for ever. What happened: 1 of 42 runs of the loopback test of
+// replica groups beside load passed after 24 s and did not end before its time-out of 600 s. Why: a deployment stops its
+// machines, then its controllers, then its timers. A machine that comes up while the controllers end was missed: its
+// worker kept sending heartbeats, and each answer, or the lack of one, sets the timer of the next heartbeat, also when
+// all timers have been given up. The process had used 8 s of processor time in its 9 minutes.
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { setTimeout as pause } from 'node:timers/promises';
+import { LoopbackDeployment, ONE_TYPE } from '../src/index';
+
+/** Machines come up all the time while the deployment stops, and some after it. */
+const BOOTS_FOR_MS = 50;
+
+test('no machine comes up, and no heartbeat is sent, once a loopback deployment stops', async () => {
+  const options = { seed: 1, controllers: 3, machines: 3, guaranteedGpus: 4, gpusMax: 12, features: {} };
+  const world = new LoopbackDeployment(options);
+  await world.start();
+  const stops = world.stop();
+  for (let afterMs = 0; afterMs < BOOTS_FOR_MS; afterMs++)
+    setTimeout(() => world.cloud.boot(ONE_TYPE.types[0]!, 'north', false, 0), afterMs);
+  await stops;
+  await pause(2 * BOOTS_FOR_MS);
+  const alive = [...world.workers.values()].filter((worker) => worker.alive).map(({ name }) => name);
+  assert.deepEqual(alive, []);
+});
