Testkit: a full zone brings up no machine that was on its way, and a deployment that stops none

Causes: a machine rented before the capacity was taken away came up in a zone that has no place; a machine that came up while the controllers ended, or that was rented after the timers were given up, kept its timers going. Change: taking capacity away ends boots for which there is no place, as the machines of PROTOCOL that stay 'booting'; after a stop no machine comes up and nothing is scheduled. The test itself is as it was.

--- a/packages/testkit/src/loopback/loopback.ts
+++ b/packages/testkit/src/loopback/loopback.ts
@@ -81,6 +81,8 @@
   }
 
   #addWorker({ name, type, zone, spot }: RentedMachine): void {
+    // Whoever stops the machines would miss one that comes up after that.
+    if (this.#isStopped) return;
     const worker = new SimWorker(this, name, type, zone, spot);
     worker.done = (taskName) => this.running.delete(taskName);
     this.workers.set(name, worker);
--- a/packages/testkit/src/loopback/real-time.ts
+++ b/packages/testkit/src/loopback/real-time.ts
@@ -7,6 +7,7 @@
   readonly random: () => number;
   readonly #startedAt = performance.now();
   readonly #timers = new Set<NodeJS.Timeout>();
+  #isStopped = false;
 
   constructor(seed: number) {
     this.random = seeded(seed);
@@ -17,7 +18,9 @@
     return performance.now() - this.#startedAt;
   }
 
+  /** Runs it later; returns what cancels it. After `stop` nothing runs any more. */
   after(ms: number, run: () => void): () => void {
+    if (this.#isStopped) return () => undefined;
     const timer = setTimeout(() => {
       this.#timers.delete(timer);
       run();
@@ -29,8 +32,9 @@
     };
   }
 
-  /** Gives up all that is still to run. */
+  /** Gives up all that is still to run, and all that is scheduled from now on. */
   stop(): void {
+    this.#isStopped = true;
     for (const timer of this.#timers) clearTimeout(timer);
   }
 }
--- a/packages/testkit/src/standins/cloud.ts
+++ b/packages/testkit/src/standins/cloud.ts
@@ -60,11 +60,32 @@
   readonly #requests = new Map<string, string[]>();
   #rentedCount = 0;
 
-  /** Machines of each type and either kind that each zone has now. */
-  capacity: number;
+  #capacity: number;
+  /** Names of machines that are on their way and never come up. */
+  readonly #neverUp = new Set<string>();
 
   constructor(readonly options: CloudOptions) {
-    this.capacity = options.capacity;
+    this.#capacity = options.capacity;
+  }
+
+  /** Machines of each type and either kind that each zone has now. */
+  get capacity(): number {
+    return this.#capacity;
+  }
+
+  /** Sets it; machines on their way for which their zones have no place any more never come up. */
+  set capacity(count: number) {
+    this.#capacity = count;
+    const booting = this.rented.filter(({ state }) => state === 'booting');
+    for (const machine of booting) if (this.#countAlike(machine) > count) this.#neverUp.add(machine.name);
+  }
+
+  /** How many machines of the type and kind are up or on their way in the zone. */
+  #countAlike({ type, zone, spot }: Pick<CloudMachine, 'type' | 'zone' | 'spot'>): number {
+    const isCounted = (machine: RentedMachine): boolean =>
+      machine.state !== 'failed' && !this.#neverUp.has(machine.name);
+    const counted = this.rented.filter(isCounted);
+    return counted.filter((machine) => machine.type === type && machine.zone === zone && machine.spot === spot).length;
   }
 
   /** How many machines there have ever been. */
@@ -85,7 +106,7 @@
     this.#records.set({ ...described, state: 'booting' }, sim.now);
     if (afterMs === null) return name;
     sim.after(afterMs, () => {
-      if (this.#records.get(name)?.state !== 'booting') return;
+      if (this.#records.get(name)?.state !== 'booting' || this.#neverUp.has(name)) return;
       const machine = { ...described, state: 'running' as const };
       this.#records.set(machine, sim.now);
       onUp(machine);
@@ -141,10 +162,7 @@
     if (known !== undefined) return answer(200, rentedMap(known));
     const type = this.options.types.find((known) => known.name === name);
     if (type === undefined || !type.zones.includes(zone)) return answer(400, {});
-    const isLike = (machine: RentedMachine): boolean =>
-      machine.type === name && machine.zone === zone && machine.spot === spot;
-    const used = this.rented.filter((machine) => isLike(machine) && machine.state !== 'failed').length;
-    const granted = Math.min(count, this.capacity - used);
+    const granted = Math.min(count, this.#capacity - this.#countAlike({ type: name, zone, spot }));
     if (granted <= 0) return answer(503, { error: 'no capacity' });
     const names = Array.from({ length: granted }, () => this.boot(type, zone, spot, this.#nextBootMs(type)));
     this.#requests.set(request, names);
