--- a/packages/testkit/test/replica-groups-loopback.test.ts
+++ b/packages/testkit/test/replica-groups-loopback.test.ts
@@ -1,5 +1,11 @@
 // The wish's own test: on loopback, with real servers, links and processes, a replica that spans machines is restored
 // whole or cleanly withdrawn, and never answers in part. Run as a member if its first argument says so.
+//
+// The first test failed now and then, in 9 of 34 runs on c5e271a, mostly beside load: after generation 2 had failed the
+// group waited for good. The leader returned machines that the group in its backoff needed (`machines scaled in` with
+// m-000002, m-000006 and m-000003, 0.5 s after `group waiting`), asked for three anew instead of for one (`missing: 3`),
+// and the cloud stand-in had no place for any (`scale-out refused: no capacity`), because it kept returned machines. See
+// docs/incidents/group-loses-its-machines-in-backoff.md; each fault has a test of its own that repeats exactly.
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { JobSpec } from '@gingerlock/wire';
