Log: 'event loop stalled' names the longest calculation since the tick before

Cause: the line gave only its length.

Change: WorkTimer times the calculations that run without a pause (assignment, fleet plan, changes of the store, partition owner, status, heartbeat, peer message); the line has the longest as work and workMs.

--- a/packages/clients/src/watch-cache.ts
+++ b/packages/clients/src/watch-cache.ts
@@ -1,5 +1,5 @@
 // An in-memory copy of the keys below a prefix of the key-value store, updated by polling the store's changes.
-import type { Change, StateEvent } from '@gingerlock/wire';
+import type { Change, StateEvent, StateItem } from '@gingerlock/wire';
 import type { Clock } from './ports';
 import type { KeyValueStore } from './key-value-store';
 
@@ -18,6 +18,11 @@
   readonly minIntervalMs: number;
   /** Time between the starts of two reads when no read is requested, in milliseconds. */
   readonly idleIntervalMs: number;
+  /**
+   * Called with a function that applies all changes of one read or commit, which it has to call once; `onChange` is
+   * called for each of them meanwhile.
+   */
+  readonly applyChanges?: (apply: () => void) => void;
   /** Must not throw: an exception would abort the read and lose the rest of its changes. */
   readonly onChange: OnChange;
   /** Called when a read failed. The watch cache retries by itself. */
@@ -100,13 +105,21 @@
    */
   applyOwn(changes: readonly Change[], revision: number): void {
     if (revision <= this.revision) return;
-    for (const change of changes) {
-      if ('put' in change) this.#apply(change.put, change.value, revision);
-      else {
-        this.#removalVersionsByKey.set(change.remove, revision);
-        this.#apply(change.remove, undefined, revision);
+    this.#applyTogether(() => {
+      for (const change of changes) {
+        if ('put' in change) this.#apply(change.put, change.value, revision);
+        else {
+          this.#removalVersionsByKey.set(change.remove, revision);
+          this.#apply(change.remove, undefined, revision);
+        }
       }
-    }
+    });
+  }
+
+  #applyTogether(apply: () => void): void {
+    const { applyChanges } = this.options;
+    if (applyChanges === undefined) apply();
+    else applyChanges(apply);
   }
 
   #apply(key: string, value: unknown, version: number): void {
@@ -151,7 +164,7 @@
         this.loaded = false;
         throw new Error('the changes since the last read are not available, reading all keys again');
       }
-      this.#applyEvents(followed);
+      this.#applyTogether(() => this.#applyEvents(followed));
       this.lastContactAt = startedAt;
       this.failures = 0;
       this.#onSync();
@@ -179,12 +192,16 @@
   /** Reads all keys, and removes from the copy those that no longer exist. */
   async #load(): Promise<void> {
     const { items, revision } = await this.options.keyValueStore.list(this.options.prefix);
+    this.#applyTogether(() => this.#applyList(items, revision));
+    this.revision = Math.max(this.revision, revision);
+    this.loaded = true;
+  }
+
+  #applyList(items: readonly StateItem[], revision: number): void {
     const listedKeys = new Set(items.map((item) => item.key));
     for (const [key, version] of [...this.#versionsByKey]) {
       if (!listedKeys.has(key) && version <= revision) this.#apply(key, undefined, revision);
     }
     for (const { key, value, version } of items) this.#apply(key, value, version);
-    this.revision = Math.max(this.revision, revision);
-    this.loaded = true;
   }
 }
--- a/packages/daemon/src/controller/composition.ts
+++ b/packages/daemon/src/controller/composition.ts
@@ -34,6 +34,7 @@
 import { StoreContact } from './store-contact';
 import { StoreLeaseKeeper } from './store-lease-keeper';
 import { WorkerEndpoint } from './worker-endpoint';
+import { WorkTimer } from './work-timer';
 
 /** The external dependencies of a controller. */
 export interface ControllerPorts {
@@ -101,7 +102,7 @@
     jobApi: new JobApi(context, (id) => statuses.runningTasks(id)),
     /** Null if replica groups are off. */
     rendezvous: features.replicaGroups === null ? null : new Rendezvous(context, features.replicaGroups),
-    dispatcher: new PeerDispatcher(peerMessageHandlers(modules), peerFailureDetector, clock, ports.log),
+    dispatcher: new PeerDispatcher(peerMessageHandlers(modules), peerFailureDetector, context),
   };
 }
 
@@ -113,7 +114,8 @@
   const statuses = new PartitionStatuses();
   const clusterState = new ClusterState((spec) => isGroupSpec(features.replicaGroups, spec), owned);
   const peers = new PeerChannel(link, process);
-  const store = composeStore(ports, clusterState);
+  const workTimer = new WorkTimer(clock);
+  const store = composeStore(ports, clusterState, workTimer);
   const announcements = new Announcements(peers, store.watchCache);
   const spareCapacityMaxAgeMs = clusterConfig.heartbeatIntervalMs * SPARE_CAPACITY_INTERVALS;
   const context = new ControllerContext({
@@ -126,6 +128,7 @@
     clusterState,
     storeLease: store.leaseKeeper,
     announcements,
+    workTimer,
     spareCapacity: (exceptPartitionId) =>
       statuses.spareCapacity(exceptPartitionId, clock.now() - spareCapacityMaxAgeMs),
     ...(ports.limits === undefined ? {} : { limits: ports.limits }),
@@ -144,7 +147,11 @@
 }
 
 /** Creates the clients of the key-value store, limited to this controller's share of the store's request rates. */
-function composeStore({ settings, clock, http, log }: ControllerPorts, clusterState: ClusterState) {
+function composeStore(
+  { settings, clock, http, log }: ControllerPorts,
+  clusterState: ClusterState,
+  workTimer: WorkTimer,
+) {
   const { clusterConfig } = settings;
   const { heartbeatIntervalMs } = clusterConfig;
   const share = STORE_RATE_SHARE / clusterConfig.controllerCount;
@@ -165,6 +172,7 @@
       (REQUESTS_PER_READ * 1000) / (settings.storeRequestsPerS * share),
     ),
     idleIntervalMs: heartbeatIntervalMs / IDLE_READS_PER_HEARTBEAT_INTERVAL,
+    applyChanges: (apply) => workTimer.run('changes of the store', apply),
     onChange: (key, value, version) => {
       try {
         clusterState.apply(key, value, version);
--- a/packages/daemon/src/controller/controller-context.ts
+++ b/packages/daemon/src/controller/controller-context.ts
@@ -9,6 +9,7 @@
 import type { Announcements } from './announcements';
 import type { Log } from './log';
 import type { StoreLease } from './store-lease-keeper';
+import type { WorkTimer } from './work-timer';
 
 /** Time between two recovery scans of an owner, in milliseconds. Source: DESIGN. */
 const RECOVERY_SCAN_INTERVAL_MS = 5000;
@@ -51,6 +52,7 @@
   readonly clusterState: ClusterState;
   readonly storeLease: StoreLease;
   readonly announcements: Announcements;
+  readonly workTimer: WorkTimer;
   /** Returns the free capacity on ordinary machines of all other partitions, from their latest statuses. */
   readonly spareCapacity: (exceptPartitionId: number) => SpareCapacity[];
   readonly limits?: Partial<ControllerLimits>;
@@ -67,6 +69,7 @@
   readonly watchCache: WatchCache;
   readonly clusterState: ClusterState;
   readonly announcements: Announcements;
+  readonly workTimer: WorkTimer;
   readonly limits: ControllerLimits;
   /** Time between two recovery scans of an owner. */
   readonly recoveryScanIntervalMs = RECOVERY_SCAN_INTERVAL_MS;
@@ -87,6 +90,7 @@
     this.watchCache = options.watchCache;
     this.clusterState = options.clusterState;
     this.announcements = options.announcements;
+    this.workTimer = options.workTimer;
     this.spareCapacity = options.spareCapacity;
     this.limits = { ...DEFAULT_LIMITS, ...options.limits };
     const { heartbeatIntervalMs } = this.clusterConfig;
--- a/packages/daemon/src/controller/controller.ts
+++ b/packages/daemon/src/controller/controller.ts
@@ -84,22 +84,29 @@
   /** Detects that this process stalled while its clocks ran: two ticks were more than a heartbeat interval apart. */
   #detectStall(now: number): void {
     const stalledMs = now - this.#tickedAt;
+    const longest = this.context.workTimer.takeLongest();
     this.#tickedAt = now;
     if (stalledMs <= this.settings.clusterConfig.heartbeatIntervalMs) return;
-    this.log.info({ stalledMs: Math.round(stalledMs) }, 'event loop stalled');
+    const detail = {
+      stalledMs: Math.round(stalledMs),
+      work: longest?.name,
+      workMs: Math.round(longest?.durationMs ?? 0),
+    };
+    this.log.info(detail, 'event loop stalled');
     this.#modules.owned.resumedAfterStall(now);
     this.#modules.peerFailureDetector.resumedAfterStall();
   }
 
   #tick(): void {
     const { peerFailureDetector, owned, previousOwners, releases, confirmation, rateSharing, relay } = this.#modules;
+    const { workTimer } = this.context;
     const now = this.clock.now();
     this.#detectStall(now);
     peerFailureDetector.tick();
-    for (const owner of owned.owners()) owner.tick(now);
+    for (const owner of owned.owners()) workTimer.run('partition owner', () => owner.tick(now));
     previousOwners.tick(now);
     releases.tick(owned.ownersById, now);
-    this.#publishStatus(now);
+    workTimer.run('status', () => this.#publishStatus(now));
     owned.leader?.tick();
     confirmation.tick(now, owned.ownersById.size > 0);
     rateSharing.tick(now);
--- a/packages/daemon/src/controller/peer-dispatcher.ts
+++ b/packages/daemon/src/controller/peer-dispatcher.ts
@@ -1,8 +1,7 @@
 // Dispatches each message from another controller to the handler of its kind.
-import type { Clock } from '@gingerlock/clients';
 import type { PeerMessage, PeerMessages } from '@gingerlock/peer';
 import type { PeerFailureDetector } from '../peers/peer-failure-detector';
-import type { Log } from './log';
+import type { ControllerContext } from './controller-context';
 
 /** Handles one kind of message. `from`: the sending controller; `now`: the time of arrival by the steady clock. */
 export type PeerMessageHandler<Kind extends PeerMessage['kind']> = (
@@ -19,18 +18,18 @@
   constructor(
     readonly handlers: PeerMessageHandlers,
     readonly peerFailureDetector: PeerFailureDetector,
-    readonly clock: Clock,
-    readonly log: Log,
+    readonly context: Pick<ControllerContext, 'clock' | 'log' | 'workTimer'>,
   ) {}
 
   /** Dispatches one message. Never throws, so an error in a handler does not affect the link. */
   dispatch(from: string, message: PeerMessage): void {
+    const { clock, log, workTimer } = this.context;
     try {
-      const now = this.clock.now();
+      const now = clock.now();
       this.peerFailureDetector.recordHeartbeat(from, now);
-      this.#handle(message.kind, from, message, now);
+      workTimer.run('peer message', () => this.#handle(message.kind, from, message, now));
     } catch (error) {
-      this.log.error({ from, kind: message.kind, error: String(error) }, 'peer message failed');
+      log.error({ from, kind: message.kind, error: String(error) }, 'peer message failed');
     }
   }
 
--- a/packages/daemon/src/controller/worker-endpoint.ts
+++ b/packages/daemon/src/controller/worker-endpoint.ts
@@ -33,7 +33,8 @@
     const { partitioner } = context.clusterState;
     if (partitioner === null) return refusal(503, 'starting');
     const partitionId = partitioner.partitionOf(heartbeat.machine, heartbeat.zone);
-    if (owned.owns(partitionId)) return heartbeats.answer(partitionId, heartbeat);
+    if (owned.owns(partitionId))
+      return context.workTimer.run('heartbeat', () => heartbeats.answer(partitionId, heartbeat));
     return relay.forward(partitionId, heartbeat, body);
   }
 }
--- a/packages/daemon/src/leader/autoscaling-loop.ts
+++ b/packages/daemon/src/leader/autoscaling-loop.ts
@@ -192,18 +192,19 @@
   // --- changes of the fleet ----------------------------------------------------------------------------------------
 
   async #changeFleet(): Promise<void> {
-    const { clock, clusterState } = this.context;
+    const { clock, clusterState, workTimer } = this.context;
     const now = clock.now();
     const statuses = this.view.statuses(now);
     if (!this.#mayPlan(statuses, now)) return;
-    const plan = this.#autoscaler.plan({
+    const input = {
       now,
       types: this.#machineTypes.current,
       statuses,
       unschedulable: this.view.unschedulable(),
       partitioner: clusterState.partitioner!,
       pinned: this.view.pinned(),
-    });
+    };
+    const plan = workTimer.run('fleet plan', () => this.#autoscaler.plan(input));
     this.#drain = plan.drain;
     this.#logFigures(statuses, now);
     if (plan.scaleIn.length > 0) await this.#scaleIn(plan.scaleIn.slice(0, MAX_MACHINES_PER_RETURN));
--- a/packages/daemon/src/leader/leader.ts
+++ b/packages/daemon/src/leader/leader.ts
@@ -138,7 +138,7 @@
     this.#probes.review(statuses, now);
     const batch = this.#beginBatch();
     this.#pendingAssignments.dropReflected(statuses);
-    const result = this.#planAssignments(batch, statuses, now);
+    const result = context.workTimer.run('assignment', () => this.#planAssignments(batch, statuses, now));
     const uses = addAssignments(context, batch, this.#probes, result.assignments, statuses);
     const placements = this.#features.map((feature) => feature.addPlacements(batch, { result, statuses, now }));
     this.#unschedulable = this.#remainingDemand(placements, result, statuses);
