Fleet plan: reserve tasks by machine, not one by one, and plan one request at most

The leader stopped, its lease in the store ended, and the next leader stopped at the same place.

Cause: ScaleOutPlan.planForTasks searched all machines planned so far from the first one on, for each waiting task, and planned machines without an end though 50 of an option can be asked for at once: n^2 / 2c steps for n tasks, c to a machine. Evidence: five samples of the stack of a running controller, all in planForTasks.

Change: PlannedMachines reserves all tasks of a job that fit on a machine in one step, and remembers for each shape of task up to where machines are full. A plan stops at 50 machines of an option, which is what one request may have; other zones of the same type and kind come first. Up to 256 following demands are looked at when a machine is chosen.

Why this works: the steps depend on machines that can be asked for, shapes and jobs, no more on tasks.

--- a/packages/core/src/autoscaling/scale-out-plan.ts
+++ b/packages/core/src/autoscaling/scale-out-plan.ts
@@ -13,8 +13,10 @@
   subtractResources,
 } from '../cluster/resources';
 import type { UnschedulableDemand } from '../scheduling/assignment-types';
+import { taskShapeOf } from '../scheduling/job-shape';
 import type { MachineStatus } from '../scheduling/partition-status';
 import { canRunOnOption, capacityOf, type MachineOption, machineOptionKey, rentableOptions } from './machine-option';
+import { type PlannedMachine, PlannedMachines, type TaskDemand } from './planned-machines';
 import { chooseMachineOption } from './scale-out-choice';
 import { demandOf, type ScaleOutDemand, spareDemand, unitDemand } from './scale-out-demand';
 import { reasonOf, type ScaleOutReason } from './scale-out-reason';
@@ -47,23 +49,14 @@
   readonly isSpotOnly: (spec: JobSpec) => boolean;
 }
 
-/** A machine that is booting, is kept, or is to be rented. */
-interface PlannedMachine {
-  readonly type: MachineType;
-  readonly zone: string;
-  readonly spot: boolean;
-  /** Resources that the plan has not yet reserved for tasks. */
-  free: Resources;
-  /** Why it is rented; null if it is already rented. */
-  readonly reason: ScaleOutReason | null;
-}
-
-/** The most machines that one request may ask for (PROTOCOL). */
-const MACHINES_PER_REQUEST = 50;
+/** The most demands after the first one that are considered to share a machine with it. */
+const MAX_SHARING_DEMANDS = 256;
 
 /** Builds up the machines to rent and to keep; demands have to be added in order of urgency, the most urgent first. */
 export class ScaleOutPlan {
-  readonly #plannedMachines: PlannedMachine[] = [];
+  readonly #plannedMachines = new PlannedMachines();
+  /** Shapes of tasks for which no further machine is rented by this plan. */
+  readonly #exhaustedShapes = new Set<string>();
   readonly #machineCountByZone = new Map<string, number>();
   readonly #count = { ordinary: 0, spot: 0 };
   readonly #options: readonly MachineOption[];
@@ -73,7 +66,7 @@
   constructor(readonly input: ScaleOutPlanInput) {
     for (const { type: name, zone, spot } of input.booting) {
       const type = input.types.get(name);
-      if (type !== undefined) this.#plannedMachines.push({ type, zone, spot, free: capacityOf(type), reason: null });
+      if (type !== undefined) this.#plannedMachines.add({ type, zone, spot, free: capacityOf(type), reason: null });
     }
     for (const { zone, spot } of input.known) this.#countMachine(zone, spot);
     this.#drainingIdleMachines = new Set(input.drainingIdleMachines);
@@ -118,39 +111,42 @@
     const spare = spareDemand(spareGpus);
     const demands = unschedulable.map(({ job: { spec }, count }) => demandOf(spec, count));
     unschedulable.forEach((entry, index) => {
-      const following = (): ScaleOutDemand[] => [...demands.slice(index + 1), spare];
-      for (let remaining = entry.count; remaining > 0; remaining--) {
-        if (!this.#planForTask(entry, { ...demands[index]!, count: remaining }, following)) return;
-      }
+      const sharing = (): ScaleOutDemand[] => [...demands.slice(index + 1, index + 1 + MAX_SHARING_DEMANDS), spare];
+      this.#planForJob(entry, demands[index]!, sharing);
     });
   }
 
-  /** Reserves resources for one task on a planned machine, or on a new one; false if no machine may be rented. */
-  #planForTask(
-    { job: { spec }, zones }: UnschedulableDemand,
+  /** Reserves resources for the tasks of one job on planned machines and on new ones, as far as any may be rented. */
+  #planForJob(
+    { job, count, zones }: UnschedulableDemand,
     demand: ScaleOutDemand,
-    following: () => readonly ScaleOutDemand[],
-  ): boolean {
+    sharing: () => readonly ScaleOutDemand[],
+  ): void {
+    const { spec } = job;
     const isSpotOnly = this.input.isSpotOnly(spec);
     const inZones = (zone: string): boolean => zones === null || zones.includes(zone);
-    const ready = this.#plannedMachines.find(
-      ({ type, zone, spot, free }) =>
-        (spot || !isSpotOnly) && inZones(zone) && allowsMachine(spec, type.name, zone, spot) && fitsIn(spec, free),
-    );
+    const tasks: TaskDemand = {
+      shape: [taskShapeOf(job), isSpotOnly, zones?.join() ?? 'any zone'].join('/'),
+      need: spec,
+      isAllowedOn: ({ type, zone, spot }) =>
+        (spot || !isSpotOnly) && inZones(zone) && allowsMachine(spec, type.name, zone, spot),
+    };
     const isAllowed = (option: MachineOption): boolean =>
       inZones(option.zone) && canRunOnOption(spec, option) && (option.spot || !isSpotOnly);
-    const planned =
-      ready ??
-      this.#keepDrainingMachine(demand, isAllowed) ??
-      this.#scaleOut('waiting task', [demand, ...following()], isAllowed);
-    if (planned === null) return false;
-    planned.free = subtractResources(planned.free, spec);
-    return true;
+    let remaining = count - this.#plannedMachines.reserve(tasks, count);
+    while (remaining > 0 && !this.#exhaustedShapes.has(tasks.shape)) {
+      const rest = { ...demand, count: remaining };
+      const added =
+        this.#keepDrainingMachine(rest, isAllowed) ?? this.#scaleOut('waiting task', [rest, ...sharing()], isAllowed);
+      if (added === null) this.#exhaustedShapes.add(tasks.shape);
+      else remaining -= this.#plannedMachines.reserve(tasks, remaining);
+    }
   }
 
   /** Plans ordinary machines until `targetGpus` GPUs are free, counting `freeGpus` on the machines that are up. */
   planSpareGpus(freeGpus: number, targetGpus: number): void {
-    let free = this.#plannedMachines.reduce((sum, planned) => sum + (planned.spot ? 0 : planned.free.gpus), freeGpus);
+    let free = freeGpus;
+    for (const planned of this.#plannedMachines) if (!planned.spot) free += planned.free.gpus;
     const isAllowed = (option: MachineOption): boolean => !option.spot;
     while (free < targetGpus) {
       const demand = spareDemand(targetGpus - free);
@@ -166,7 +162,7 @@
     for (const { type, zone, spot, reason } of this.#plannedMachines) {
       if (reason === null) continue;
       const key = machineOptionKey(type.name, zone, spot);
-      const count = Math.min(MACHINES_PER_REQUEST, (requestByOption.get(key)?.count ?? 0) + 1);
+      const count = (requestByOption.get(key)?.count ?? 0) + 1;
       const first = requestByOption.get(key) ?? { request: '', type: type.name, zone, spot, count, reason };
       requestByOption.set(key, { ...first, count });
     }
@@ -181,13 +177,16 @@
       this.#drainingIdleMachines.delete(machine);
       this.#kept.add(machine.name);
       const planned = { type, zone: machine.zone, spot: machine.spot, free: capacityOf(type), reason: null };
-      this.#plannedMachines.push(planned);
+      this.#plannedMachines.add(planned);
       return planned;
     }
     return null;
   }
 
-  /** Plans the machine with the lowest cost for the first demand; null if none may be rented. */
+  /**
+   * Plans the machine with the lowest cost for the first demand. Null if none may be rented, or if the request for the
+   * one with the lowest cost is full: a later plan rents more of them.
+   */
   #scaleOut(
     purpose: ScaleOutReason['for'],
     demands: readonly ScaleOutDemand[],
@@ -204,17 +203,26 @@
       types,
       machineCountByZone: this.#machineCountByZone,
       demands,
-      options,
+      options: this.#withOpenRequests(options),
       wasRefused,
     });
-    if (choice === null) return null;
+    if (choice === null || this.#plannedMachines.isRequestFull(choice.chosen.option)) return null;
     const { type, zone, spot } = choice.chosen.option;
     this.#countMachine(zone, spot);
     const planned = { type, zone, spot, free: capacityOf(type), reason: reasonOf(purpose, choice) };
-    this.#plannedMachines.push(planned);
+    this.#plannedMachines.add(planned);
     return planned;
   }
 
+  /** Without the options whose request is full while that for another zone, of the same type and kind, is not. */
+  #withOpenRequests(options: readonly MachineOption[]): MachineOption[] {
+    const isFull = (option: MachineOption): boolean => this.#plannedMachines.isRequestFull(option);
+    const open = options.filter((option) => !isFull(option));
+    const hasOpenZone = ({ type, spot }: MachineOption): boolean =>
+      open.some((other) => other.type === type && other.spot === spot);
+    return options.filter((option) => !isFull(option) || !hasOpenZone(option));
+  }
+
   #isBelowLimit(spot: boolean): boolean {
     const { maxOrdinaryMachines, maxSpotMachines } = this.input;
     return spot ? this.#count.spot < maxSpotMachines : this.#count.ordinary < maxOrdinaryMachines;
--- a/packages/core/test/scale-out-plan.test.ts
+++ b/packages/core/test/scale-out-plan.test.ts
@@ -5,6 +5,7 @@
 import { countFitting, Job, NO_RESOURCES, ScaleOutPlan, type ScaleOutPlanInput } from '../src/index';
 import { specOf } from './fixtures';
 import { allOptions, anyTypes, clusterConfig, RUNS, ZONES } from './machine-types';
+import { StepCounter } from './step-counter';
 
 // SMALL is more expensive per GPU than LARGE, though cheaper per machine, and it boots and fetches at half the speed.
 const SMALL: MachineType = {
@@ -165,3 +166,41 @@
     RUNS,
   );
 });
+
+/** The steps of a plan for some jobs with equally many waiting tasks each; a step reads a field of a job's spec. */
+function stepsOfPlan(jobs: number, tasksPerJob: number, maxSteps: number): number {
+  const counter = new StepCounter(maxSteps);
+  const entry = waiting(tasksPerJob, { kind: 'array', gpus: 0, cpus: 8, spot: true });
+  entry.job.spec = counter.countReads(entry.job.spec);
+  const plan = planOf();
+  plan.planForTasks(
+    Array.from({ length: jobs }, () => entry),
+    0,
+  );
+  assert.ok(plan.requests(() => 'r').length > 0);
+  return counter.steps;
+}
+
+// Guards against a plan that outlasts the store lease of one leader after the other: six huge arrays did (review/1).
+test('the steps of a plan do not depend on the number of waiting tasks, up to six arrays of 100,000', () => {
+  const steps = stepsOfPlan(6, 10_000, 1e6);
+  assert.ok(stepsOfPlan(6, 100_000, steps * 2) <= steps * 1.1);
+});
+
+// Guards against the same for a flood of one-task jobs, each of which searched all machines planned before.
+test('the steps of a plan grow with the number of waiting jobs, and not faster', () => {
+  const steps = stepsOfPlan(2_500, 1, 1e7);
+  assert.ok(stepsOfPlan(10_000, 1, steps * 5) <= steps * 4.4);
+});
+
+test('a plan asks for no more machines than one request may have, in each zone before the next best type', () => {
+  const plan = planOf({ known: Array.from({ length: 300 }, () => ({ zone: 'south', spot: false })) });
+  plan.planForTasks([waiting(100_000)], 0);
+  const requests = plan.requests(() => 'r');
+  assert.deepEqual(
+    requests.map(({ type, zone, spot, count }) => [type, zone, spot, count]),
+    ZONES.filter((zone) => zone !== 'south')
+      .concat('south')
+      .map((zone) => ['large', zone, false, 50]),
+  );
+});
