Pipelines: derive the urgency of each job once per change, dependents first

Cause: DependencyGraph.#propagateUrgency went down again below a job each time that one path made it more urgent, so it visited paths, not jobs: twice as many with each stage. Evidence: five samples of the stack of a running controller, all in update of the dependency graph under applyJob.

The changes of one read of the store are one batch, so a restart costs one pass too.

--- a/packages/core/src/jobs/job-table.ts
+++ b/packages/core/src/jobs/job-table.ts
@@ -32,6 +32,11 @@
     this.dependencies = new DependencyGraph(this, (id) => this.onDerived(id));
   }
 
+  /** Applies several changes; see `DependencyGraph.batch`. */
+  batch(changes: () => void): void {
+    this.dependencies.batch(changes);
+  }
+
   isKnown(id: string): boolean {
     return this.live.has(id) || this.outcomes.has(id);
   }
--- a/packages/core/test/dependencies.test.ts
+++ b/packages/core/test/dependencies.test.ts
@@ -5,6 +5,7 @@
 import fc from 'fast-check';
 import { type Job, jobOrder, JobTable } from '../src/index';
 import { specOf } from './fixtures';
+import { StepCounter } from './step-counter';
 
 type State = 'live' | 'done' | 'cancelled';
 
@@ -208,3 +209,90 @@
     ['j-1', 'j-3', 'j-4', 'j-2'],
   );
 });
+
+/** Accepts a job, or applies a later record of it. */
+function applySpec(table: JobTable, spec: JobSpec): void {
+  const { id } = spec;
+  const state = { final: null, acceptedAt: 0, cancelled: false, isCrashLooping: false, assignedRanges: [] } as const;
+  table.applyJob(id, jobRecord.write({ ...state, spec }), 1);
+}
+
+/**
+ * The jobs of a pipeline in which each job needs all jobs of the stage before its own, and the last one has a deadline.
+ * The estimates are such that each path through the stages that is longer than those before makes all jobs more urgent.
+ */
+function stagedPipeline(stages: number, width: number): JobSpec[] {
+  const specs: JobSpec[] = [];
+  let awaits: string[] = [];
+  for (let stage = 0; stage < stages; stage++) {
+    const ids = Array.from({ length: width }, (_, i) => `j-${stage * width + i}`);
+    for (const [i, id] of ids.entries())
+      specs.push(specOf(id, { awaits, estimateS: i === 0 ? 1 + 2 ** Math.min(stage, 30) / 1000 : 1 }));
+    awaits = ids;
+  }
+  return [...specs, specOf(`j-${stages * width}`, { awaits, priority: 'high', deadlineS: 100_000 })];
+}
+
+function countDependencies(specs: readonly JobSpec[]): number {
+  return specs.reduce((sum, { awaits }) => sum + awaits.length, 0);
+}
+
+/** The steps of accepting the last job of a pipeline after all others; a step looks up a job or an outcome. */
+function stepsOfLastJob(specs: readonly JobSpec[], maxSteps: number): number {
+  const table = new JobTable(() => 64);
+  for (const spec of specs.slice(0, -1)) applySpec(table, spec);
+  const counter = new StepCounter(maxSteps);
+  counter.countLookups(table.live);
+  counter.countLookups(table.outcomes);
+  applySpec(table, specs.at(-1)!);
+  return counter.steps;
+}
+
+/** The most steps for each dependency of a pipeline in a change that affects all of its jobs. */
+const STEPS_PER_DEPENDENCY = 10;
+
+// Guards against urgency that is propagated along each path: one deadline stopped all controllers for good (review/3).
+test('the steps of a deadline for a pipeline grow with its dependencies, however deep and wide it is', () => {
+  for (const [stages, width] of [
+    [26, 4],
+    [400, 4],
+    [12, 60],
+    [5_000, 1],
+    [2, 500],
+  ] as const) {
+    const specs = stagedPipeline(stages, width);
+    stepsOfLastJob(specs, countDependencies(specs) * STEPS_PER_DEPENDENCY);
+  }
+});
+
+// Guards against the same after a restart, when all records of a pipeline are read at once, in any order.
+test('the steps of reading a pipeline grow with its dependencies, also if many jobs need the same one', () => {
+  const needOne = Array.from({ length: 5_000 }, (_, i) =>
+    specOf(`j-${i}`, { awaits: i === 0 ? [] : ['j-0'], deadlineS: 10_000 - i }),
+  );
+  for (const specs of [needOne, stagedPipeline(26, 4), stagedPipeline(30, 30), [...stagedPipeline(26, 4)].reverse()]) {
+    const table = new JobTable(() => 64);
+    const counter = new StepCounter(countDependencies(specs) * STEPS_PER_DEPENDENCY);
+    counter.countLookups(table.live);
+    counter.countLookups(table.outcomes);
+    table.batch(() => {
+      for (const spec of specs) applySpec(table, spec);
+    });
+  }
+});
+
+// Guards against a search of all dependencies of a job each time that one of them ends or is cancelled.
+test('the steps until all jobs of a pipeline have ended grow with its dependencies', () => {
+  for (const final of ['done', 'cancelled'] as const) {
+    const specs = stagedPipeline(3, 150);
+    const table = new JobTable(() => 64);
+    for (const spec of specs) applySpec(table, spec);
+    const counter = new StepCounter(countDependencies(specs) * STEPS_PER_DEPENDENCY);
+    counter.countLookups(table.live);
+    counter.countLookups(table.outcomes);
+    for (const { id } of specs) {
+      if (final === 'done') assert.ok(table.live.get(id)!.isReady, id);
+      table.applyJob(id, jobRecord.write({ final }), 2);
+    }
+  }
+});
--- a/packages/daemon/src/controller/composition.ts
+++ b/packages/daemon/src/controller/composition.ts
@@ -172,7 +172,13 @@
       (REQUESTS_PER_READ * 1000) / (settings.storeRequestsPerS * share),
     ),
     idleIntervalMs: heartbeatIntervalMs / IDLE_READS_PER_HEARTBEAT_INTERVAL,
-    applyChanges: (apply) => workTimer.run('changes of the store', apply),
+    applyChanges: (apply) => {
+      try {
+        workTimer.run('changes of the store', () => clusterState.batch(apply));
+      } catch (error) {
+        log.error({ error: String(error) }, 'urgency of jobs not propagated');
+      }
+    },
     onChange: (key, value, version) => {
       try {
         clusterState.apply(key, value, version);
--- a/packages/daemon/src/state/cluster-state.ts
+++ b/packages/daemon/src/state/cluster-state.ts
@@ -133,6 +133,11 @@
     return this.reclaims.get(partitionId) ?? NO_RECLAIMS;
   }
 
+  /** Applies several changes of the watch cache; what follows for other jobs is derived once, at the end. */
+  batch(changes: () => void): void {
+    this.jobs.batch(changes);
+  }
+
   /** Applies one change of the watch cache. `value`: undefined if the key was removed. Throws if it can't be parsed. */
   apply(key: string, value: unknown, version: number): void {
     const parsed = parseKey(key);
