Assignment: search all machines once for an array, not once for each of its tasks

Once a task fits nowhere the rest is counted, not tried.

Why this works: the choice is that of chooseBin for each task; a further task costs the logarithm of the machines.

--- a/packages/core/src/scheduling/assignment.ts
+++ b/packages/core/src/scheduling/assignment.ts
@@ -15,6 +15,7 @@
 } from './assignment-types';
 import { chooseBin } from './bin-choice';
 import { GroupAssignment } from './group-assignment';
+import { JobBinSearch } from './job-bin-search';
 import { taskShapeOf } from './job-shape';
 import type { MachineBin } from './machine-bin';
 import { assignedRangesOf } from './placement-ranges';
@@ -47,6 +48,14 @@
   return run.result();
 }
 
+/** How many unfinished tasks of the job wait, counted from a task index on. */
+function countWaitingFrom(job: Job, waiting: WaitingRanges, index: number): number {
+  return waiting.reduce((sum, [from, count]) => {
+    const first = Math.max(from, index);
+    return sum + countUnfinishedIn(job, { from: first, count: Math.max(0, from + count - first) });
+  }, 0);
+}
+
 /** One assignment of all jobs: its results so far and the remaining capacity. */
 class AssignmentRun {
   readonly #assignments: Assignment[] = [];
@@ -145,7 +154,7 @@
   /** Counts the rest of the job as unschedulable if its tasks within the team's guarantee fitted on no machine. */
   #countRestAsUnschedulable(job: Job, waiting: WaitingRanges, team: Team, { placed, missing }: PlacedCounts): void {
     if (placed > 0 || missing === 0) return;
-    const waitingCount = waiting.reduce((sum, [from, count]) => sum + countUnfinishedIn(job, { from, count }), 0);
+    const waitingCount = countWaitingFrom(job, waiting, 0);
     const allowed = countWithinLimit(team, this.#capacity.usedBy(team.name), job.spec);
     const rest = Math.min(waitingCount - missing, allowed);
     const index = this.#unschedulable.findIndex((entry) => entry.job === job);
@@ -191,14 +200,16 @@
     heldBackGpus: number,
   ): JobPlacements {
     const found: JobPlacements = { indices: [], placements: [], intended: [], missing: 0 };
+    const search = new JobBinSearch(job, this.#capacity.bins, this.input, (zone) => zones.allows(zone));
     for (const [from, count] of waiting) {
       for (let index = from; index < from + count; index++) {
         if (job.isFinished(index)) continue;
-        if (found.placements.length + found.missing >= allowed) return found;
-        const bin = this.#isHeldBack(job, heldBackGpus) ? undefined : this.#binFor(job, zones, found);
+        if (found.placements.length >= allowed) return found;
+        const bin = this.#isHeldBack(job, heldBackGpus) ? undefined : this.#binFor(job, search, found);
         if (bin === undefined) {
-          found.missing++;
-          continue;
+          // Tasks of one job are alike: if one fits nowhere, the rest does not either.
+          found.missing = Math.min(countWaitingFrom(job, waiting, index), allowed - found.placements.length);
+          return found;
         }
         this.#capacity.allocate(bin, job);
         found.indices.push(index);
@@ -219,13 +230,12 @@
     return heldBackGpus > 0 && gpus > 0 && this.#capacity.wouldLeaveFewerGpus(gpus, heldBackGpus);
   }
 
-  #binFor(job: Job, zones: ZoneChoice, { placements, missing }: JobPlacements): MachineBin | undefined {
-    if (missing > 0 || this.#assignments.length >= this.input.maxAssignments) return undefined;
+  #binFor(job: Job, search: JobBinSearch, { placements }: JobPlacements): MachineBin | undefined {
+    if (this.#assignments.length >= this.input.maxAssignments) return undefined;
     const shape = taskShapeOf(job);
     if (this.#unplacedShapes.has(shape)) return undefined;
     const lastPartitionId = placements.at(-1)?.partitionId ?? job.assignedRanges.at(-1)?.partitionId;
-    const allowsZone = (zone: string): boolean => zones.allows(zone);
-    const bin = chooseBin(job, this.#capacity.bins, this.input, allowsZone, lastPartitionId);
+    const bin = search.choose(lastPartitionId);
     // A `spread` or `oneZone` job may fail to fit because of its zones: other jobs of its shape may still fit.
     if (bin === undefined && !job.spec.spread && !job.spec.oneZone) this.#unplacedShapes.add(shape);
     return bin;
--- a/packages/core/src/scheduling/bin-choice.ts
+++ b/packages/core/src/scheduling/bin-choice.ts
@@ -20,25 +20,43 @@
 const URGENT_PRIORITY = PRIORITIES.indexOf('high');
 
 /** Input for the choice of a bin, apart from the job and the bins. */
-type ChoiceContext = Pick<AssignmentInput, 'types' | 'clusterConfig' | 'preempts'>;
+export type ChoiceContext = Pick<AssignmentInput, 'types' | 'clusterConfig' | 'preempts'>;
 
 /**
- * The cost of a bin for a task: the estimated time until it runs there, in milliseconds, plus penalties; a fuller
- * machine wins a tie. `lastPartitionId` is the partition of the task before it; undefined: there is none.
+ * The cost of a bin for a task that fits there: the estimated time until it runs there, in milliseconds, plus
+ * penalties; a fuller machine wins a tie.
  */
 export function startCostMs(
   job: Job,
-  { machine, free, partitionId }: MachineBin,
+  { machine, free }: MachineBin,
   { types, clusterConfig: { heartbeatIntervalMs } }: ChoiceContext,
-  lastPartitionId: number | undefined,
 ): number {
   const { spec } = job;
   const type = types.get(machine.type);
   const imageMs = fetchMs(spec.imageGb, machine.images.includes(spec.image), type);
   const ordinaryMs = spec.spot && !machine.spot ? heartbeatIntervalMs * SPOT_PREFERENCE_INTERVALS : 0;
-  const isOtherPartition = spec.kind === 'array' && lastPartitionId !== undefined && lastPartitionId !== partitionId;
-  const otherPartitionMs = isOtherPartition ? heartbeatIntervalMs / OTHER_PARTITION_INTERVAL_DIVISOR : 0;
-  return imageMs + ordinaryMs + otherPartitionMs + tightnessCostMs(heartbeatIntervalMs, free, type);
+  return imageMs + ordinaryMs + tightnessCostMs(heartbeatIntervalMs, free, type);
+}
+
+/**
+ * The cost of a partition for a task, in milliseconds. `lastPartitionId` is the partition of the task before it;
+ * undefined: there is none.
+ */
+export function otherPartitionCostMs(
+  job: Job,
+  partitionId: number,
+  { clusterConfig: { heartbeatIntervalMs } }: ChoiceContext,
+  lastPartitionId: number | undefined,
+): number {
+  const isOtherPartition =
+    job.spec.kind === 'array' && lastPartitionId !== undefined && lastPartitionId !== partitionId;
+  return isOtherPartition ? heartbeatIntervalMs / OTHER_PARTITION_INTERVAL_DIVISOR : 0;
+}
+
+/** The cost of a bin for a task, with preemption if it does not fit there otherwise; Infinity: it does not fit. */
+export function startOrPreemptionCostMs(job: Job, bin: MachineBin, context: ChoiceContext): number {
+  const costMs = startCostMs(job, bin, context);
+  return fitsIn(job.spec, bin.free) ? costMs : costWithPreemptionMs(job, bin, context, costMs);
 }
 
 /** The bin with the lowest cost for one more task, the first one on a tie; undefined: the task fits in none. */
@@ -53,9 +71,9 @@
   let bestCostMs = Infinity;
   for (const bin of bins) {
     if (!allowsZone(bin.machine.zone) || !mayRunIn(job, bin)) continue;
-    let costMs = startCostMs(job, bin, context, lastPartitionId);
-    if (costMs >= bestCostMs) continue;
-    if (!fitsIn(job.spec, bin.free)) costMs = costWithPreemptionMs(job, bin, context, costMs);
+    const partitionCostMs = otherPartitionCostMs(job, bin.partitionId, context, lastPartitionId);
+    if (startCostMs(job, bin, context) + partitionCostMs >= bestCostMs) continue;
+    const costMs = startOrPreemptionCostMs(job, bin, context) + partitionCostMs;
     if (costMs < bestCostMs) {
       best = bin;
       bestCostMs = costMs;
--- a/packages/core/src/scheduling/group-assignment.ts
+++ b/packages/core/src/scheduling/group-assignment.ts
@@ -159,7 +159,7 @@
       machine: name,
       zone,
       capacity: countFitting(job.spec, subtractResources(free, backoffUse)),
-      costMs: startCostMs(job, bin, this.input, undefined) + stopMs,
+      costMs: startCostMs(job, bin, this.input) + stopMs,
     };
   }
 }
--- a/packages/core/test/assignment.test.ts
+++ b/packages/core/test/assignment.test.ts
@@ -36,6 +36,7 @@
   machineCount: number,
   jobCount: number,
   freeGpus: number,
+  tasksPerJob = 4,
 ): { reads: number; assigned: number; unschedulable: number } {
   let reads = 0;
   const machineStatuses = Array.from({ length: machineCount }, (_, i): MachineStatus => {
@@ -49,7 +50,7 @@
   });
   const table = new JobTable(() => 64);
   for (let i = 0; i < jobCount; i++) {
-    const spec = specOf(`j-${i}`, { image: `img-${i % 7}` });
+    const spec = specOf(`j-${i}`, { image: `img-${i % 7}`, tasks: tasksPerJob });
     const record = { final: null, spec, acceptedAt: i, cancelled: false, isCrashLooping: false, assignedRanges: [] };
     table.applyJob(spec.id, jobRecord.write(record), i + 1);
   }
@@ -93,6 +94,14 @@
   }
 });
 
+// Guards against a leader that searches all machines for each task of a huge array, for longer than its store lease.
+test('one assignment of an array reads machines in proportion to their number, whatever the number of tasks', () => {
+  const small = countMachineReads(400, 1, 8, 100_000);
+  assert.equal(small.assigned, 1);
+  assert.ok(countMachineReads(800, 1, 8, 100_000).reads <= small.reads * 2.2);
+  assert.ok(countMachineReads(400, 1, 8, 2_000).reads * 1.7 >= small.reads);
+});
+
 // The assigned ranges of a job keep its finished tasks. If these counted as running, the rest of a `oneZone` job would
 // wait for a zone that may have lost its machines.
 test('a oneZone job continues in another zone only after all its tasks in the first zone have finished', () => {
