Assignment: look up pending assignments and bins by machine instead of searching them

With 2,000 machines and 12,000 tasks assigned a moment ago that was 0.2 to 0.3 s of a full core before each decision of the leader.

Change: pending assignments are grouped by machine, bins and the leader's returned machines are looked up by name.

--- a/packages/core/src/autoscaling/autoscaler.ts
+++ b/packages/core/src/autoscaling/autoscaler.ts
@@ -266,13 +266,14 @@
   }
 
   #idleScaleIn(review: Review, isScalingOut: boolean, keptMachines: ReadonlySet<string>): IdleScaleIn {
-    const { input, statusByName, drain, scaleIn, booting } = review;
+    const { input, statusByName, drain, booting } = review;
+    const scaleIn = new Set(review.scaleIn);
     return planIdleScaleIn({
       clusterConfig: this.clusterConfig,
       types: input.types,
       machines: statusByName.values(),
       isReturned: (name) => this.#inventory.isReturned(name),
-      isExempt: (name) => scaleIn.includes(name) || keptMachines.has(name) || input.pinned?.has(name) === true,
+      isExempt: (name) => scaleIn.has(name) || keptMachines.has(name) || input.pinned?.has(name) === true,
       isDraining: (name) => drain.has(name) || this.#draining.has(name),
       mayDrainMore: !isScalingOut || booting.length > 0,
       headroomGpus: review.headroomGpus,
--- a/packages/core/src/scheduling/machine-bin.ts
+++ b/packages/core/src/scheduling/machine-bin.ts
@@ -19,17 +19,29 @@
 /** The bins of all machines that take work; resources that pending assignments will use are not free. */
 export function machineBinsOf({ statuses, pendingAssignments }: AssignmentInput): MachineBin[] {
   const bins: MachineBin[] = [];
+  const pendingByMachine = groupByMachine(pendingAssignments);
   for (const status of statuses) {
     const { partitionId, term } = status;
     for (const machine of status.machines) {
       if (!machine.takesWork) continue;
-      const free = freeAfterPending(machine, status, pendingAssignments);
+      const free = freeAfterPending(machine, status, pendingByMachine.get(machine.name) ?? []);
       bins.push({ machine, partitionId, term, free, byPriority: [...machine.byPriority] });
     }
   }
   return bins;
 }
 
+function groupByMachine(pendingAssignments: readonly PendingAssignment[]): Map<string, PendingAssignment[]> {
+  const pendingByMachine = new Map<string, PendingAssignment[]>();
+  for (const pending of pendingAssignments) {
+    const others = pendingByMachine.get(pending.machine);
+    if (others === undefined) pendingByMachine.set(pending.machine, [pending]);
+    else others.push(pending);
+  }
+  return pendingByMachine;
+}
+
+/** The free resources of a machine less those of its pending assignments that the status does not reflect. */
 function freeAfterPending(
   machine: MachineStatus,
   { partitionId, revision }: PartitionStatus,
@@ -37,7 +49,7 @@
 ): Resources {
   let { free } = machine;
   for (const pending of pendingAssignments) {
-    if (pending.partitionId === partitionId && pending.machine === machine.name && pending.revision > revision)
+    if (pending.partitionId === partitionId && pending.revision > revision)
       free = subtractResources(free, pending.need);
   }
   return free;
--- a/packages/core/src/scheduling/remaining-capacity.ts
+++ b/packages/core/src/scheduling/remaining-capacity.ts
@@ -8,6 +8,8 @@
 /** The resources that one assignment has not allocated yet, and the teams' use so far. */
 export class RemainingCapacity {
   readonly bins: readonly MachineBin[];
+  /** By name of the machine. */
+  readonly #binByMachine: ReadonlyMap<string, MachineBin>;
   readonly #usedByTeam: Map<string, Resources>;
   readonly #heldBackByTeam: ReadonlyMap<string, number> | null;
   /** Sum of the free GPUs of all machines. */
@@ -15,6 +17,7 @@
 
   constructor(input: AssignmentInput, jobs: readonly Job[]) {
     this.bins = machineBinsOf(input);
+    this.#binByMachine = new Map(this.bins.map((bin) => [bin.machine.name, bin]));
     this.#usedByTeam = usageByTeam(jobs);
     this.#heldBackByTeam = input.heldBack;
     this.#freeGpus = this.bins.reduce((sum, bin) => sum + Math.max(0, bin.free.gpus), 0);
@@ -27,7 +30,7 @@
 
   /** The bin of a machine that takes work. */
   binOf(machine: string): MachineBin {
-    return this.bins.find((bin) => bin.machine.name === machine)!;
+    return this.#binByMachine.get(machine)!;
   }
 
   /** Allocates the resources of one task of the job in the bin. */
--- a/packages/core/test/assignment.test.ts
+++ b/packages/core/test/assignment.test.ts
@@ -10,6 +10,7 @@
   ProbeSchedule,
 } from '../src/index';
 import { CLUSTER_CONFIG, machineStatusOf, specOf } from './fixtures';
+import { StepCounter } from './step-counter';
 
 const ZONES = ['a', 'b', 'c'];
 const team = { name: 'red', cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 };
@@ -102,6 +103,34 @@
   assert.ok(countMachineReads(400, 1, 8, 2_000).reads * 1.7 >= small.reads);
 });
 
+// Guards against a leader that looks at all pending assignments for each of its machines, in each assignment.
+test('the steps of counting pending assignments grow with them and the machines, not with their product', () => {
+  const stepsFor = (machineCount: number): number => {
+    const counter = new StepCounter(1e8);
+    const need = { cpus: 1, gpus: 0, memoryGb: 0 };
+    const pendingAssignments = Array.from({ length: machineCount * 6 }, (_, i) =>
+      counter.countReads({ machine: `m-${i % machineCount}`, partitionId: 0, revision: 5, need }),
+    );
+    const machines = Array.from({ length: machineCount }, (_, i) => machineStatusIn(`m-${i}`, 'a', 8));
+    const { free } = assignTasks({
+      now: 0,
+      probes: new ProbeSchedule(clusterConfig),
+      jobs: [],
+      statuses: [{ partitionId: 0, term: 1, revision: 4, machines, missing: NO_RESOURCES, running: [] }],
+      pendingAssignments,
+      clusterConfig,
+      types: new Map([[type.name, type]]),
+      maxAssignments: 12,
+      preempts: true,
+      heldBack: null,
+      groups: null,
+    });
+    for (const { cpus } of free.values()) assert.equal(cpus, 48 - 6);
+    return counter.steps;
+  };
+  assert.ok(stepsFor(800) <= stepsFor(200) * 4.4);
+});
+
 // The assigned ranges of a job keep its finished tasks. If these counted as running, the rest of a `oneZone` job would
 // wait for a zone that may have lost its machines.
 test('a oneZone job continues in another zone only after all its tasks in the first zone have finished', () => {
--- a/packages/daemon/src/leader/pending-assignments.ts
+++ b/packages/daemon/src/leader/pending-assignments.ts
@@ -15,8 +15,9 @@
 
   /** Keeps the assignments that are newer than the status of their partition; a later status reflects them. */
   dropReflected(statuses: readonly PartitionStatus[]): void {
-    this.#all = this.#all.filter((pending) =>
-      statuses.some((status) => status.partitionId === pending.partitionId && status.revision < pending.revision),
+    const revisionByPartition = new Map(statuses.map(({ partitionId, revision }) => [partitionId, revision]));
+    this.#all = this.#all.filter(
+      ({ partitionId, revision }) => (revisionByPartition.get(partitionId) ?? Infinity) < revision,
     );
   }
 
