Leader: bisect how many ranges fit in a record, and find partitions of machines by name

The rest of a half finished array that lost its machines is assigned in as many ranges as it has gaps; fittingRanges encoded the whole record again for each range that had to go, n^2 for n ranges. plannedUses searched all machines for the partition of each assigned task.

Change: the number of ranges is searched from the top in doubling steps and then by bisection; the partitions of machines are put in a map once per transaction.

--- a/packages/daemon/src/leader/assignment-changes.ts
+++ b/packages/daemon/src/leader/assignment-changes.ts
@@ -19,6 +19,7 @@
   statuses: readonly PartitionStatus[],
 ): PlannedUse[] {
   const uses: PlannedUse[] = [];
+  const partitionByMachine = partitionsByMachine(statuses);
   for (const assignment of assignments) {
     const { job } = assignment;
     if (batch.jobs.has(job.id)) continue;
@@ -29,7 +30,8 @@
     }
     if (!batch.requireOwners(context.clusterState.owners, partitionIdsOf(added))) return uses;
     if (!batch.put(job, recordWith(job, probes.mustBeProbed(job), added))) return uses;
-    uses.push(...plannedUses(assignment, statuses));
+    for (const { machine, need } of assignment.intended)
+      uses.push({ partitionId: partitionByMachine.get(machine)!, machine, need });
   }
   return uses;
 }
@@ -41,14 +43,32 @@
 
 /** As many of the new ranges as fit in the job's record. The other tasks are assigned after the record has shrunk. */
 function fittingRanges(context: ControllerContext, { job, added }: Assignment): AssignedRange[] {
-  const fitting = [...added];
-  while (fitting.length > 0 && !context.fitsValue(recordWith(job, true, fitting))) fitting.pop();
-  return fitting;
+  const doFit = (count: number): boolean => context.fitsValue(recordWith(job, true, added.slice(0, count)));
+  return added.slice(0, largestFittingCount(added.length, doFit));
 }
 
-function plannedUses({ intended }: Assignment, statuses: readonly PartitionStatus[]): PlannedUse[] {
-  return intended.map(({ machine, need }) => {
-    const { partitionId } = statuses.find(({ machines }) => machines.some(({ name }) => name === machine))!;
-    return { partitionId, machine, need };
-  });
+/**
+ * The largest count up to `max` that fits, provided that what fits also fits with fewer. Tries counts from the top in
+ * steps that double, and then bisects.
+ */
+function largestFittingCount(max: number, doFit: (count: number) => boolean): number {
+  let tooMany = max + 1;
+  let count = max;
+  for (let step = 1; count > 0 && !doFit(count); step *= 2) {
+    tooMany = count;
+    count = Math.max(0, count - step);
+  }
+  while (tooMany - count > 1) {
+    const middle = Math.floor((count + tooMany) / 2);
+    if (doFit(middle)) count = middle;
+    else tooMany = middle;
+  }
+  return count;
+}
+
+function partitionsByMachine(statuses: readonly PartitionStatus[]): Map<string, number> {
+  const partitionByMachine = new Map<string, number>();
+  for (const { partitionId, machines } of statuses)
+    for (const { name } of machines) partitionByMachine.set(name, partitionId);
+  return partitionByMachine;
 }
