Owner: group the tasks to stop by machine in one pass

Change: WorkerCommandSender.stopAll groups the tasks once; groupBy serves the pending assignments and the bins as well.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 export * from './cluster/cluster-config';
 export * from './cluster/resources';
+export * from './cluster/group-by';
 export * from './cluster/quota';
 export * from './cluster/placement-constraints';
 export * from './cluster/machine-boot-time';
--- a/packages/core/src/scheduling/job-bin-search.ts
+++ b/packages/core/src/scheduling/job-bin-search.ts
@@ -1,4 +1,5 @@
 // The leader's choice of machines for the tasks of one job, one task after the other.
+import { groupBy } from '../cluster/group-by';
 import type { Job } from '../jobs/jobs';
 import {
   type ChoiceContext,
@@ -68,12 +69,7 @@
 
   #newQueues(): Map<number, LowestCostQueue<MachineBin>> {
     const { job, context, allowsZone } = this;
-    const binsByPartition = new Map<number, MachineBin[]>();
-    for (const bin of this.bins) {
-      const bins = binsByPartition.get(bin.partitionId);
-      if (bins === undefined) binsByPartition.set(bin.partitionId, [bin]);
-      else bins.push(bin);
-    }
+    const binsByPartition = groupBy(this.bins, ({ partitionId }) => partitionId);
     const isAllowed = (bin: MachineBin): boolean => allowsZone(bin.machine.zone) && mayRunIn(job, bin);
     const costs = {
       lowerBound: (bin: MachineBin): number => (isAllowed(bin) ? startCostMs(job, bin, context) : Infinity),
--- a/packages/core/src/scheduling/machine-bin.ts
+++ b/packages/core/src/scheduling/machine-bin.ts
@@ -1,4 +1,5 @@
 // The machines as bins, into which one assignment packs tasks.
+import { groupBy } from '../cluster/group-by';
 import { addResources, fitsIn, NO_RESOURCES, type Resources, subtractResources } from '../cluster/resources';
 import { allowsMachine } from '../cluster/placement-constraints';
 import type { Job } from '../jobs/jobs';
@@ -19,7 +20,7 @@
 /** The bins of all machines that take work; resources that pending assignments will use are not free. */
 export function machineBinsOf({ statuses, pendingAssignments }: AssignmentInput): MachineBin[] {
   const bins: MachineBin[] = [];
-  const pendingByMachine = groupByMachine(pendingAssignments);
+  const pendingByMachine = groupBy(pendingAssignments, ({ machine }) => machine);
   for (const status of statuses) {
     const { partitionId, term } = status;
     for (const machine of status.machines) {
@@ -31,16 +32,6 @@
   return bins;
 }
 
-function groupByMachine(pendingAssignments: readonly PendingAssignment[]): Map<string, PendingAssignment[]> {
-  const pendingByMachine = new Map<string, PendingAssignment[]>();
-  for (const pending of pendingAssignments) {
-    const others = pendingByMachine.get(pending.machine);
-    if (others === undefined) pendingByMachine.set(pending.machine, [pending]);
-    else others.push(pending);
-  }
-  return pendingByMachine;
-}
-
 /** The free resources of a machine less those of its pending assignments that the status does not reflect. */
 function freeAfterPending(
   machine: MachineStatus,
--- a/packages/daemon/src/owner/partition-owner.ts
+++ b/packages/daemon/src/owner/partition-owner.ts
@@ -12,7 +12,6 @@
   relocateReplicas,
   type Resources,
   type SpareCapacity,
-  type TaskEntry,
 } from '@gingerlock/core';
 import { combineReservations } from './combined-reservations';
 import type { OwnerFeature } from './owner-feature';
@@ -99,7 +98,7 @@
    * no more use.
    */
   jobChanged(id: string): void {
-    this.#sendStops(this.claimTable.syncJob(id, this.context.clock.now()));
+    this.#commandSender.stopAll(this.claimTable.syncJob(id, this.context.clock.now()));
     for (const feature of this.#features) feature.jobChanged(id);
   }
 
@@ -111,7 +110,8 @@
       this.#scannedAt = now;
       this.claimTable.recoverWakes();
     }
-    for (const feature of this.#features) if (this.isOwner()) this.#sendStops(feature.step(this.claimTable, now));
+    for (const feature of this.#features)
+      if (this.isOwner()) this.#commandSender.stopAll(feature.step(this.claimTable, now));
     if (this.#isPlacementDue(now)) this.#placeTasks(now);
     void this.#writes.run();
   }
@@ -133,21 +133,12 @@
     this.#writes.tasks.unschedulable = unschedulable;
     const spareCapacity = (): SpareCapacity[] => this.context.spareCapacity(this.partitionId);
     if (this.mayGrant(now)) stopped.push(...relocateReplicas(this.claimTable, freeByMachine, spareCapacity, now));
-    this.#sendStops(stopped);
+    this.#commandSender.stopAll(stopped);
     if (!this.mayGrant(now)) return;
     for (const machine of machinesToRequestHeartbeatsFrom(this.claimTable, now))
       this.#commandSender.requestHeartbeat(machine, now);
   }
 
-  #sendStops(stopped: readonly TaskEntry[]): void {
-    for (const machine of new Set(stopped.map((task) => task.claim!.machine))) {
-      this.#commandSender.stop(
-        machine,
-        stopped.filter((task) => task.claim!.machine === machine),
-      );
-    }
-  }
-
   /** Whether this controller's own reads show it as the owner. Workers are answered only if they do. */
   isOwner(): boolean {
     const { key, version } = this.ownershipTerm.condition;
--- a/packages/daemon/src/owner/worker-command-sender.ts
+++ b/packages/daemon/src/owner/worker-command-sender.ts
@@ -1,5 +1,5 @@
 // Sends an owner's commands directly to the workers of its partition, in addition to the answers to their heartbeats.
-import type { ClaimTable, Machine, TaskEntry } from '@gingerlock/core';
+import { type ClaimTable, groupBy, type Machine, type TaskEntry } from '@gingerlock/core';
 import { decodeHeartbeat, encodeDirectCommands } from '@gingerlock/wire';
 import type { ControllerContext } from '../controller/controller-context';
 
@@ -14,10 +14,14 @@
   ) {}
 
   /**
-   * Sends stops directly to the worker, without waiting for its next heartbeat. Starts are never sent this way: a start
-   * that was delayed by the network could be carried out minutes later.
+   * Sends stops directly to the workers that hold the tasks, without waiting for their next heartbeats. Starts are never
+   * sent this way: a start that was delayed by the network could be carried out minutes later.
    */
-  stop(machine: Machine, tasks: readonly TaskEntry[]): void {
+  stopAll(tasks: readonly TaskEntry[]): void {
+    for (const [machine, group] of groupBy(tasks, ({ claim }) => claim!.machine)) this.#stop(machine, group);
+  }
+
+  #stop(machine: Machine, tasks: readonly TaskEntry[]): void {
     const commands = tasks.map(({ name, claim }) => ({
       op: 'stop' as const,
       task: name,
