Assignment and placement: search full machines once for all jobs of a shape, with zones too

Change: the leader remembers shapes with the zones that were open to the job; an owner remembers shapes with the zone that a task is bound to, unless the job itself failed on a machine.

--- a/packages/core/src/claims/claim-view.ts
+++ b/packages/core/src/claims/claim-view.ts
@@ -20,8 +20,11 @@
   readonly reservations: Reservations;
   /** Decides when members of replica groups are started and returned. */
   readonly members: MemberPolicy;
-  /** Tells on which machines a job may not start for a while because it failed there. */
-  readonly failures: { isExcluded(job: string, machine: string, now: number): boolean };
+  /** Tells whether a job has failed, and on which machines it may not start for a while because it failed there. */
+  readonly failures: {
+    hasFailed(job: string): boolean;
+    isExcluded(job: string, machine: string, now: number): boolean;
+  };
   /** The machines that have sent a heartbeat to this owner, by name. */
   readonly machines: ReadonlyMap<string, Machine>;
   /** Addresses of the machines in the membership that may run tasks of an earlier owner, by name. */
--- a/packages/core/src/claims/failure-attribution.ts
+++ b/packages/core/src/claims/failure-attribution.ts
@@ -139,6 +139,11 @@
     return this.#failedJobs.get(job)?.verdict ?? null;
   }
 
+  /** Whether the job has failed on a machine of this partition, and the failure is not forgotten. */
+  hasFailed(job: string): boolean {
+    return this.#failedJobs.has(job);
+  }
+
   /** Whether the job may not start on the machine because it failed there within the last worker lease. */
   isExcluded(job: string, machine: string, now: number): boolean {
     const failedAt = this.#failedJobs.get(job)?.failedAt.get(machine);
--- a/packages/core/src/scheduling/assignment.ts
+++ b/packages/core/src/scheduling/assignment.ts
@@ -16,7 +16,7 @@
 import { chooseBin } from './bin-choice';
 import { GroupAssignment } from './group-assignment';
 import { JobBinSearch } from './job-bin-search';
-import { taskShapeOf } from './job-shape';
+import { taskShapeIn } from './job-shape';
 import type { MachineBin } from './machine-bin';
 import { assignedRangesOf } from './placement-ranges';
 import { mustBeProbed } from './probe-policy';
@@ -62,7 +62,7 @@
   readonly #unschedulable: UnschedulableDemand[] = [];
   readonly #capacity: RemainingCapacity;
   readonly #groups: GroupAssignment;
-  /** Shapes of tasks that fit on no machine. Free resources only shrink, so the search is not repeated. */
+  /** Shapes of tasks that fit on no machine in some zones. Free resources only shrink: the search is not repeated. */
   readonly #unplacedShapes = new Set<string>();
   /** By job id: the counts of the pass that assigns tasks within their teams' guarantees. */
   readonly #withinGuaranteeByJob = new Map<string, PlacedCounts>();
@@ -126,7 +126,10 @@
   }
 
   #zonesFor(job: Job): ZoneChoice {
-    return new ZoneChoice(job, () => bestZone(job, this.#capacity.bins));
+    return new ZoneChoice(job, () => {
+      const fitsNowhere = this.#unplacedShapes.has(taskShapeIn(job, this.#capacity.zones));
+      return bestZone(job, fitsNowhere ? [] : this.#capacity.bins);
+    });
   }
 
   #assignGroup(job: Job, team: Team): void {
@@ -205,7 +208,7 @@
       for (let index = from; index < from + count; index++) {
         if (job.isFinished(index)) continue;
         if (found.placements.length >= allowed) return found;
-        const bin = this.#isHeldBack(job, heldBackGpus) ? undefined : this.#binFor(job, search, found);
+        const bin = this.#isHeldBack(job, heldBackGpus) ? undefined : this.#binFor(job, zones, search, found);
         if (bin === undefined) {
           // Tasks of one job are alike: if one fits nowhere, the rest does not either.
           found.missing = Math.min(countWaitingFrom(job, waiting, index), allowed - found.placements.length);
@@ -230,14 +233,18 @@
     return heldBackGpus > 0 && gpus > 0 && this.#capacity.wouldLeaveFewerGpus(gpus, heldBackGpus);
   }
 
-  #binFor(job: Job, search: JobBinSearch, { placements }: JobPlacements): MachineBin | undefined {
+  #binFor(job: Job, zones: ZoneChoice, search: JobBinSearch, { placements }: JobPlacements): MachineBin | undefined {
     if (this.#assignments.length >= this.input.maxAssignments) return undefined;
-    const shape = taskShapeOf(job);
-    if (this.#unplacedShapes.has(shape)) return undefined;
+    const shape = (): string =>
+      taskShapeIn(
+        job,
+        this.#capacity.zones.filter((zone) => zones.allows(zone)),
+      );
+    if (placements.length === 0 && this.#unplacedShapes.has(shape())) return undefined;
     const lastPartitionId = placements.at(-1)?.partitionId ?? job.assignedRanges.at(-1)?.partitionId;
     const bin = search.choose(lastPartitionId);
-    // A `spread` or `oneZone` job may fail to fit because of its zones: other jobs of its shape may still fit.
-    if (bin === undefined && !job.spec.spread && !job.spec.oneZone) this.#unplacedShapes.add(shape);
+    // Other jobs of its shape may still fit if they may go to other zones.
+    if (bin === undefined) this.#unplacedShapes.add(shape());
     return bin;
   }
 }
--- a/packages/core/src/scheduling/job-shape.ts
+++ b/packages/core/src/scheduling/job-shape.ts
@@ -6,6 +6,11 @@
   return [ownPriority, spec.cpus, spec.gpus, spec.memoryGb, spec.zone, spec.spot, ...(spec.types ?? [])].join();
 }
 
+/** Key of a job's tasks that may go to these zones only; see `taskShapeOf`. */
+export function taskShapeIn(job: Job, zones: readonly (string | null)[]): string {
+  return [taskShapeOf(job), ...zones].join();
+}
+
 /**
  * Key of a replica group: groups with equal keys either all fit or all do not. Machines that a group avoids are not
  * part of the key; they may delay a group to the next assignment.
--- a/packages/core/src/scheduling/placement-planner.ts
+++ b/packages/core/src/scheduling/placement-planner.ts
@@ -31,9 +31,10 @@
 export function planPlacements(claimTable: ClaimView, now: number): PlacementPlan {
   const freeByMachine = plannableResources(claimTable, now);
   const run: PlanningRun = { claimTable, freeByMachine, preempted: new Set(), now };
+  const unplacedShapes = new Set<string>();
   const unschedulable: TaskEntry[] = [];
   for (const job of claimTable.wakes()) {
-    const search = new PlacementSearch(run, job);
+    const search = new PlacementSearch(run, job, unplacedShapes);
     for (const task of claimTable.waitingTasks(job)) {
       task.plan = null;
       if (job.isGroup) planGroupMember(run, task);
--- a/packages/core/src/scheduling/placement-search.ts
+++ b/packages/core/src/scheduling/placement-search.ts
@@ -2,6 +2,7 @@
 import type { Machine } from '../claims/machine-entry';
 import type { PlannedPlacement, TaskEntry } from '../claims/task-entry';
 import type { Job } from '../jobs/jobs';
+import { taskShapeIn } from './job-shape';
 import { LowestCostQueue } from './lowest-cost-queue';
 import { bestPlacement, placementOn, type PlacementContext, placementCostMs, readyMsOn } from './placement';
 
@@ -11,21 +12,37 @@
  * the number of machines.
  */
 export class PlacementSearch {
-  /** The zones that a first task has been placed in; null stands for tasks that are bound to no zone. */
-  readonly #searchedZones = new Set<string | null>();
+  /** By zone that tasks are bound to, null for any: the machines that may take a further task. */
   readonly #queueByZone = new Map<string | null, LowestCostQueue<Machine>>();
+  /** By zone that tasks are bound to, null for any: whether a machine could take the first of them. */
+  readonly #isPlaceableByZone = new Map<string | null, boolean>();
 
   constructor(
     readonly context: PlacementContext,
     readonly job: Job,
+    /** Shapes of tasks that no machine can take. Free resources only shrink: the search is not repeated. */
+    readonly unplacedShapes: Set<string>,
   ) {}
 
   /** The placement that would run the task soonest, the first one on a tie; null: no machine could run it. */
   find(task: TaskEntry): PlannedPlacement | null {
-    if (!this.#searchedZones.has(task.zone)) {
-      this.#searchedZones.add(task.zone);
-      return bestPlacement(this.context, task);
-    }
+    const isPlaceable = this.#isPlaceableByZone.get(task.zone);
+    if (isPlaceable !== undefined) return isPlaceable ? this.#findNext(task) : null;
+    const placement = this.#findFirst(task);
+    this.#isPlaceableByZone.set(task.zone, placement !== null);
+    return placement;
+  }
+
+  #findFirst(task: TaskEntry): PlannedPlacement | null {
+    const shape = taskShapeIn(this.job, [task.zone]);
+    if (this.unplacedShapes.has(shape)) return null;
+    const placement = bestPlacement(this.context, task);
+    // For other jobs of the shape, only the machines on which this job has failed may differ.
+    if (placement === null && !this.context.claimTable.failures.hasFailed(this.job.id)) this.unplacedShapes.add(shape);
+    return placement;
+  }
+
+  #findNext(task: TaskEntry): PlannedPlacement | null {
     const queue = this.#queueByZone.get(task.zone) ?? this.#newQueue(task);
     this.#queueByZone.set(task.zone, queue);
     const lowest = queue.best();
--- a/packages/core/src/scheduling/remaining-capacity.ts
+++ b/packages/core/src/scheduling/remaining-capacity.ts
@@ -8,6 +8,8 @@
 /** The resources that one assignment has not allocated yet, and the teams' use so far. */
 export class RemainingCapacity {
   readonly bins: readonly MachineBin[];
+  /** The zones of the bins. */
+  readonly zones: readonly string[];
   /** By name of the machine. */
   readonly #binByMachine: ReadonlyMap<string, MachineBin>;
   readonly #usedByTeam: Map<string, Resources>;
@@ -17,6 +19,7 @@
 
   constructor(input: AssignmentInput, jobs: readonly Job[]) {
     this.bins = machineBinsOf(input);
+    this.zones = [...new Set(this.bins.map(({ machine }) => machine.zone))];
     this.#binByMachine = new Map(this.bins.map((bin) => [bin.machine.name, bin]));
     this.#usedByTeam = usageByTeam(jobs);
     this.#heldBackByTeam = input.heldBack;
--- a/packages/core/test/assignment.test.ts
+++ b/packages/core/test/assignment.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { finishedRecord, jobRecord, type MachineType } from '@gingerlock/wire';
+import { finishedRecord, jobRecord, type JobSpec, type MachineType } from '@gingerlock/wire';
 import {
   assignTasks,
   JobTable,
@@ -37,7 +37,7 @@
   machineCount: number,
   jobCount: number,
   freeGpus: number,
-  tasksPerJob = 4,
+  overrides: Partial<JobSpec> = {},
 ): { reads: number; assigned: number; unschedulable: number } {
   let reads = 0;
   const machineStatuses = Array.from({ length: machineCount }, (_, i): MachineStatus => {
@@ -51,7 +51,7 @@
   });
   const table = new JobTable(() => 64);
   for (let i = 0; i < jobCount; i++) {
-    const spec = specOf(`j-${i}`, { image: `img-${i % 7}`, tasks: tasksPerJob });
+    const spec = specOf(`j-${i}`, { image: `img-${i % 7}`, ...overrides });
     const record = { final: null, spec, acceptedAt: i, cancelled: false, isCrashLooping: false, assignedRanges: [] };
     table.applyJob(spec.id, jobRecord.write(record), i + 1);
   }
@@ -97,10 +97,19 @@
 
 // Guards against a leader that searches all machines for each task of a huge array, for longer than its store lease.
 test('one assignment of an array reads machines in proportion to their number, whatever the number of tasks', () => {
-  const small = countMachineReads(400, 1, 8, 100_000);
+  const small = countMachineReads(400, 1, 8, { tasks: 100_000 });
   assert.equal(small.assigned, 1);
-  assert.ok(countMachineReads(800, 1, 8, 100_000).reads <= small.reads * 2.2);
-  assert.ok(countMachineReads(400, 1, 8, 2_000).reads * 1.7 >= small.reads);
+  assert.ok(countMachineReads(800, 1, 8, { tasks: 100_000 }).reads <= small.reads * 2.2);
+  assert.ok(countMachineReads(400, 1, 8, { tasks: 2_000 }).reads * 1.7 >= small.reads);
+});
+
+// Guards against a leader that searches all of its full machines for each service that is spread or in one zone.
+test('one assignment searches full machines once for all jobs of a shape that have their zones chosen', () => {
+  for (const overrides of [{ spread: true }, { oneZone: true }]) {
+    const full = countMachineReads(100, 50, 0, overrides);
+    assert.equal(full.unschedulable, 50);
+    assert.ok(countMachineReads(100, 800, 0, overrides).reads <= full.reads * 1.1, JSON.stringify(overrides));
+  }
 });
 
 // Guards against a leader that looks at all pending assignments for each of its machines, in each assignment.
--- a/packages/core/test/cost.test.ts
+++ b/packages/core/test/cost.test.ts
@@ -21,10 +21,10 @@
 const TASKS = 6;
 
 /**
- * Counts the lookups of one unchanged heartbeat and of one planning with `waiting` waiting tasks, in a partition of
- * `count` machines with six replicas each.
+ * Counts the lookups of one unchanged heartbeat and of one planning with `waitingJobs` jobs of `waiting` waiting tasks
+ * each, in a partition of `count` machines with six replicas each.
  */
-function costs(count: number, waiting: number): { heartbeat: number; planning: number } {
+function costs(count: number, waiting: number, waitingJobs = 1): { heartbeat: number; planning: number } {
   let lookups = 0;
   const types = new Map([[type.name, type]]);
   const jobs = new JobTable(() => 64);
@@ -76,8 +76,10 @@
     claimTable.setMember(`m-${machineIndex}`, true);
   }
   if (waiting > 0) {
-    job('j-999999', waiting);
-    claimTable.syncJob('j-999999', 1);
+    for (let i = 0; i < waitingJobs; i++) {
+      job(`j-9${i}`, waiting);
+      claimTable.syncJob(`j-9${i}`, 1);
+    }
   }
   lookups = 0;
   const outcome = claimTable.handleHeartbeat(heartbeat(0, 2), 2, false);
@@ -85,7 +87,7 @@
   const ofHeartbeat = lookups;
   lookups = 0;
   const { unschedulable } = planPlacements(claimTable, 3);
-  assert.equal(unschedulable.length, 0);
+  assert.equal(unschedulable.length, Math.max(0, waiting * waitingJobs - count * 2));
   return { heartbeat: ofHeartbeat, planning: lookups };
 }
 
@@ -106,3 +108,9 @@
   const small = costs(200, 400).planning;
   assert.ok(costs(800, 1600).planning <= small * 4 * 1.1);
 });
+
+// Guards against an owner that searches all its full machines for each of many alike jobs, as after the loss of a zone.
+test('the cost of planning jobs that fit on no machine does not grow with their number', () => {
+  const few = costs(100, 4, 60).planning;
+  assert.ok(costs(100, 4, 400).planning <= few * 1.1);
+});
