Names: the field of the dependency graph is not that of a submission

Cause: the test that only wire and peer use the names of the protocol failed on for a private field named urgency.

--- a/packages/core/src/jobs/dependencies.ts
+++ b/packages/core/src/jobs/dependencies.ts
@@ -27,7 +27,7 @@
   readonly #dependents = new Map<string, Set<string>>();
   /** By job id: how many of its dependencies, in the order of `awaits`, are known to be done. */
   readonly #doneDependencies = new Map<string, number>();
-  readonly #urgency: UrgencyPropagation;
+  readonly #urgencyPropagation: UrgencyPropagation;
   #isBatch = false;
 
   /** `onDerived` is called with each job whose readiness, cancellation or urgency changed because of another job. */
@@ -35,7 +35,7 @@
     readonly jobs: JobIndex,
     readonly onDerived: (id: string) => void,
   ) {
-    this.#urgency = new UrgencyPropagation({
+    this.#urgencyPropagation = new UrgencyPropagation({
       jobOf: (id) => jobs.live.get(id),
       dependentsOf: (id) => this.dependentsOf(id),
     });
@@ -55,7 +55,7 @@
       changes();
     } finally {
       this.#isBatch = false;
-      for (const id of this.#urgency.settle()) this.onDerived(id);
+      for (const id of this.#urgencyPropagation.settle()) this.onDerived(id);
     }
   }
 
@@ -78,9 +78,9 @@
     this.#doneDependencies.delete(job.id);
     job.isReady = this.#isReady(job);
     if (!job.isCancelled && job.spec.awaits.some((id) => this.#isCancelled(id))) job.isCancelled = true;
-    this.#urgency.deriveUrgency(job);
+    this.#urgencyPropagation.deriveUrgency(job);
     if (job.isCancelled) this.cancelDependents(job.id);
-    this.#urgency.markStale(job.spec.awaits);
+    this.#urgencyPropagation.markStale(job.spec.awaits);
   }
 
   /** Removes a job that has ended; `outcome` is null if its record was removed without a final record. */
@@ -95,7 +95,7 @@
       dependents?.delete(job.id);
       if (dependents?.size === 0) this.#dependents.delete(dependency);
     }
-    this.#urgency.markStale(job.spec.awaits);
+    this.#urgencyPropagation.markStale(job.spec.awaits);
     if (outcome !== null) this.propagateOutcome(job.id, outcome);
   }
 
@@ -122,7 +122,7 @@
         if (job === undefined || job.isCancelled) continue;
         job.isCancelled = true;
         cancelledIds.push(dependentId);
-        this.#urgency.markStale(job.spec.awaits);
+        this.#urgencyPropagation.markStale(job.spec.awaits);
         this.onDerived(dependentId);
       }
     }
