Finished tasks: copy a page once per write, and take in what a page adds

Change: the tasks of a page are added in one copy; a later version is compared byte by byte with the one before.

--- a/packages/core/src/jobs/finished-pages.ts
+++ b/packages/core/src/jobs/finished-pages.ts
@@ -27,6 +27,9 @@
   return tasks - (tasks % 8);
 }
 
+/** The page of a task: its key, the task index of its first bit, and its current bits. */
+export type PageOfTask = Omit<FinishedPage, 'version'>;
+
 /**
  * Returns the page into which a finished task is written, with its current bits. The first controller of a deployment
  * stores the length of regular pages in `meta`; it may have had a larger limit on values. If a task lies beyond the
@@ -38,7 +41,7 @@
   partitionId: number,
   taskIndex: number,
   limits: { readonly pageTasks: number; readonly valueBytes: number },
-): { readonly key: string; readonly first: number; readonly bits: BitSet } {
+): PageOfTask {
   const capacity = pageCapacity(limits.valueBytes);
   const page = Math.floor(taskIndex / limits.pageTasks);
   const key = KEYS.finished(job.id, partitionId, page);
--- a/packages/core/src/jobs/jobs.ts
+++ b/packages/core/src/jobs/jobs.ts
@@ -1,6 +1,7 @@
 /** A job with its stored and derived state, and the order in which jobs are scheduled. */
 import { type AssignedRange, type JobSpec, PRIORITIES } from '@gingerlock/wire';
 import { unassignedRanges } from './assigned-ranges';
+import { BitSet } from './bit-set';
 import type { FinishedPage } from './finished-pages';
 
 /**
@@ -62,9 +63,10 @@
 
   /** Sets a stored page and adds its finished tasks; a finished task never becomes unfinished. */
   setPage(page: FinishedPage): void {
+    const known = this.pages.get(page.key);
     this.pages.set(page.key, page);
     const { bits, first } = page;
-    for (let bit = 0; bit < bits.bytes.length * 8; bit++) if (bits.has(bit)) this.#finishedTasks.add(first + bit);
+    for (const bit of bits.bitsBeyond(known?.bits ?? new BitSet())) this.#finishedTasks.add(first + bit);
   }
 
   /** Ranges of tasks that are not assigned to a partition, as [from, count] pairs. */
--- a/packages/core/test/finished-pages.test.ts
+++ b/packages/core/test/finished-pages.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import { test } from 'node:test';
+import { mock, test } from 'node:test';
 import { finishedRecord, jobRecord, KEYS, parseKey } from '@gingerlock/wire';
 import fc from 'fast-check';
 import { BitSet, finishedPageFor, type Job, JobTable } from '../src/index';
@@ -67,3 +67,18 @@
     assert.deepEqual({ key, first }, { key: KEYS.finished(job.id, PARTITION_ID, 0), first: 0 });
   }
 });
+
+// Guards against a controller that takes in a whole page of a huge array again each time that one more task has finished.
+test('a later version of a page is taken in by what it adds', () => {
+  const { table, job } = tableWith(100_000);
+  let bits = new BitSet();
+  for (let taskIndex = 0; taskIndex < 40_000; taskIndex += 7) bits = bits.with(taskIndex);
+  const key = KEYS.finished(job.id, PARTITION_ID, 0);
+  store(table, key, bits, 2);
+  const finishedCount = job.finishedCount;
+  const has = mock.method(BitSet.prototype, 'has');
+  store(table, key, bits.with(39_999).with(12), 3);
+  has.mock.restore();
+  assert.equal(job.finishedCount, finishedCount + 2);
+  assert.ok(has.mock.callCount() <= 16, `${has.mock.callCount()} tasks are looked at`);
+});
--- a/packages/daemon/src/owner/task-writes.ts
+++ b/packages/daemon/src/owner/task-writes.ts
@@ -1,9 +1,9 @@
 // Plans writes of a partition's tasks: those that are finished, and those that are returned to the leader because no
 // machine of the partition can take them.
 import {
-  type BitSet,
   type ClaimTable,
   finishedPageFor,
+  groupBy,
   type Job,
   mergeRanges,
   type TaskEntry,
@@ -62,15 +62,18 @@
   #planFinishedPages(job: Job, tasks: readonly TaskEntry[]): Write[] {
     const { clusterState, settings, watchCache } = this.context;
     const limits = { pageTasks: clusterState.meta!.pageTasks, valueBytes: settings.valueBytes };
-    const bitsByKey = new Map<string, BitSet>();
-    for (const task of tasks) {
-      const { key, first, bits } = finishedPageFor(job, this.partitionId, task.index, limits);
-      bitsByKey.set(key, (bitsByKey.get(key) ?? bits).with(task.index - first));
-    }
-    return [...bitsByKey].map(([key, bits]) => ({
-      conditions: [{ key, version: watchCache.version(key) }],
-      change: { put: key, value: finishedRecord.write(bits.bytes) },
+    const finished = tasks.map(({ index }) => ({
+      index,
+      page: finishedPageFor(job, this.partitionId, index, limits),
     }));
+    return [...groupBy(finished, ({ page }) => page.key)].map(([key, added]) => {
+      const { first, bits } = added[0]!.page;
+      const { bytes } = bits.withAll(added.map(({ index }) => index - first));
+      return {
+        conditions: [{ key, version: watchCache.version(key) }],
+        change: { put: key, value: finishedRecord.write(bytes) },
+      };
+    });
   }
 
   /** Plans the return of as many of the tasks as leave a record that fits a value; plans nothing if no number does. */
