--- a/packages/core/src/claims/failure-attribution.ts
+++ b/packages/core/src/claims/failure-attribution.ts
@@ -56,6 +56,8 @@
 export class FailureAttribution {
   /** The failures of each job that is not over, by job id. */
   readonly #failedJobs = new Map<string, FailedJob>();
+  /** The jobs that failed on a machine since a task last completed there, by machine name. */
+  readonly #failuresByMachine = new Map<string, Set<FailedJob>>();
   /** The proven jobs that failed on a machine since a task last completed there, by machine name. */
   readonly #failedJobsByMachine = new Map<string, Set<string>>();
   /** When a task last completed on a machine, by machine name. */
@@ -73,6 +75,9 @@
     known.failedAt.set(machine, now);
     known.longestFailedRunMs = Math.max(known.longestFailedRunMs, ranMs);
     this.#failedJobs.set(job, known);
+    const failuresHere = this.#failuresByMachine.get(machine);
+    if (failuresHere === undefined) this.#failuresByMachine.set(machine, new Set([known]));
+    else failuresHere.add(known);
     if (known.verdict === 'proven') this.#holdMachineResponsible(machine, job, now);
   }
 
@@ -83,6 +88,7 @@
    */
   recordCompletion(job: string, machine: string, now: number): void {
     this.#failedJobsByMachine.delete(machine);
+    this.#failuresByMachine.delete(machine);
     this.#completedAt.set(machine, now);
     const failures = this.#failedJobs.get(job);
     if (failures !== undefined) this.#setVerdict(job, failures, 'proven');
@@ -93,10 +99,15 @@
     for (const [job, failures] of this.#failedJobs) {
       const evidence = evidenceOn(job);
       this.#setVerdict(job, failures, this.#verdictOn(failures, evidence));
-      if (evidence.isOver || failures.failedAt.size === 0) this.#failedJobs.delete(job);
+      if (evidence.isOver || failures.failedAt.size === 0) this.#forgetJob(job, failures);
     }
   }
 
+  #forgetJob(job: string, failures: FailedJob): void {
+    this.#failedJobs.delete(job);
+    for (const machine of failures.failedAt.keys()) this.#failuresByMachine.get(machine)?.delete(failures);
+  }
+
   #verdictOn({ failedAt, longestFailedRunMs }: FailedJob, evidence: JobEvidence): JobVerdict {
     const { hasCompleted, isMarkedCrashLooping, runningMachineCount, longestRunMs } = evidence;
     const provenAfterMs = longestFailedRunMs * PROVEN_RUNS + this.clusterConfig.heartbeatIntervalMs * PROVEN_INTERVALS;
@@ -130,6 +141,7 @@
   /** Forgets all failures and completions on a machine that is gone. */
   forgetMachine(machine: string): void {
     this.#failedJobsByMachine.delete(machine);
+    this.#failuresByMachine.delete(machine);
     this.#completedAt.delete(machine);
     for (const failures of this.#failedJobs.values()) failures.failedAt.delete(machine);
   }
@@ -153,7 +165,7 @@
   /** How many jobs failed on the machine since a task last completed there, whether or not the jobs are at fault. */
   jobsFailedOn(machine: string): number {
     let jobs = 0;
-    for (const { failedAt } of this.#failedJobs.values()) {
+    for (const { failedAt } of this.#failuresByMachine.get(machine) ?? []) {
       const at = failedAt.get(machine);
       if (at !== undefined && !this.#hasCompletedSince(machine, at)) jobs++;
     }
@@ -174,7 +186,7 @@
    */
   isOnProbation(machine: string, now: number): boolean {
     let jobs = 0;
-    for (const { verdict, failedAt } of this.#failedJobs.values()) {
+    for (const { verdict, failedAt } of this.#failuresByMachine.get(machine) ?? []) {
       const at = failedAt.get(machine);
       if (verdict === 'crash-looping' || at === undefined || this.#hasCompletedSince(machine, at)) continue;
       if (now - at < this.clusterConfig.workerLeaseMs) jobs++;
--- a/packages/core/test/failure-attribution.test.ts
+++ b/packages/core/test/failure-attribution.test.ts
@@ -1,7 +1,7 @@
 // Broken jobs fail on every machine, and faulty machines fail every job. If an owner quarantines any machine on which
 // two jobs failed, a few broken arrays make it drain and return most of a healthy fleet.
 import assert from 'node:assert/strict';
-import { test } from 'node:test';
+import { mock, test } from 'node:test';
 import fc from 'fast-check';
 import { FailureAttribution, type JobEvidence } from '../src/index';
 import { CLUSTER_CONFIG } from './fixtures';
@@ -131,3 +131,18 @@
     { seed: 391, numRuns: 500 },
   );
 });
+
+// Guards against an owner that goes through all failed jobs for each of its machines, several times in each tick.
+test('whether a machine is on probation is found without the failures on other machines', () => {
+  const lookupsWith = (jobCount: number): number => {
+    const failures = new FailureAttribution(CLUSTER_CONFIG);
+    for (let i = 0; i < jobCount; i++) failures.recordFailure(`j-${i}`, `m-${i}`, 0, 100);
+    failures.recordFailure('j-0', 'm-1', 0, 100);
+    const lookups = mock.method(Map.prototype, 'get');
+    const isOnProbation = [failures.isOnProbation('m-0', 200), failures.isOnProbation('m-1', 200)];
+    lookups.mock.restore();
+    assert.deepEqual(isOnProbation, [false, true]);
+    return lookups.mock.callCount();
+  };
+  assert.equal(lookupsWith(1_000), lookupsWith(10));
+});
