--- a/packages/core/src/claims/claim-queries.ts
+++ b/packages/core/src/claims/claim-queries.ts
@@ -2,13 +2,13 @@
  * Read-only queries on a claim table: which tasks can be returned to the leader, which completions are to be written,
  * which resources are missing, and which tasks run.
  */
-import type { ClaimView } from './claim-view';
-import { type Resources, NO_RESOURCES, addResources } from '../cluster/resources';
-import { bootMsOf } from '../cluster/machine-boot-time';
-import { type ClusterConfig, SUSPECT_INTERVALS } from '../cluster/cluster-config';
-import { countWithinLimit } from '../cluster/quota';
 import { PRIORITIES } from '@gingerlock/wire';
+import { countWithinLimit } from '../cluster/quota';
+import { type ClusterConfig, SUSPECT_INTERVALS } from '../cluster/cluster-config';
+import { bootMsOf } from '../cluster/machine-boot-time';
+import { type Resources, NO_RESOURCES, addResources } from '../cluster/resources';
 import { type Job, jobOrder } from '../jobs/jobs';
+import type { ClaimView } from './claim-view';
 import type { Machine } from './machine-entry';
 import type { TaskEntry } from './task-entry';
 
--- a/packages/core/src/claims/claim-table.ts
+++ b/packages/core/src/claims/claim-table.ts
@@ -8,6 +8,8 @@
 import type { MachineType, Heartbeat } from '@gingerlock/wire';
 import type { Resources } from '../cluster/resources';
 import type { ClusterConfig } from '../cluster/cluster-config';
+import type { Job } from '../jobs/jobs';
+import type { JobTable } from '../jobs/job-table';
 import { AttemptNumbers } from './attempt-numbers';
 import { type ClaimTableOptions, withDefaults } from './claim-table-options';
 import type { ClaimView } from './claim-view';
@@ -18,8 +20,6 @@
 import { FencingPeriod } from './fencing-period';
 import { freeResourcesOn } from './free-resources';
 import { cacheOfKnownImages } from './image-cache';
-import type { Job } from '../jobs/jobs';
-import type { JobTable } from '../jobs/job-table';
 import type { MemberPolicy } from './member-policy';
 import type { Reservations } from './reservations';
 import { HeartbeatReconciler } from './heartbeat-reconciler';
--- a/packages/core/src/claims/granting.ts
+++ b/packages/core/src/claims/granting.ts
@@ -1,10 +1,10 @@
 /** Selects the waiting tasks to grant to the machine whose heartbeat is being answered, in the order of their jobs. */
-import type { ClaimView } from './claim-view';
-import { waitsForCachedImage } from './claim-queries';
 import { allowsMachine } from '../cluster/placement-constraints';
-import type { GrantCapacity } from './grant-capacity';
 import type { Job } from '../jobs/jobs';
 import { startsSoonerElsewhere } from '../scheduling/placement';
+import type { ClaimView } from './claim-view';
+import { waitsForCachedImage } from './claim-queries';
+import type { GrantCapacity } from './grant-capacity';
 import type { Machine } from './machine-entry';
 import type { TaskEntry } from './task-entry';
 
--- a/packages/core/src/claims/heartbeat-reconciler.ts
+++ b/packages/core/src/claims/heartbeat-reconciler.ts
@@ -4,8 +4,8 @@
  */
 import type { ExitCause, MachineType, ReportedTask, TaskState, WorkerCommand, Heartbeat } from '@gingerlock/wire';
 import type { ClusterConfig } from '../cluster/cluster-config';
-import type { FailureAttribution } from './failure-attribution';
 import type { Job } from '../jobs/jobs';
+import type { FailureAttribution } from './failure-attribution';
 import type { TaskTable } from './task-table';
 import type { Machine } from './machine-entry';
 import type { TaskEntry } from './task-entry';
--- a/packages/core/src/claims/job-evidence.ts
+++ b/packages/core/src/claims/job-evidence.ts
@@ -1,6 +1,6 @@
 /** Collects what is known about a job apart from its failures in one partition, such as whether it runs. */
-import type { JobEvidence } from './failure-attribution';
 import type { JobTable } from '../jobs/job-table';
+import type { JobEvidence } from './failure-attribution';
 import type { TaskEntry } from './task-entry';
 
 /**
--- a/packages/core/src/scheduling/immovable-demand.ts
+++ b/packages/core/src/scheduling/immovable-demand.ts
@@ -1,12 +1,12 @@
 // Finds assigned tasks that have no machine in their partition and that its owner can't return to the leader.
 import type { MachineType } from '@gingerlock/wire';
-import type { UnschedulableDemand } from './assignment-types';
-import type { MachineStatus, PartitionStatus } from './partition-status';
 import { fitsIn } from '../cluster/resources';
 import { type Partitioner } from '../cluster/partitioner';
 import { allowsMachine } from '../cluster/placement-constraints';
 import { countUnfinishedIn } from '../jobs/assigned-usage';
 import type { Job } from '../jobs/jobs';
+import type { MachineStatus, PartitionStatus } from './partition-status';
+import type { UnschedulableDemand } from './assignment-types';
 
 /** Input of `findImmovableDemand`. */
 export interface ImmovableDemandInput {
--- a/packages/daemon/src/api/rendezvous.ts
+++ b/packages/daemon/src/api/rendezvous.ts
@@ -9,8 +9,8 @@
   canonicalIpOf,
   type RendezvousRequest,
 } from '@gingerlock/wire';
-import { malformed, refusal, type Reply } from './reply';
 import type { ControllerContext } from '../controller/controller-context';
+import { malformed, refusal, type Reply } from './reply';
 
 /** Value of `retry-after` for members that can't be answered now, in seconds. */
 const RETRY_AFTER_S = 1;
--- a/packages/daemon/src/leader/autoscaling-loop.ts
+++ b/packages/daemon/src/leader/autoscaling-loop.ts
@@ -10,8 +10,8 @@
   type RentRequest,
   MAX_MACHINES_PER_RETURN,
 } from '@gingerlock/wire';
-import { MachineTypeCatalog } from './machine-type-catalog';
 import type { ControllerContext } from '../controller/controller-context';
+import { MachineTypeCatalog } from './machine-type-catalog';
 
 /** The leader's current view of work and machines, which the autoscaling loop plans from. */
 export interface SchedulerView {
--- a/packages/daemon/src/leader/leader-groups.ts
+++ b/packages/daemon/src/leader/leader-groups.ts
@@ -23,13 +23,13 @@
 } from '@gingerlock/replica-groups';
 import { type GroupRecord, groupRecord, type JobSpec, KEYS } from '@gingerlock/wire';
 import type { GroupReports } from '../peers/group-reports';
+import type { ControllerContext } from '../controller/controller-context';
 import { type GroupWaitDetail, GroupWaitReasons } from './group-wait-reasons';
 import { type JobBatch, recordWith } from './job-batch';
 import type { PlannedUse } from './pending-assignments';
 import { NeededMachines } from './needed-machines';
 import { type ChooseInZones, PreferredZones } from './preferred-zones';
 import { WaitingGroups } from './waiting-groups';
-import type { ControllerContext } from '../controller/controller-context';
 
 /** Changes that a reservation adds to a transaction: to the record of its job and to that of its group. */
 const CHANGES_PER_RESERVATION = 2;
--- a/packages/daemon/src/leader/leader.ts
+++ b/packages/daemon/src/leader/leader.ts
@@ -9,6 +9,8 @@
   type PartitionStatus,
   type UnschedulableDemand,
 } from '@gingerlock/core';
+import type { ControllerContext } from '../controller/controller-context';
+import type { ReceivedStatus } from '../peers/partition-statuses';
 import { addAssignments } from './assignment-changes';
 import { AutoscalingLoop, type MachineDirectives } from './autoscaling-loop';
 import { BorrowingFeature } from './borrowing-feature';
@@ -26,8 +28,6 @@
 } from './leader-feature';
 import type { LeaderGroups } from './leader-groups';
 import { PendingAssignments, type PlannedUse } from './pending-assignments';
-import type { ControllerContext } from '../controller/controller-context';
-import type { ReceivedStatus } from '../peers/partition-statuses';
 
 /** Number of heartbeat intervals for which a partition's status counts as current. */
 const STATUS_MAX_AGE_INTERVALS = 2;
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,8 +1,8 @@
 // The command line: `gingerlock serve` and `gingerlock borrowing`.
 import { Command } from 'commander';
+import { version } from '../package.json';
 import type { BorrowingOptions } from './cli/borrowing-command';
 import { loadSettings, SettingsError } from './settings/settings';
-import { version } from '../package.json';
 
 const program = new Command('gingerlock')
   .description('A scheduler for fleets that serve language models')
--- a/packages/daemon/src/owner/partition-owner.ts
+++ b/packages/daemon/src/owner/partition-owner.ts
@@ -13,13 +13,13 @@
   type Resources,
   type SpareCapacity,
 } from '@gingerlock/core';
+import type { ControllerContext } from '../controller/controller-context';
 import { combineReservations } from './combined-reservations';
 import type { OwnerFeature } from './owner-feature';
 import { OwnerGroups } from './owner-groups';
 import { OwnerReclaims } from './owner-reclaims';
 import { OwnerWrites } from './owner-writes';
 import { partitionStatusOf } from './partition-status';
-import type { ControllerContext } from '../controller/controller-context';
 import { TermAnnouncements } from './term-announcements';
 import { WorkerCommandSender } from './worker-command-sender';
 
--- a/packages/daemon/src/peers/heartbeat-relay.ts
+++ b/packages/daemon/src/peers/heartbeat-relay.ts
@@ -3,9 +3,9 @@
 import { type Clock, sleep } from '@gingerlock/clients';
 import type { PeerMessage, PeerMessages } from '@gingerlock/peer';
 import { decodeHeartbeat, encodeRedirect, type Heartbeat } from '@gingerlock/wire';
-import type { PeerChannel } from './peer-channel';
 import { refusal, type Reply } from '../api/reply';
 import type { Settings } from '../settings/settings';
+import type { PeerChannel } from './peer-channel';
 
 /** How long a worker waits for an answer, as set by the protocol. */
 const WORKER_TIMEOUT_MS = 4000;
--- a/packages/daemon/src/peers/status-publisher.ts
+++ b/packages/daemon/src/peers/status-publisher.ts
@@ -1,11 +1,11 @@
 // Decides when and to whom a controller publishes its partition statuses, claim lists and group reports.
 import { LEADERSHIP } from '@gingerlock/wire';
 import type { PeerMessage } from '@gingerlock/peer';
+import type { PartitionOwner } from '../owner/partition-owner';
+import { DISPLAY_LAG_MS, type ControllerContext } from '../controller/controller-context';
 import { type ClaimLists, claimListMessages, claimsOf } from './claim-lists';
 import { type GroupReports, groupReportMessages } from './group-reports';
-import type { PartitionOwner } from '../owner/partition-owner';
 import type { PeerChannel } from './peer-channel';
-import { DISPLAY_LAG_MS, type ControllerContext } from '../controller/controller-context';
 import type { PartitionStatuses } from './partition-statuses';
 
 /** Statuses are published at most this many times in a heartbeat interval, however often something changes. */
--- a/packages/daemon/test/status-fragments.test.ts
+++ b/packages/daemon/test/status-fragments.test.ts
@@ -53,7 +53,7 @@
 function assemble(reassembler: StatusReassembler, message: PeerMessage): PeerPartitionStatus | null {
   if (message.kind === 'PartitionStatus') return message;
   assert.equal(message.kind, 'PartitionStatusFragment');
-  return reassembler.add(message as PeerMessage & { kind: 'PartitionStatusFragment' });
+  return reassembler.add(message);
 }
 
 function contentOf({ machines, running }: PeerPartitionStatus): unknown {
--- a/packages/testkit/src/audits/borrowing-audit.ts
+++ b/packages/testkit/src/audits/borrowing-audit.ts
@@ -1,8 +1,8 @@
 // Checks each reclaim of GPUs against the tasks that actually run, from when it is stored until it is deleted.
 import { PRIORITIES, parseTaskName, type ReclaimRecord, reclaimRecord } from '@gingerlock/wire';
 import { ABANDONED_BOUND_FACTOR } from '@gingerlock/borrowing';
-import type { AuditedWorld } from './audited-world';
 import type { ObservedStatus } from '../standins/users';
+import type { AuditedWorld } from './audited-world';
 
 /** The parts of a deployment that the borrowing audit reads. */
 export interface BorrowingAuditedWorld extends AuditedWorld {
--- a/packages/testkit/src/faults/faults.ts
+++ b/packages/testkit/src/faults/faults.ts
@@ -1,4 +1,5 @@
 // Faults as data, so that a generator can draw them and a shrinker can remove them one by one.
+import type { World } from '../simulation/world';
 import { BORROWING_FAULTS, type BorrowingFault } from './borrowing-faults';
 import { CLOUD_FAULTS, type CloudFault } from './cloud-faults';
 import { CONTROLLER_FAULTS, type ControllerFault } from './controller-faults';
@@ -11,7 +12,6 @@
 import { STATE_FAULTS, type StateFault } from './state-faults';
 import { SUBMISSION_FAULTS, type SubmissionFault } from './submission-faults';
 import { USER_FAULTS, type UserFault } from './user-faults';
-import type { World } from '../simulation/world';
 
 /** Any fault of a scenario. */
 export type Fault =
--- a/packages/testkit/src/faults/state-faults.ts
+++ b/packages/testkit/src/faults/state-faults.ts
@@ -1,7 +1,7 @@
 // Faults of the state service: outages, refused requests, late or lost answers, and short event histories.
+import type { World } from '../simulation/world';
 import type { FaultTargets } from './fault-targets';
 import { type FaultOfKind, type FaultTable, noDurationMs, statedDurationMs } from './fault-table';
-import type { World } from '../simulation/world';
 
 /** A fault of the state service. `node` is the index of a controller. */
 export type StateFault =
--- a/packages/testkit/src/faults/user-faults.ts
+++ b/packages/testkit/src/faults/user-faults.ts
@@ -1,8 +1,8 @@
 // Unusual behaviour of users: mass cancellations, odd requests and frequent polling.
 import { parseTaskName } from '@gingerlock/wire';
+import type { World } from '../simulation/world';
 import { type FaultTargets, repeatFor } from './fault-targets';
 import { type FaultOfKind, type FaultTable, statedDurationMs } from './fault-table';
-import type { World } from '../simulation/world';
 
 /** Unusual behaviour of users. `node` is the index of a controller. */
 export type UserFault =
--- a/packages/testkit/src/loopback/member-process.ts
+++ b/packages/testkit/src/loopback/member-process.ts
@@ -103,10 +103,18 @@
 
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://member');
-    if (!this.#mayServe()) return answer(response, NOT_SERVING, null);
-    if (url.pathname === PARTIAL_PATH)
-      return this.#answerPartially(Number(url.searchParams.get('generation')), response);
-    if (this.#group!.rank !== 0) return answer(response, NOT_THE_HEAD, null);
+    if (!this.#mayServe()) {
+      answer(response, NOT_SERVING, null);
+      return;
+    }
+    if (url.pathname === PARTIAL_PATH) {
+      this.#answerPartially(Number(url.searchParams.get('generation')), response);
+      return;
+    }
+    if (this.#group!.rank !== 0) {
+      answer(response, NOT_THE_HEAD, null);
+      return;
+    }
     return this.#answerClient(this.#group!, response);
   }
 
@@ -126,8 +134,14 @@
     const others = members.filter((_, other) => other !== rank);
     const partials = [own, ...(await Promise.all(others.map((host) => this.#partialOf(host, generation))))];
     const hasOneGeneration = partials.every((partial) => partial.generation === generation);
-    if (this.options.checksGeneration && !hasOneGeneration) return answer(response, OTHER_GENERATION, null);
-    if (!this.#mayServe()) return answer(response, NOT_SERVING, null);
+    if (this.options.checksGeneration && !hasOneGeneration) {
+      answer(response, OTHER_GENERATION, null);
+      return;
+    }
+    if (!this.#mayServe()) {
+      answer(response, NOT_SERVING, null);
+      return;
+    }
     answer(response, 200, { generation, worldSize, partials } satisfies GroupAnswer);
   }
 
--- a/packages/testkit/src/simulation/sim-link.ts
+++ b/packages/testkit/src/simulation/sim-link.ts
@@ -1,7 +1,7 @@
 // Peer links between simulated controllers.
 import { decodePeer, encodePeer, MAX_FRAME_BYTES, type PeerLink, type PeerMessage } from '@gingerlock/peer';
-import type { Network } from './network';
 import type { Invariant } from '../audits/invariants';
+import type { Network } from './network';
 import type { Sim } from './sim';
 
 /** The parts of the deployment that a link uses. */
--- a/packages/testkit/src/standins/cloud.ts
+++ b/packages/testkit/src/standins/cloud.ts
@@ -13,8 +13,8 @@
   rentRequestOf,
   returnedNamesOf,
 } from '@gingerlock/wire';
-import { CloudRecords, type RentedMachine } from './cloud-records';
 import type { Scheduler } from '../simulation/sim';
+import { CloudRecords, type RentedMachine } from './cloud-records';
 
 /** Options of the cloud stand-in. */
 export interface CloudOptions {
--- a/packages/testkit/test/borrowing-off.test.ts
+++ b/packages/testkit/test/borrowing-off.test.ts
@@ -2,8 +2,8 @@
 // and has no keys or messages of borrowing.
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { type Fault, runScenario, World } from '../src/index';
 import { holdRecord, KEYS, LEADERSHIP } from '@gingerlock/wire';
+import { type Fault, runScenario, World } from '../src/index';
 
 const FAULTS: readonly { readonly at: number; readonly fault: Fault }[] = [
   { at: 5000, fault: { kind: 'batch wave', team: 1, tasks: 40, estimateS: 15 } },
--- a/packages/testkit/test/large-fleet.test.ts
+++ b/packages/testkit/test/large-fleet.test.ts
@@ -97,7 +97,7 @@
       info: () => undefined,
       debug: () => undefined,
     };
-    const world = new World({ seed: 55, controllers: 1, machines: 3, log: log as never });
+    const world = new World({ seed: 55, controllers: 1, machines: 3, log });
     world.sim.after(5000, () => world.cloud.listUnknownMachine('m-900000', attribute));
     await world.sim.run(60_000);
     const field = attribute === 'type' ? 'breed' : 'yard';
--- a/packages/wire/src/rendezvous.ts
+++ b/packages/wire/src/rendezvous.ts
@@ -99,5 +99,5 @@
 
 /** Decodes the response to a member that may not serve. Throws a `MalformedMessageError` if it is invalid. */
 export function decodeRendezvousRefusal(body: Uint8Array): RendezvousRefusal {
-  return checkRefusal(decodeMap(body)) as RendezvousRefusal;
+  return checkRefusal(decodeMap(body));
 }
--- a/packages/wire/test/formats.test.ts
+++ b/packages/wire/test/formats.test.ts
@@ -67,7 +67,7 @@
             ...t,
             cause: exited ? t.cause : null,
             saved: exited && t.cause === 'stopped' && t.saved,
-          } as wire.ReportedTask;
+          };
         }),
       { maxLength: 5 },
     ),
