Claims: keep the waiting tasks of a job apart, so that heartbeats do not scan huge arrays

Change: TaskTable keeps the waiting tasks of each job in a set, in the order in which they began to wait. Before, they came in the order in which they were assigned, so tasks that wait again now come after those that have waited longer.

--- a/packages/core/src/claims/task-table.ts
+++ b/packages/core/src/claims/task-table.ts
@@ -26,6 +26,8 @@
   readonly tasksByJob = new Map<string, Map<number, TaskEntry>>();
   /** Counts the changes of free resources or waiting tasks. */
   changes = 0;
+  /** The waiting tasks, by job id, those that have waited longest first. */
+  readonly #waitingByJob = new Map<string, Set<TaskEntry>>();
   readonly #wakes = new WakeQueue();
 
   constructor(readonly options: TaskTableOptions) {}
@@ -40,10 +42,23 @@
     if (claim !== null) claim.machine.claims.set(task.name, task);
     task.state = next;
     task.since = now;
-    if (next === 'waiting') this.#wakes.post(task.job);
+    if (next === 'waiting') this.#addWaiting(task);
+    else this.#removeWaiting(task);
     this.changes++;
   }
 
+  #addWaiting(task: TaskEntry): void {
+    const waiting = this.#waitingByJob.get(task.job.id);
+    if (waiting === undefined) this.#waitingByJob.set(task.job.id, new Set([task]));
+    else waiting.add(task);
+    this.#wakes.post(task.job);
+  }
+
+  #removeWaiting(task: TaskEntry): void {
+    const waiting = this.#waitingByJob.get(task.job.id);
+    if (waiting?.delete(task) === true && waiting.size === 0) this.#waitingByJob.delete(task.job.id);
+  }
+
   /** The jobs that may have waiting tasks, in the order of `jobOrder`. */
   wakes(): readonly Job[] {
     return this.#wakes.jobs();
@@ -52,7 +67,7 @@
   /** The waiting tasks of the job; none if the job is cancelled. */
   *waitingTasks(job: Job): Generator<TaskEntry> {
     if (job.isCancelled) return;
-    for (const task of this.tasksByJob.get(job.id)?.values() ?? []) if (task.state === 'waiting') yield task;
+    yield* this.#waitingByJob.get(job.id) ?? [];
   }
 
   /** The recovery scan: afterwards exactly the jobs with a waiting task have a wake. */
@@ -136,6 +151,7 @@
   #remove(task: TaskEntry, tasksByIndex: Map<number, TaskEntry>): void {
     // If a machine still runs the task, it becomes an orphaned task there, and the machine is sent a stop.
     if (task.claim !== null) task.claim.machine.claims.delete(task.name);
+    this.#removeWaiting(task);
     tasksByIndex.delete(task.index);
     this.changes++;
   }
--- a/packages/core/test/cost.test.ts
+++ b/packages/core/test/cost.test.ts
@@ -2,8 +2,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { jobRecord, type MachineType, type Heartbeat } from '@gingerlock/wire';
-import { TOKENS_PER_TERM, JobTable, planPlacements, ClaimTable } from '../src/index';
+import { ClaimTable, JobTable, planPlacements, type TaskEntry, TOKENS_PER_TERM } from '../src/index';
 import { CLUSTER_CONFIG, specOf } from './fixtures';
+import { StepCounter } from './step-counter';
 
 const clusterConfig = CLUSTER_CONFIG;
 const type: MachineType = {
@@ -114,3 +115,49 @@
   const few = costs(100, 4, 60).planning;
   assert.ok(costs(100, 4, 400).planning <= few * 1.1);
 });
+
+// Guards against heartbeats that each go through all tasks of a huge array to find the few that wait.
+test('the waiting tasks of a job are found without its other tasks', () => {
+  const jobs = new JobTable(() => 64);
+  const claimTable = new ClaimTable({
+    clusterConfig,
+    partitionId: 0,
+    term: 2,
+    fencedUntil: Infinity,
+    acquiredAt: 0,
+    jobs,
+    types: () => new Map([[type.name, type]]),
+    membership: [['m-0', 'm-0:1']],
+  });
+  const spec = specOf('j-1', { tasks: 5_000 });
+  // Tasks that were assigned under an earlier term may still run somewhere; the last three do not.
+  const assignedRanges = [
+    { from: 0, count: 4_997, partitionId: 0, zone: null, term: 1 },
+    { from: 4_997, count: 3, partitionId: 0, zone: null, term: 2 },
+  ];
+  const record = { final: null, spec, acceptedAt: 0, cancelled: false, isCrashLooping: false, assignedRanges };
+  jobs.applyJob(spec.id, jobRecord.write(record), 5);
+  claimTable.syncJob(spec.id, 0);
+  const tasks = claimTable.tasksByJob.get(spec.id)! as Map<number, TaskEntry>;
+  const counter = new StepCounter(100);
+  const values = tasks.values.bind(tasks);
+  tasks.values = () => {
+    const iterator = values();
+    const next = iterator.next.bind(iterator);
+    iterator.next = () => {
+      counter.count();
+      return next();
+    };
+    return iterator;
+  };
+  const job = jobs.live.get(spec.id)!;
+  assert.deepEqual(
+    [...claimTable.waitingTasks(job)].map(({ index }) => index),
+    [4_997, 4_998, 4_999],
+  );
+  claimTable.beginReturn([...claimTable.waitingTasks(job)].slice(0, 2), 1);
+  assert.deepEqual(
+    [...claimTable.waitingTasks(job)].map(({ index }) => index),
+    [4_999],
+  );
+});
