Fleet plan, relocation: search planned and spare machines once for alike tasks

Change: replacements are reserved as tasks of a shape are; SpareSearch lists the spare machines for a shape once.

--- a/packages/core/src/autoscaling/planned-machines.ts
+++ b/packages/core/src/autoscaling/planned-machines.ts
@@ -40,11 +40,6 @@
     return this.#machines.values();
   }
 
-  /** The first machine that meets the condition; undefined if none does. */
-  find(condition: (machine: PlannedMachine) => boolean): PlannedMachine | undefined {
-    return this.#machines.find(condition);
-  }
-
   add(machine: PlannedMachine): void {
     this.#machines.push(machine);
     if (machine.reason === null) return;
--- a/packages/core/src/autoscaling/scale-out-plan.ts
+++ b/packages/core/src/autoscaling/scale-out-plan.ts
@@ -6,7 +6,6 @@
 import {
   addResources,
   countFitting,
-  fitsIn,
   minResources,
   NO_RESOURCES,
   type Resources,
@@ -82,12 +81,13 @@
   planReplacement(machine: MachineStatus): void {
     const need = machine.byPriority.reduce((sum, resources) => addResources(sum, resources), NO_RESOURCES);
     if (need.cpus <= 0 && need.gpus <= 0) return;
-    const { isSilent } = this.input;
-    const planned = this.#plannedMachines.find(
-      ({ spot, zone, free }) => spot === machine.spot && !isSilent(zone) && fitsIn(need, free),
-    );
-    if (planned === undefined) this.#scaleOutInShares(need, machine.spot);
-    else planned.free = subtractResources(planned.free, need);
+    const { spot } = machine;
+    const tasks: TaskDemand = {
+      shape: ['suspect machine', spot, need.cpus, need.gpus, need.memoryGb].join('/'),
+      need,
+      isAllowedOn: (planned) => planned.spot === spot && !this.input.isSilent(planned.zone),
+    };
+    if (this.#plannedMachines.reserve(tasks, 1) === 0) this.#scaleOutInShares(need, spot);
   }
 
   /** Plans machines that each hold a share of the resources: the jobs of the tasks are unknown here. */
--- a/packages/core/src/scheduling/replica-relocation.ts
+++ b/packages/core/src/scheduling/replica-relocation.ts
@@ -5,6 +5,7 @@
 import type { TaskEntry } from '../claims/task-entry';
 import { allowsMachine } from '../cluster/placement-constraints';
 import { fitsIn, type Resources, subtractResources } from '../cluster/resources';
+import { taskShapeIn } from './job-shape';
 
 /** No replica is moved earlier: a start counts for users only if nothing stops the task within 30 s (PROTOCOL). */
 const MIN_RUN_BEFORE_RELOCATION_MS = 30_000;
@@ -22,13 +23,13 @@
   now: number,
 ): TaskEntry[] {
   if (isAnyReplicaWaiting(claimTable)) return [];
-  let spareCapacity: readonly SpareCapacity[] | null = null;
+  let search: SpareSearch | null = null;
   for (const machine of claimTable.machines.values()) {
     if (!machine.draining || machine.evictionNotice || machine.spot || claimTable.isSuspect(machine, now)) continue;
     const replicas = [...machine.claims.values()].filter((task) => task.job.spec.kind === 'service');
     if (replicas.length === 0 || !replicas.every((replica) => mayRelocate(replica, now))) continue;
-    spareCapacity ??= [...localSpareCapacity(claimTable, freeByMachine, now), ...remoteSpareCapacity()];
-    if (!doAllFit(replicas, spareCapacity)) continue;
+    search ??= new SpareSearch([...localSpareCapacity(claimTable, freeByMachine, now), ...remoteSpareCapacity()]);
+    if (!search.doAllFit(replicas)) continue;
     for (const replica of replicas) startRelocation(claimTable, replica, machine);
     return replicas;
   }
@@ -50,19 +51,37 @@
   return !job.isGroup && stopGraceS === null && stage === 'running' && now - grantedAt >= MIN_RUN_BEFORE_RELOCATION_MS;
 }
 
-/** Whether all the replicas fit at once, each on the first machine that has its image. */
-function doAllFit(replicas: readonly TaskEntry[], spareCapacity: readonly SpareCapacity[]): boolean {
-  const remaining = new Map<SpareCapacity, Resources>();
-  return replicas.every((replica) => {
-    const { spec } = replica.job;
-    for (const spare of spareCapacity) {
-      const free = remaining.get(spare) ?? spare.free;
-      if (!fitsIn(spec, free) || !mayMoveTo(replica, spare)) continue;
-      remaining.set(spare, subtractResources(free, spec));
-      return true;
-    }
-    return false;
-  });
+/** The spare machines, searched once for each shape of replicas. */
+class SpareSearch {
+  /** By shape, zone and image of replicas: the spare machines that could take one of them. */
+  readonly #sparesByShape = new Map<string, readonly SpareCapacity[]>();
+
+  constructor(readonly spareCapacity: readonly SpareCapacity[]) {}
+
+  /** Whether all the replicas fit at once, each on the first machine that has its image. */
+  doAllFit(replicas: readonly TaskEntry[]): boolean {
+    const remaining = new Map<SpareCapacity, Resources>();
+    return replicas.every((replica) => {
+      const { spec } = replica.job;
+      for (const spare of this.#sparesFor(replica)) {
+        const free = remaining.get(spare) ?? spare.free;
+        if (!fitsIn(spec, free)) continue;
+        remaining.set(spare, subtractResources(free, spec));
+        return true;
+      }
+      return false;
+    });
+  }
+
+  #sparesFor(replica: TaskEntry): readonly SpareCapacity[] {
+    const { job, zone } = replica;
+    const shape = `${job.spec.image}/${taskShapeIn(job, [zone])}`;
+    const known = this.#sparesByShape.get(shape);
+    if (known !== undefined) return known;
+    const spares = this.spareCapacity.filter((spare) => fitsIn(job.spec, spare.free) && mayMoveTo(replica, spare));
+    this.#sparesByShape.set(shape, spares);
+    return spares;
+  }
 }
 
 function mayMoveTo({ job: { spec }, zone }: TaskEntry, spare: SpareCapacity): boolean {
--- a/packages/core/test/scale-out-plan.test.ts
+++ b/packages/core/test/scale-out-plan.test.ts
@@ -204,3 +204,25 @@
       .map((zone) => ['large', zone, false, 50]),
   );
 });
+
+// Guards against a plan that searches all planned machines for each suspect machine, as when a large zone falls silent.
+test('the steps of replacing suspect machines grow with their number, also if many machines boot', () => {
+  const stepsFor = (count: number): number => {
+    const counter = new StepCounter(1e8);
+    const small = counter.countReads(SMALL);
+    const plan = planOf({
+      types: new Map([[SMALL.name, small]]),
+      booting: Array.from({ length: count }, () => ({ type: SMALL.name, zone: 'south', spot: false })),
+      isSilent: () => {
+        counter.count();
+        return false;
+      },
+    });
+    const need = { cpus: 4, gpus: 3, memoryGb: 8 };
+    const suspect = { spot: false, byPriority: [need] } as unknown as Parameters<ScaleOutPlan['planReplacement']>[0];
+    for (let i = 0; i < count; i++) plan.planReplacement(suspect);
+    assert.equal(plan.requests(() => 'r').length, 0);
+    return counter.steps;
+  };
+  assert.ok(stepsFor(800) <= stepsFor(200) * 4.4);
+});
