--- a/packages/core/test/assignment.test.ts
+++ b/packages/core/test/assignment.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import { finishedRecord, jobRecord, type JobSpec, type MachineType } from '@gingerlock/wire';
 import {
+  type AssignmentInput,
   assignTasks,
   JobTable,
   type MachineStatus,
@@ -32,6 +33,25 @@
   return machineStatusOf(name, { zone, free: { cpus: 48, gpus: freeGpus, memoryGb: 192 } });
 }
 
+/** An assignment of no jobs to no machines; tests override what they need. */
+const INPUT: AssignmentInput = {
+  now: 0,
+  probes: new ProbeSchedule(clusterConfig),
+  jobs: [],
+  statuses: [],
+  pendingAssignments: [],
+  clusterConfig,
+  types: new Map([[type.name, type]]),
+  maxAssignments: 12,
+  preempts: true,
+  heldBack: null,
+  groups: null,
+};
+
+function statusOf(machines: readonly MachineStatus[], overrides: Partial<PartitionStatus> = {}): PartitionStatus {
+  return { partitionId: 0, term: 1, revision: 0, machines, missing: NO_RESOURCES, running: [], ...overrides };
+}
+
 /** Assigns waiting jobs to machines, and counts how often the assignment reads the zone of a machine. */
 function countMachineReads(
   machineCount: number,
@@ -55,26 +75,10 @@
     const record = { final: null, spec, acceptedAt: i, cancelled: false, isCrashLooping: false, assignedRanges: [] };
     table.applyJob(spec.id, jobRecord.write(record), i + 1);
   }
-  const status: PartitionStatus = {
-    partitionId: 0,
-    term: 1,
-    revision: 0,
-    machines: machineStatuses,
-    missing: NO_RESOURCES,
-    running: [],
-  };
   const { assignments, unschedulable } = assignTasks({
-    now: 0,
-    probes: new ProbeSchedule(clusterConfig),
+    ...INPUT,
     jobs: table.live.values(),
-    statuses: [status],
-    pendingAssignments: [],
-    clusterConfig,
-    types: new Map([[type.name, type]]),
-    maxAssignments: 12,
-    preempts: true,
-    heldBack: null,
-    groups: null,
+    statuses: [statusOf(machineStatuses)],
   });
   return { reads, assigned: assignments.length, unschedulable: unschedulable.length };
 }
@@ -121,19 +125,8 @@
       counter.countReads({ machine: `m-${i % machineCount}`, partitionId: 0, revision: 5, need }),
     );
     const machines = Array.from({ length: machineCount }, (_, i) => machineStatusIn(`m-${i}`, 'a', 8));
-    const { free } = assignTasks({
-      now: 0,
-      probes: new ProbeSchedule(clusterConfig),
-      jobs: [],
-      statuses: [{ partitionId: 0, term: 1, revision: 4, machines, missing: NO_RESOURCES, running: [] }],
-      pendingAssignments,
-      clusterConfig,
-      types: new Map([[type.name, type]]),
-      maxAssignments: 12,
-      preempts: true,
-      heldBack: null,
-      groups: null,
-    });
+    const statuses = [statusOf(machines, { revision: 4 })];
+    const { free } = assignTasks({ ...INPUT, statuses, pendingAssignments });
     for (const { cpus } of free.values()) assert.equal(cpus, 48 - 6);
     return counter.steps;
   };
@@ -152,28 +145,8 @@
     1,
   );
   const assignedZones = (): (string | null)[] => {
-    const { assignments } = assignTasks({
-      now: 0,
-      probes: new ProbeSchedule(clusterConfig),
-      jobs: table.live.values(),
-      statuses: [
-        {
-          partitionId: 1,
-          term: 1,
-          revision: 0,
-          machines: [machineStatusIn('m-1', 'b', 8)],
-          missing: NO_RESOURCES,
-          running: [],
-        },
-      ],
-      pendingAssignments: [],
-      clusterConfig,
-      types: new Map([[type.name, type]]),
-      maxAssignments: 12,
-      preempts: true,
-      heldBack: null,
-      groups: null,
-    });
+    const statuses = [statusOf([machineStatusIn('m-1', 'b', 8)], { partitionId: 1 })];
+    const { assignments } = assignTasks({ ...INPUT, jobs: table.live.values(), statuses });
     return assignments.flatMap(({ added }) => added.filter((range) => range.from >= 2).map((range) => range.zone));
   };
   const finish = (tasks: number, version: number): void =>
