--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -283,3 +283,23 @@
     ready_s: 30,
   },
 };
+
+/** Times, limits and machine type of the users' site hayirsever-ankara. */
+export const ANKARA = {
+  zones: ['ankara-bati', 'istanbul-kuzey', 'izmir-liman'],
+  workers: { report_s: 3, lease_s: 27, gang_wait_s: 50, gang_peer_s: 8, cancel_s: 57 },
+  state: { rps: 80, write_rps: 20, value_kb: 8, txn_ops: 12 },
+  cloud: { rps: 2, list_lag_s: 4 },
+  machineLimits: { cores: 0.136, ram_mb: 114, sockets: 600 },
+  type: {
+    sku: 'kervan-48',
+    cores: 48,
+    accelerators: 8,
+    memory_gb: 384,
+    cache_gb: 300,
+    fetch_gb_per_s: 4.6,
+    price: 21.9,
+    low_price: 8.53,
+    ready_s: 25,
+  },
+};
