--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -70,6 +70,13 @@
     this.#droppedUpTo = this.ledger;
   }
 
+  /** Sets the limits that hold from now on. */
+  setLimits(limits) {
+    this.limits = limits;
+    this.requests = new Bucket(limits.rps);
+    this.writes = new Bucket(limits.write_rps);
+  }
+
   /** Listens for one controller; returns the address. */
   async listenFor(node) {
     const server = await serveHttp((method, path, body) => this.#handle(node, method, path, body));
