--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -8,6 +8,7 @@
 const RETRY_MS = 1000;
 const MIN_REPORT_GAP_MS = 500;
 const LEASE_CHECK_MS = 20;
+const AMOUNTS = ['cores', 'accelerators', 'memory_gb'];
 
 /**
  * A worker. `world` gives `workers` of the settings, `controllers` (names), `addressOf(name)`, `job(id)` (the submitted
@@ -27,6 +28,9 @@
   onReport = () => undefined;
   onAnswer = () => undefined;
   #images = new Set();
+  /** By task that has not exited: its job. */
+  #held = new Map();
+  #used = { cores: 0, accelerators: 0, memory_gb: 0 };
   #target = 0;
   #leaseFrom = performance.now();
   #sentAt = -Infinity;
@@ -193,26 +197,36 @@
   #start(key, parcel, attempt) {
     const [id, index] = parcel.split('/');
     const job = this.world.job(id);
-    const task = { parcel, attempt, status: 'fetching', cause: null, stored: false, timer: null, isOn: false };
-    const isHere = [...this.tasks.values()].some((other) => other.parcel === parcel && other.status !== 'exited');
+    const task = {
+      parcel,
+      attempt,
+      status: 'fetching',
+      cause: null,
+      stored: false,
+      timer: null,
+      isOn: false,
+      isHeld: false,
+    };
+    const isHere = this.#held.has(parcel);
     this.tasks.set(key, task);
     this.#changed();
     if (job === undefined || Number(index) >= job.parcels) return this.#exit(task, 'no_such');
     if (isHere) return this.#exit(task, 'in_use');
-    if (!this.#hasRoomFor(job, task)) return this.#exit(task, 'full');
+    if (!this.#hasRoomFor(job)) return this.#exit(task, 'full');
+    this.#hold(task, job);
     const fetchMs = this.#images.has(job.crate) ? 10 : 300;
     task.timer = setTimeout(() => this.#run(task, job), fetchMs);
   }
 
-  #hasRoomFor(job, starting) {
+  #hasRoomFor(job) {
     const type = this.world.typeOf(this.type);
-    const used = { cores: job.cores, accelerators: job.accelerators, memory_gb: job.memory_gb };
-    for (const task of this.tasks.values()) {
-      if (task === starting || task.status === 'exited') continue;
-      const other = this.world.job(task.parcel.split('/')[0]);
-      for (const amount of Object.keys(used)) used[amount] += other[amount];
-    }
-    return Object.keys(used).every((amount) => used[amount] <= type[amount] + 1e-6);
+    return AMOUNTS.every((amount) => this.#used[amount] + job[amount] <= type[amount] + 1e-6);
+  }
+
+  #hold(task, job) {
+    this.#held.set(task.parcel, job);
+    task.isHeld = true;
+    for (const amount of AMOUNTS) this.#used[amount] += job[amount];
   }
 
   #run(task, job) {
@@ -254,6 +268,12 @@
   /** The task is not on its machine any more. */
   #leave(task, cause) {
     clearTimeout(task.timer);
+    if (task.isHeld) {
+      task.isHeld = false;
+      const job = this.#held.get(task.parcel);
+      this.#held.delete(task.parcel);
+      for (const amount of AMOUNTS) this.#used[amount] -= job[amount];
+    }
     if (!task.isOn) return;
     task.isOn = false;
     this.world.onEnd(task.parcel, this.name, cause);
