--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,57 +1,78 @@
-// A deployment that has run for nine days: the state service holds the records of all jobs that have ended, as the
-// controllers wrote them. All controllers have just crashed and come back.
+// Arrays of small tasks come three times as often as usual, and one machine has room for more tasks than its worker can
+// list in a report of 64 KiB.
 import { CouldNotRun, hasTrouble, runCase } from '../lib-2/case.mjs';
-import { AMMAN, sleep } from '../lib-2/deployment.mjs';
+import { jobOf, sleep, TANNOUR } from '../lib-2/deployment.mjs';
 
-/** The arrivals of the brief's page for Amman: 1 + 6.8 + 3.8 + 11 jobs a minute. */
-const JOBS_PER_MINUTE = 22.6;
-const DAYS = hasTrouble ? 9.2 : 0.1;
-const BACK_AFTER_MS = 4000;
-/** PROTOCOL: "a job about which no question is answered for 75 s counts as forgotten". */
-const FORGOTTEN_MS = 75_000;
-const POLL_EVERY_MS = 2500;
+/** `job_burst` with `factor = 3.0` in the site files. */
+const ARRAYS = hasTrouble ? 3 : 1;
+const TASKS = 900;
+const RUN_S = 5;
+/** PROTOCOL: a user expects `done` from 3 s after the last task of the job has completed. */
+const DONE_LAG_MS = 3000;
+/** Beyond that, the case waits for more than four worker leases. */
+const PATIENCE_MS = 60_000;
+const LIMIT_BYTES = 64 * 1024;
 
-void runCase({}, async (deployment) => {
-  const { store, nodes, controllers } = deployment;
-  const ended = Math.round(DAYS * 24 * 60 * JOBS_PER_MINUTE);
-  // The records of a deployment of three controllers, as this project writes them: its settings, and ended jobs.
-  store.preset('g/meta', { v: 1, parts: 3, page: 49_152, z: AMMAN.zones });
-  for (let number = 0; number < ended; number++) store.preset(`g/j/${idOf(number)}`, { f: 'd' });
-  deployment.record(`state service holds ${ended} jobs that are done`);
+const teams = [{ name: 'bakehouse-00', cpus: 0, cpus_max: 0, gpus: 200, gpus_max: 2500 }];
 
-  let ends = 0;
-  nodes.onEnd = (name) => {
-    ends++;
-    void sleep(BACK_AFTER_MS).then(() => nodes.start(name));
+void runCase({ site: TANNOUR, teams }, async (deployment) => {
+  await deployment.start({ machines: [{ zone: 'salt-central' }] });
+  if (!(await deployment.allUp(15_000))) throw new CouldNotRun('controllers are not up');
+  const [worker] = deployment.workersByName.values();
+  worker.onReport = (report) => {
+    const bytes = JSON.stringify(report).length;
+    if (report.parcels.length > 1)
+      deployment.record(`${worker.name} reports ${report.parcels.length} tasks, ${bytes} bytes of JSON`);
   };
-  await deployment.start();
-  const asked = [0, Math.floor(ended / 2), ended - 1].map(idOf);
-  const answeredAt = new Map(asked.map((id) => [id, deployment.now]));
-  const startedAt = deployment.now;
-  let answers = 0;
-  for (let turn = 0; deployment.now - startedAt < FORGOTTEN_MS + 2 * POLL_EVERY_MS; turn++) {
-    const controller = controllers[turn % controllers.length];
-    for (const id of asked) {
-      const { status, body } = await deployment.poll(controller, id);
-      deployment.record(`user: asks ${controller} for ${id}: ${status} ${JSON.stringify(body)}`);
-      if (status === 404) deployment.breakRule(`forgotten: ${id}, which was done, gets 404`);
-      if (status !== 200) continue;
-      answers++;
-      answeredAt.set(id, deployment.now);
-      if (body.status !== 'done') deployment.breakRule(`went_back: ${id}, which was done, is called ${body.status}`);
-    }
-    for (const [id, at] of answeredAt) {
-      if (deployment.now - at <= FORGOTTEN_MS) continue;
-      deployment.breakRule(`forgotten: no question about ${id} was answered for 75 s`);
-      answeredAt.set(id, deployment.now);
+  worker.onAnswer = ({ status, body, jsonBytes }) => {
+    if (status !== 200) deployment.record(`${worker.name} is answered with ${status}`);
+    else if (body.orders.length > 0)
+      deployment.record(`${worker.name} is answered with ${body.orders.length} commands, ${jsonBytes} bytes of JSON`);
+    if (jsonBytes > LIMIT_BYTES) deployment.record(`${worker.name}: the answer is longer than 64 KiB`);
+  };
+
+  const crew = 'bakehouse-00';
+  const service = jobOf('j-000001', { crew, lane: 'karak-grand', shape: 'daemon', urgency: 'production', guess_s: 0 });
+  await deployment.submit({ ...service, cores: 16, accelerators: 2, memory_gb: 50 });
+  const isServing = () => (deployment.on.get('j-000001/0')?.size ?? 0) > 0;
+  if (!(await deployment.until(isServing, 15_000))) throw new CouldNotRun('the service does not run');
+
+  const small = {
+    crew,
+    lane: 'ajloun-batch',
+    parcels: TASKS,
+    cores: 0.05,
+    accelerators: 0,
+    memory_gb: 0.1,
+    guess_s: RUN_S,
+  };
+  const arrays = Array.from({ length: ARRAYS }, (_, index) => jobOf(`j-00001${index}`, { ...small, crate: 'img-02' }));
+  for (const array of arrays) await deployment.submit(array);
+
+  // Without the fault all tasks are done after two rounds at the most, since the machine has room for 1,600 of them.
+  const called = new Map();
+  const poll = async () => {
+    for (const { name_id: id } of arrays) {
+      const { status, body } = await deployment.poll(deployment.controllers[0], id);
+      if (status === 200 && called.get(id) !== body.status) {
+        deployment.record(`user: ${id} is called ${body.status}`);
+        called.set(id, body.status);
+      }
     }
-    if (!hasTrouble && turn > 8) break;
-    await sleep(POLL_EVERY_MS);
+    return arrays.every(({ name_id: id }) => called.get(id) === 'done');
+  };
+  const completed = ({ name_id: id }) =>
+    Array.from({ length: TASKS }, (_, index) => `${id}/${index}`).filter((task) => deployment.done.has(task)).length;
+  const until = deployment.now + PATIENCE_MS + RUN_S * 1000 * 2 + DONE_LAG_MS;
+  while (deployment.now < until && !(await poll())) await sleep(1000);
+  const serviceEnds = deployment.events.filter(({ kind, task }) => kind === 'end' && task === 'j-000001/0').length;
+  deployment.record(`the replica of the service was killed ${serviceEnds} times`);
+  for (const array of arrays) {
+    const { name_id: id } = array;
+    deployment.record(`${id}: ${completed(array)} of ${TASKS} tasks have completed on the machine`);
+    if (called.get(id) !== 'done')
+      deployment.breakRule(
+        `accepted job must run: ${id} is called ${called.get(id)}, ${PATIENCE_MS / 1000} s too late`,
+      );
   }
-  deployment.record(`${answers} answers; controllers ended by themselves ${ends} times`);
-  if (!hasTrouble && answers === 0) throw new CouldNotRun('no answer without the disruption');
 });
-
-function idOf(number) {
-  return `j-${String(number).padStart(6, '0')}`;
-}
