--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -37,6 +37,8 @@
   #tokenReportAt = -Infinity;
   #inFlight = false;
   #isChanged = false;
+  /** Whether the last report was not answered with 200, so that the next one goes to another controller. */
+  #isRetry = false;
   #timer = null;
 
   constructor(world, { name, type, zone, spot = false, target = 0 }) {
@@ -129,7 +131,7 @@
 
   #changed() {
     this.#isChanged = true;
-    if (this.#inFlight || !this.isAlive) return;
+    if (this.#inFlight || this.#isRetry || !this.isAlive) return;
     this.#schedule(Math.max(0, this.#sentAt + MIN_REPORT_GAP_MS - performance.now()));
   }
 
@@ -137,12 +139,14 @@
     if (!this.isAlive) return;
     this.#inFlight = true;
     this.#isChanged = false;
+    this.#isRetry = false;
     this.#sentAt = performance.now();
     const waitMs = await this.#exchange();
     this.#inFlight = false;
     if (!this.isAlive) return;
     const changeMs = Math.max(0, this.#sentAt + MIN_REPORT_GAP_MS - performance.now());
-    this.#schedule(this.#isChanged ? Math.min(Math.max(waitMs, 0), changeMs) : waitMs);
+    // A change doesn't shorten the wait before another controller is tried.
+    this.#schedule(this.#isChanged && !this.#isRetry ? Math.min(waitMs, changeMs) : waitMs);
   }
 
   /** Sends one report; returns how long to wait for the next one. */
@@ -182,6 +186,7 @@
   }
 
   #next() {
+    this.#isRetry = true;
     this.#target = (this.#target + 1) % this.world.controllers.length;
     return RETRY_MS;
   }
