--- a/review/lib-2/http.mjs
+++ b/review/lib-2/http.mjs
@@ -23,15 +23,27 @@
   return packr.unpack(body);
 }
 
-/** Returns a loopback port that is free now. */
-export function freePort() {
-  return new Promise((resolve, reject) => {
+/** Ports below those that the operating system gives to outgoing connections. */
+const PORTS = { from: 12_000, count: 18_000 };
+const PORT_TRIES = 50;
+
+/**
+ * Returns a loopback port that is free now. A port that the system had chosen itself could be given to an outgoing
+ * connection before the caller listens on it.
+ */
+export async function freePort() {
+  for (let tries = 0; tries < PORT_TRIES; tries++) {
+    const port = PORTS.from + Math.floor(Math.random() * PORTS.count);
+    if (await isFree(port)) return port;
+  }
+  throw new Error('no free port found');
+}
+
+function isFree(port) {
+  return new Promise((resolve) => {
     const server = createTcpServer();
-    server.once('error', reject);
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address();
-      server.close(() => resolve(port));
-    });
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
   });
 }
 
