--- a/packages/borrowing/src/claims-view.ts
+++ b/packages/borrowing/src/claims-view.ts
@@ -66,8 +66,8 @@
     const candidates = held.flatMap((task) => this.#candidateOf(task) ?? []);
     for (const candidate of candidates) {
       if (!isStoppable(candidate)) continue;
-      const { spec } = candidate.job;
-      this.surelyRunning.set(spec.team, addResources(this.surelyRunning.get(spec.team) ?? NO_RESOURCES, spec));
+      const { spec, need } = candidate.job;
+      this.surelyRunning.set(spec.team, addResources(this.surelyRunning.get(spec.team) ?? NO_RESOURCES, need));
     }
     const free = this.input.free.get(machine);
     if (free === undefined || this.#busyMachines.has(machine)) return;
--- a/packages/borrowing/src/execution.ts
+++ b/packages/borrowing/src/execution.ts
@@ -171,7 +171,7 @@
 }
 
 function sumOf(tasks: readonly TaskEntry[]): Resources {
-  return tasks.reduce((sum, task) => addResources(sum, task.job.spec), NO_RESOURCES);
+  return tasks.reduce((sum, task) => addResources(sum, task.job.need), NO_RESOURCES);
 }
 
 /** The reclaims of one partition and the resources that they reserve. */
--- a/packages/borrowing/src/planner.ts
+++ b/packages/borrowing/src/planner.ts
@@ -154,7 +154,7 @@
 
   /** The victims for one more task of the job on the machine; null if preemption cannot free enough. */
   #choose(job: Job, { free, candidates }: ReclaimMachine): VictimChoice | null {
-    return chooseVictims(job, job.spec, free, candidates, this.#accounts);
+    return chooseVictims(job, job.need, free, candidates, this.#accounts);
   }
 
   /** The machine on which preempting for one task of the job costs least; among equals, one that has the image. */
@@ -209,7 +209,7 @@
 
   #mayPlace(job: Job, zone: string, zones: ZoneChoice): boolean {
     const { team, possiblyUsed: high } = this.#accounts.of(job.spec.team)!;
-    return zones.allows(zone) && countWithinLimit(team, high, job.spec) > 0;
+    return zones.allows(zone) && countWithinLimit(team, high, job.need) > 0;
   }
 
   #isScaleOutSooner(job: Job, { victims, graceS }: VictimChoice): boolean {
@@ -217,8 +217,8 @@
   }
 
   #updateAccounts(job: Job, { victims }: VictimChoice): void {
-    for (const { job: victim } of victims) this.#accounts.recordStop(victim.spec.team, victim.spec);
-    this.#accounts.recordAssignment(job.spec.team, job.spec);
+    for (const { job: victim } of victims) this.#accounts.recordStop(victim.spec.team, victim.need);
+    this.#accounts.recordAssignment(job.spec.team, job.need);
   }
 
   /** Why no machine can free enough for a task of the job. */
@@ -259,11 +259,11 @@
 /** The machine after the victims are stopped and one task of the job is placed there. */
 function afterReclaim(machine: ReclaimMachine, { victims }: VictimChoice, job: Job): ReclaimMachine {
   const stopped = new Set(victims);
-  const freed = victims.reduce((sum, victim) => addResources(sum, victim.job.spec), machine.free);
+  const freed = victims.reduce((sum, victim) => addResources(sum, victim.job.need), machine.free);
   return {
     ...machine,
     candidates: machine.candidates.filter((candidate) => !stopped.has(candidate)),
-    free: subtractResources(freed, job.spec),
+    free: subtractResources(freed, job.need),
   };
 }
 
@@ -283,7 +283,7 @@
   const demand = new Map<string, Resources>();
   for (const { job, count } of unschedulable) {
     const { team } = job.spec;
-    demand.set(team, addResources(demand.get(team) ?? NO_RESOURCES, job.spec, count));
+    demand.set(team, addResources(demand.get(team) ?? NO_RESOURCES, job.need, count));
   }
   return demand;
 }
--- a/packages/borrowing/src/victims.ts
+++ b/packages/borrowing/src/victims.ts
@@ -81,7 +81,7 @@
   if (victim.effectivePriority > job.ownPriority) return 'priority';
   if (victim.spec.team === job.spec.team) return null;
   const account = accounts.of(job.spec.team);
-  return account !== undefined && isWithinGuarantee(account, job.spec) ? 'guarantee' : null;
+  return account !== undefined && isWithinGuarantee(account, job.need) ? 'guarantee' : null;
 }
 
 /**
@@ -112,7 +112,7 @@
   const account = accounts.of(team);
   // The guarantee of a team that is not in the settings is unknown, so its tasks are not preempted.
   if (account === undefined) return false;
-  return keepsGuaranteeWithout(account, addResources(stopped.get(team) ?? NO_RESOURCES, victim.spec));
+  return keepsGuaranteeWithout(account, addResources(stopped.get(team) ?? NO_RESOURCES, victim.need));
 }
 
 /** The victims for one task, and the cost of preempting them. */
@@ -153,10 +153,10 @@
   for (const { candidate } of byLoss) {
     if (fitsIn(need, available)) break;
     if (!isAllowedByGuarantee(candidate.job, job, stopped, accounts)) continue;
-    const { spec } = candidate.job;
+    const { spec, need: freed } = candidate.job;
     chosen.push(candidate);
-    stopped.set(spec.team, addResources(stopped.get(spec.team) ?? NO_RESOURCES, spec));
-    available = addResources(available, spec);
+    stopped.set(spec.team, addResources(stopped.get(spec.team) ?? NO_RESOURCES, freed));
+    available = addResources(available, freed);
   }
   if (!fitsIn(need, available)) return null;
   return choiceOf(job, withoutUnneeded(chosen, need, available), accounts);
@@ -167,7 +167,7 @@
   let remaining = available;
   const needed: Candidate[] = [];
   for (const candidate of [...chosen].reverse()) {
-    const without = subtractResources(remaining, candidate.job.spec);
+    const without = subtractResources(remaining, candidate.job.need);
     if (fitsIn(need, without)) remaining = without;
     else needed.push(candidate);
   }
--- a/packages/borrowing/test/planner.test.ts
+++ b/packages/borrowing/test/planner.test.ts
@@ -3,7 +3,15 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { type Resources, fitsIn, type Job, NO_RESOURCES, addResources, subtractResources } from '@gingerlock/core';
+import {
+  type Resources,
+  capacityOf,
+  fitsIn,
+  type Job,
+  NO_RESOURCES,
+  addResources,
+  subtractResources,
+} from '@gingerlock/core';
 import { parseTaskName, PRIORITIES, taskName } from '@gingerlock/wire';
 import { type HeldTask, type Plan, type PlannerInput, planReclaims } from '../src/index';
 import { clusterConfigOf, jobOf, machineStatusOf, teamOf } from './fixtures';
@@ -20,7 +28,7 @@
   readonly stage?: HeldTask['stage'];
 }
 
-const MACHINE: Resources = { cpus: 100, gpus: 4, memoryGb: 100 };
+const MACHINE: Resources = capacityOf({ cpus: 100, gpus: 4, memoryGb: 100 });
 
 /** Machines that hold the given tasks, numbered within their jobs in this order, and jobs that wait. */
 function fleetOf(
@@ -43,7 +51,7 @@
   const jobs = new Map([...next.keys(), ...waiting].map((job) => [job.id, job]));
   for (const [job, count] of next) job.assignedRanges = [{ from: 0, count, partitionId: 0, zone: null, term: 3 }];
   const free = new Map(
-    machines.map((tasks, i) => [`m-${i}`, tasks.reduce((sum, { job }) => subtractResources(sum, job.spec), MACHINE)]),
+    machines.map((tasks, i) => [`m-${i}`, tasks.reduce((sum, { job }) => subtractResources(sum, job.need), MACHINE)]),
   );
   const machineStatuses = machines.map((_, i) => machineStatusOf(`m-${i}`));
   const status = {
@@ -209,8 +217,8 @@
     let left = MACHINE;
     for (const { job: index, runMs } of tasks) {
       const job = jobs[index % jobs.length]!;
-      if (!fitsIn(job.spec, left)) continue;
-      left = subtractResources(left, job.spec);
+      if (!fitsIn(job.need, left)) continue;
+      left = subtractResources(left, job.need);
       fitting.push({ job, runMs });
     }
     return fitting;
@@ -242,19 +250,19 @@
       assert.equal(new Set(plan.decisions.map(({ machine }) => machine)).size, plan.decisions.length);
       for (const { job, machine, victims, tasks, placements } of plan.decisions) {
         const held = fleet.held.get(machine)!;
-        const specs = victims.map(({ task }) => {
+        const victimJobs = victims.map(({ task }) => {
           assert.ok(held.some((h) => h.task === task));
-          return fleet.jobs.get(parseTaskName(task)!.job)!.spec;
+          return fleet.jobs.get(parseTaskName(task)!.job)!;
         });
-        const available = specs.reduce((sum, spec) => addResources(sum, spec), fleet.input.free.get(machine)!);
-        assert.ok(fitsIn(addResources(NO_RESOURCES, job.spec, tasks.length), available));
-        for (const spec of specs)
+        const available = victimJobs.reduce((sum, { need }) => addResources(sum, need), fleet.input.free.get(machine)!);
+        assert.ok(fitsIn(addResources(NO_RESOURCES, job.need, tasks.length), available));
+        for (const { need } of victimJobs)
           assert.ok(
-            !fitsIn(addResources(NO_RESOURCES, job.spec, tasks.length), subtractResources(available, spec)) ||
+            !fitsIn(addResources(NO_RESOURCES, job.need, tasks.length), subtractResources(available, need)) ||
               tasks.length > 1,
           );
         assert.equal(tasks.length, placements.length);
-        for (const spec of specs) assert.ok(spec.team !== 'gone');
+        for (const { spec } of victimJobs) assert.ok(spec.team !== 'gone');
       }
       const before = useOf(fleet, new Set());
       for (const account of plan.accounts) {
--- a/packages/core/src/autoscaling/machine-option.ts
+++ b/packages/core/src/autoscaling/machine-option.ts
@@ -1,7 +1,7 @@
 // The machine options: which types and kinds of machine can be rented in which zones.
 import { isRentable, type JobSpec, type MachineType } from '@gingerlock/wire';
 import { allowsMachine } from '../cluster/placement-constraints';
-import { fitsIn, type Resources } from '../cluster/resources';
+import { capacityOf, fitsIn, needOf } from '../cluster/resources';
 
 /** A type and kind (spot or ordinary) of machine that can be rented in one zone. */
 export interface MachineOption {
@@ -19,7 +19,7 @@
 
 /** Whether a task of the job fits on an empty machine of the option and may run on it. */
 export function canRunOnOption(spec: JobSpec, { type, zone, spot }: MachineOption): boolean {
-  return fitsIn(spec, type) && allowsMachine(spec, type.name, zone, spot);
+  return fitsIn(needOf(spec), capacityOf(type)) && allowsMachine(spec, type.name, zone, spot);
 }
 
 /** Map key of an option. */
@@ -27,11 +27,6 @@
   return `${type}/${zone}/${spot ? 'spot' : 'ordinary'}`;
 }
 
-/** The resources of an empty machine of the type. */
-export function capacityOf(type: MachineType): Resources {
-  return { cpus: type.cpus, gpus: type.gpus, memoryGb: type.memoryGb };
-}
-
 /** Price per hour and GPU of a machine, or per hour and CPU if it has no GPUs; the most expensive are drained first. */
 export function unitPrice(type: MachineType, spot: boolean): number {
   const units = type.gpus > 0 ? type.gpus : type.cpus;
--- a/packages/core/src/autoscaling/scale-out-choice.ts
+++ b/packages/core/src/autoscaling/scale-out-choice.ts
@@ -4,9 +4,9 @@
 import type { ClusterConfig } from '../cluster/cluster-config';
 import { bootMsOf } from '../cluster/machine-boot-time';
 import { allowsType } from '../cluster/placement-constraints';
-import { countFitting, type Resources, subtractResources } from '../cluster/resources';
+import { capacityOf, countFitting, type Resources, subtractResources } from '../cluster/resources';
 import { fetchMs } from '../scheduling/start-time';
-import { capacityOf, type MachineOption } from './machine-option';
+import type { MachineOption } from './machine-option';
 import type { ScaleOutDemand } from './scale-out-demand';
 
 /** The cost of an option and its components. */
--- a/packages/core/src/autoscaling/scale-out-demand.ts
+++ b/packages/core/src/autoscaling/scale-out-demand.ts
@@ -1,6 +1,6 @@
 // Demands for which machines are rented: identical tasks, or resources that may be split into any parts.
-import type { JobSpec } from '@gingerlock/wire';
 import { NO_RESOURCES, type Resources } from '../cluster/resources';
+import type { Job } from '../jobs/jobs';
 
 /** A number of identical tasks that need machines. */
 export interface ScaleOutDemand {
@@ -17,9 +17,9 @@
 }
 
 /** The demand of `count` tasks of a job. */
-export function demandOf(spec: JobSpec, count: number): ScaleOutDemand {
+export function demandOf({ spec, need }: Job, count: number): ScaleOutDemand {
   const { imageGb, types, spot, estimateS } = spec;
-  return { need: spec, count, imageGb, types, spot, runMs: estimateS * 1000 };
+  return { need, count, imageGb, types, spot, runMs: estimateS * 1000 };
 }
 
 /** The demand for spare GPUs on ordinary machines for new services. */
--- a/packages/core/src/autoscaling/scale-out-plan.ts
+++ b/packages/core/src/autoscaling/scale-out-plan.ts
@@ -5,6 +5,7 @@
 import { allowsMachine } from '../cluster/placement-constraints';
 import {
   addResources,
+  capacityOf,
   countFitting,
   minResources,
   NO_RESOURCES,
@@ -14,7 +15,7 @@
 import type { UnschedulableDemand } from '../scheduling/assignment-types';
 import { taskShapeOf } from '../scheduling/job-shape';
 import type { MachineStatus } from '../scheduling/partition-status';
-import { canRunOnOption, capacityOf, type MachineOption, machineOptionKey, rentableOptions } from './machine-option';
+import { canRunOnOption, type MachineOption, machineOptionKey, rentableOptions } from './machine-option';
 import { type PlannedMachine, PlannedMachines, type TaskDemand } from './planned-machines';
 import { chooseMachineOption } from './scale-out-choice';
 import { demandOf, type ScaleOutDemand, spareDemand, unitDemand } from './scale-out-demand';
@@ -83,7 +84,7 @@
     if (need.cpus <= 0 && need.gpus <= 0) return;
     const { spot } = machine;
     const tasks: TaskDemand = {
-      shape: ['suspect machine', spot, need.cpus, need.gpus, need.memoryGb].join('/'),
+      shape: ['suspect machine', spot, need.cpus, need.gpus, need.memoryGb, need.reportBytes].join('/'),
       need,
       isAllowedOn: (planned) => planned.spot === spot && !this.input.isSilent(planned.zone),
     };
@@ -109,7 +110,7 @@
    */
   planForTasks(unschedulable: readonly UnschedulableDemand[], spareGpus: number): void {
     const spare = spareDemand(spareGpus);
-    const demands = unschedulable.map(({ job: { spec }, count }) => demandOf(spec, count));
+    const demands = unschedulable.map(({ job, count }) => demandOf(job, count));
     unschedulable.forEach((entry, index) => {
       const sharing = (): ScaleOutDemand[] => [...demands.slice(index + 1, index + 1 + MAX_SHARING_DEMANDS), spare];
       this.#planForJob(entry, demands[index]!, sharing);
@@ -127,7 +128,7 @@
     const inZones = (zone: string): boolean => zones === null || zones.includes(zone);
     const tasks: TaskDemand = {
       shape: [taskShapeOf(job), isSpotOnly, zones?.join() ?? 'any zone'].join('/'),
-      need: spec,
+      need: job.need,
       isAllowedOn: ({ type, zone, spot }) =>
         (spot || !isSpotOnly) && inZones(zone) && allowsMachine(spec, type.name, zone, spot),
     };
@@ -173,7 +174,8 @@
   #keepDrainingMachine({ need }: ScaleOutDemand, isAllowed: (option: MachineOption) => boolean): PlannedMachine | null {
     for (const machine of this.#drainingIdleMachines) {
       const type = this.input.types.get(machine.type);
-      if (type === undefined || countFitting(need, type) === 0 || !isAllowed({ ...machine, type })) continue;
+      if (type === undefined || countFitting(need, capacityOf(type)) === 0 || !isAllowed({ ...machine, type }))
+        continue;
       this.#drainingIdleMachines.delete(machine);
       this.#kept.add(machine.name);
       const planned = { type, zone: machine.zone, spot: machine.spot, free: capacityOf(type), reason: null };
@@ -194,7 +196,7 @@
   ): PlannedMachine | null {
     const { clusterConfig, types, wasRefused } = this.input;
     const fitsFirstDemand = ({ type }: MachineOption): boolean =>
-      demands.slice(0, 1).every(({ need }) => countFitting(need, type) > 0);
+      demands.slice(0, 1).every(({ need }) => countFitting(need, capacityOf(type)) > 0);
     const options = this.#options.filter(
       (option) => fitsFirstDemand(option) && isAllowed(option) && this.#isBelowLimit(option.spot),
     );
--- a/packages/core/src/claims/claim-queries.ts
+++ b/packages/core/src/claims/claim-queries.ts
@@ -77,9 +77,9 @@
 }
 
 /** Whether the job's team has no limit on any resource that its tasks use. */
-function isUnlimited({ spec }: Job, clusterConfig: ClusterConfig): boolean {
+function isUnlimited({ spec, need }: Job, clusterConfig: ClusterConfig): boolean {
   const team = clusterConfig.teams.get(spec.team);
-  return team !== undefined && countWithinLimit(team, NO_RESOURCES, spec) === Infinity;
+  return team !== undefined && countWithinLimit(team, NO_RESOURCES, need) === Infinity;
 }
 
 /**
@@ -133,7 +133,7 @@
     for (const { state, job, since } of tasksByIndex.values()) {
       if (state !== 'uncertain' || job.spec.kind !== 'service' || job.isCancelled) continue;
       if (now - since > clusterConfig.heartbeatIntervalMs * SUSPECT_INTERVALS) {
-        missing = addResources(missing, job.spec);
+        missing = addResources(missing, job.need);
       }
     }
   }
@@ -173,7 +173,7 @@
       if (plan === null) continue;
       const byPriority = planned.get(plan.machine) ?? PRIORITIES.map(() => NO_RESOURCES);
       const priority = advertisedPriority(job);
-      byPriority[priority] = addResources(byPriority[priority]!, job.spec);
+      byPriority[priority] = addResources(byPriority[priority]!, job.need);
       planned.set(plan.machine, byPriority);
     }
   }
--- a/packages/core/src/claims/grant-capacity.ts
+++ b/packages/core/src/claims/grant-capacity.ts
@@ -26,13 +26,13 @@
 
   /** Whether the task fits into the free resources that it may use. */
   fits(task: TaskEntry): boolean {
-    return fitsIn(task.job.spec, this.#isReservedFor(task) ? this.#free : this.#unreserved);
+    return fitsIn(task.job.need, this.#isReservedFor(task) ? this.#free : this.#unreserved);
   }
 
   /** Subtracts a task that the machine now holds; a task with a reservation uses up its reserved resources. */
   take(task: TaskEntry): void {
-    this.#free = subtractResources(this.#free, task.job.spec);
-    if (!this.#isReservedFor(task)) this.#unreserved = subtractResources(this.#unreserved, task.job.spec);
+    this.#free = subtractResources(this.#free, task.job.need);
+    if (!this.#isReservedFor(task)) this.#unreserved = subtractResources(this.#unreserved, task.job.need);
   }
 
   #isReservedFor(task: TaskEntry): boolean {
--- a/packages/core/src/cluster/placement-constraints.ts
+++ b/packages/core/src/cluster/placement-constraints.ts
@@ -2,7 +2,7 @@
 import type { JobSpec, MachineType } from '@gingerlock/wire';
 import type { ClusterConfig } from './cluster-config';
 import { countWithinLimit } from './quota';
-import { fitsIn, NO_RESOURCES } from './resources';
+import { capacityOf, fitsIn, needOf, NO_RESOURCES } from './resources';
 
 /** Whether the job may run on machines of the type and kind in the zone, regardless of their free resources. */
 export function allowsMachine(job: JobSpec, type: string, zone: string, spot: boolean): boolean {
@@ -24,12 +24,14 @@
   if (team === undefined) return `unknown team ${job.team}`;
   if (!types.some((type) => couldRunOn(job, type))) return 'a task fits no allowed machine type';
   const tasksAtOnce = job.kind === 'service' ? job.tasks : 1;
-  if (countWithinLimit(team, NO_RESOURCES, job) < tasksAtOnce) return `needs more than the limit of team ${job.team}`;
+  if (countWithinLimit(team, NO_RESOURCES, needOf(job)) < tasksAtOnce)
+    return `needs more than the limit of team ${job.team}`;
   if (job.spread && job.tasks > 1 && (job.oneZone || job.zone !== null))
     return 'tasks can not be both in one zone and spread over zones';
   return null;
 }
 
 function couldRunOn(job: JobSpec, type: MachineType): boolean {
-  return allowsType(job, type.name) && (job.zone === null || type.zones.includes(job.zone)) && fitsIn(job, type);
+  const isAllowed = allowsType(job, type.name) && (job.zone === null || type.zones.includes(job.zone));
+  return isAllowed && fitsIn(needOf(job), capacityOf(type));
 }
--- a/packages/core/src/jobs/assigned-usage.ts
+++ b/packages/core/src/jobs/assigned-usage.ts
@@ -10,7 +10,7 @@
     const taskCount = countAssignedUnfinished(job);
     if (taskCount === 0) continue;
     const { team } = job.spec;
-    useByTeam.set(team, addResources(useByTeam.get(team) ?? NO_RESOURCES, job.spec, taskCount));
+    useByTeam.set(team, addResources(useByTeam.get(team) ?? NO_RESOURCES, job.need, taskCount));
   }
   return useByTeam;
 }
--- a/packages/core/src/jobs/jobs.ts
+++ b/packages/core/src/jobs/jobs.ts
@@ -1,5 +1,6 @@
 /** A job with its stored and derived state, and the order in which jobs are scheduled. */
 import { type AssignedRange, type JobSpec, PRIORITIES } from '@gingerlock/wire';
+import { needOf, type Resources } from '../cluster/resources';
 import { unassignedRanges } from './assigned-ranges';
 import { BitSet } from './bit-set';
 import type { FinishedPage } from './finished-pages';
@@ -9,8 +10,8 @@
  * derives `isReady`, `isCancelled`, `effectivePriority` and `startBy`, which also depend on other jobs.
  */
 export class Job {
-  /** What the user submitted. */
-  spec!: JobSpec;
+  #spec!: JobSpec;
+  #need!: Resources;
   /** Time of day (ms) at which the job was accepted. */
   acceptedAt = 0;
   /** Whether the job is cancelled, either itself or because a dependency is. */
@@ -37,6 +38,21 @@
 
   constructor(readonly id: string) {}
 
+  /** What the user submitted. */
+  get spec(): JobSpec {
+    return this.#spec;
+  }
+
+  set spec(spec: JobSpec) {
+    this.#spec = spec;
+    this.#need = needOf(spec);
+  }
+
+  /** What each of its tasks takes of its machine. */
+  get need(): Resources {
+    return this.#need;
+  }
+
   /** Its own priority class, regardless of its dependents; only this one allows it to preempt other jobs. */
   get ownPriority(): number {
     return PRIORITIES.indexOf(this.spec.priority);
--- a/packages/core/src/scheduling/assignment.ts
+++ b/packages/core/src/scheduling/assignment.ts
@@ -103,7 +103,7 @@
       this.#countRestAsUnschedulable(job, waiting, team, withinGuarantee);
       return;
     }
-    const allowed = countWithinLimit(team, this.#capacity.usedBy(team.name), job.spec);
+    const allowed = countWithinLimit(team, this.#capacity.usedBy(team.name), job.need);
     if (allowed === 0) return;
     const zones = this.#zonesFor(job);
     if (mustBeProbed(job, this.input.probes)) this.#assignProbe(job, waiting, zones);
@@ -116,7 +116,7 @@
     const team = this.#teamOf(job);
     if (waiting.length === 0 || team === undefined || job.isGroup || mustBeProbed(job, this.input.probes)) return;
     const used = this.#capacity.usedBy(team.name);
-    const allowed = Math.min(countWithinLimit(team, used, job.spec), countWithinGuarantee(team, used, job.spec));
+    const allowed = Math.min(countWithinLimit(team, used, job.need), countWithinGuarantee(team, used, job.need));
     if (allowed === 0) return;
     this.#withinGuaranteeByJob.set(job.id, this.#assignTasks(job, waiting, allowed, this.#zonesFor(job), 0));
   }
@@ -158,7 +158,7 @@
   #countRestAsUnschedulable(job: Job, waiting: WaitingRanges, team: Team, { placed, missing }: PlacedCounts): void {
     if (placed > 0 || missing === 0) return;
     const waitingCount = countWaitingFrom(job, waiting, 0);
-    const allowed = countWithinLimit(team, this.#capacity.usedBy(team.name), job.spec);
+    const allowed = countWithinLimit(team, this.#capacity.usedBy(team.name), job.need);
     const rest = Math.min(waitingCount - missing, allowed);
     const index = this.#unschedulable.findIndex((entry) => entry.job === job);
     if (rest <= 0 || index < 0) return;
@@ -182,12 +182,12 @@
     this.#assignments.push({
       job,
       added: assignedRangesOf([waiting[0]![0]], [placement]),
-      intended: [{ machine: bin.machine.name, need: job.spec }],
+      intended: [{ machine: bin.machine.name, need: job.need }],
     });
   }
 
   #probeBin(job: Job, zones: ZoneChoice): MachineBin | undefined {
-    const fitting = this.#capacity.bins.filter((bin) => fitsIn(job.spec, bin.free));
+    const fitting = this.#capacity.bins.filter((bin) => fitsIn(job.need, bin.free));
     const lastPartitionId = this.input.probes.lastPartitionId(job.id);
     const elsewhere = fitting.filter((bin) => bin.partitionId !== lastPartitionId);
     const choose = (bins: readonly MachineBin[]): MachineBin | undefined =>
@@ -221,7 +221,7 @@
           zone: zones.placeTask(bin.machine.zone),
           term: bin.term,
         });
-        found.intended.push({ machine: bin.machine.name, need: job.spec });
+        found.intended.push({ machine: bin.machine.name, need: job.need });
       }
     }
     return found;
--- a/packages/core/src/scheduling/bin-choice.ts
+++ b/packages/core/src/scheduling/bin-choice.ts
@@ -56,7 +56,7 @@
 /** The cost of a bin for a task, with preemption if it does not fit there otherwise; Infinity: it does not fit. */
 export function startOrPreemptionCostMs(job: Job, bin: MachineBin, context: ChoiceContext): number {
   const costMs = startCostMs(job, bin, context);
-  return fitsIn(job.spec, bin.free) ? costMs : costWithPreemptionMs(job, bin, context, costMs);
+  return fitsIn(job.need, bin.free) ? costMs : costWithPreemptionMs(job, bin, context, costMs);
 }
 
 /** The bin with the lowest cost for one more task, the first one on a tie; undefined: the task fits in none. */
--- a/packages/core/src/scheduling/group-assignment.ts
+++ b/packages/core/src/scheduling/group-assignment.ts
@@ -66,7 +66,7 @@
     const { groups } = this.input;
     const isBackingOff = groups?.isBackingOff(job) === true;
     if (groups === null || (!isBackingOff && !groups.mayPlace(job))) return null;
-    if (countWithinLimit(team, this.capacity.usedBy(team.name), job.spec) < job.spec.tasks) {
+    if (countWithinLimit(team, this.capacity.usedBy(team.name), job.need) < job.spec.tasks) {
       this.#noteWaiting(job, 'team limit');
       return null;
     }
@@ -122,7 +122,7 @@
     this.#noteWaiting(job, 'backoff');
     for (const { machine } of chosen) {
       const used = this.#backoffUseByMachine.get(machine) ?? NO_RESOURCES;
-      this.#backoffUseByMachine.set(machine, addResources(used, job.spec));
+      this.#backoffUseByMachine.set(machine, addResources(used, job.need));
     }
   }
 
@@ -154,11 +154,11 @@
     const { name, zone } = bin.machine;
     const free = includesPreemptable ? freeWithPreemption(bin, job.ownPriority) : bin.free;
     const backoffUse = excludesBackoffUse ? (this.#backoffUseByMachine.get(name) ?? NO_RESOURCES) : NO_RESOURCES;
-    const stopMs = includesPreemptable && !fitsIn(job.spec, bin.free) ? STOP_MS : 0;
+    const stopMs = includesPreemptable && !fitsIn(job.need, bin.free) ? STOP_MS : 0;
     return {
       machine: name,
       zone,
-      capacity: countFitting(job.spec, subtractResources(free, backoffUse)),
+      capacity: countFitting(job.need, subtractResources(free, backoffUse)),
       costMs: startCostMs(job, bin, this.input) + stopMs,
     };
   }
--- a/packages/core/src/scheduling/immovable-demand.ts
+++ b/packages/core/src/scheduling/immovable-demand.ts
@@ -1,6 +1,6 @@
 // Finds assigned tasks that have no machine in their partition and that its owner can't return to the leader.
 import type { MachineType } from '@gingerlock/wire';
-import { fitsIn } from '../cluster/resources';
+import { capacityOf, fitsIn } from '../cluster/resources';
 import { type Partitioner } from '../cluster/partitioner';
 import { allowsMachine } from '../cluster/placement-constraints';
 import { countUnfinishedIn } from '../jobs/assigned-usage';
@@ -50,12 +50,12 @@
 }
 
 /** Whether tasks of the job could run on the machine, now or after other tasks have freed its resources. */
-function couldTake(machine: MachineStatus, { spec }: Job, types: ReadonlyMap<string, MachineType>): boolean {
+function couldTake(machine: MachineStatus, { spec, need }: Job, types: ReadonlyMap<string, MachineType>): boolean {
   const type = types.get(machine.type);
   return (
     machine.takesWork &&
     type !== undefined &&
-    fitsIn(spec, type) &&
+    fitsIn(need, capacityOf(type)) &&
     allowsMachine(spec, machine.type, machine.zone, machine.spot)
   );
 }
--- a/packages/core/src/scheduling/job-shape.ts
+++ b/packages/core/src/scheduling/job-shape.ts
@@ -2,8 +2,9 @@
 import type { Job } from '../jobs/jobs';
 
 /** Key of a job's tasks: of jobs with equal keys, either each has tasks that fit on some machine, or none has. */
-export function taskShapeOf({ ownPriority, spec }: Job): string {
-  return [ownPriority, spec.cpus, spec.gpus, spec.memoryGb, spec.zone, spec.spot, ...(spec.types ?? [])].join();
+export function taskShapeOf({ ownPriority, spec, need }: Job): string {
+  const { cpus, gpus, memoryGb, reportBytes } = need;
+  return [ownPriority, cpus, gpus, memoryGb, reportBytes, spec.zone, spec.spot, ...(spec.types ?? [])].join();
 }
 
 /** Key of a job's tasks that may go to these zones only; see `taskShapeOf`. */
--- a/packages/core/src/scheduling/machine-bin.ts
+++ b/packages/core/src/scheduling/machine-bin.ts
@@ -63,20 +63,20 @@
 export function leastUrgentPriorityKept(job: Job, bin: MachineBin): number | null {
   let available = bin.free;
   let priority = bin.byPriority.length - 1;
-  for (; priority > job.ownPriority && !fitsIn(job.spec, available); priority--)
+  for (; priority > job.ownPriority && !fitsIn(job.need, available); priority--)
     available = addResources(available, bin.byPriority[priority]!);
-  return fitsIn(job.spec, available) ? priority : null;
+  return fitsIn(job.need, available) ? priority : null;
 }
 
 /** Allocates one task in the bin; while it does not fit, preempts the least urgent work that is left. */
 export function allocateInBin(bin: MachineBin, job: Job): void {
   for (
     let priority = bin.byPriority.length - 1;
-    priority > job.ownPriority && !fitsIn(job.spec, bin.free);
+    priority > job.ownPriority && !fitsIn(job.need, bin.free);
     priority--
   ) {
     bin.free = addResources(bin.free, bin.byPriority[priority]!);
     bin.byPriority[priority] = NO_RESOURCES;
   }
-  bin.free = subtractResources(bin.free, job.spec);
+  bin.free = subtractResources(bin.free, job.need);
 }
--- a/packages/core/src/scheduling/placement-planner.ts
+++ b/packages/core/src/scheduling/placement-planner.ts
@@ -1,6 +1,7 @@
 // An owner's plan for the coming heartbeats of its partition: which machine takes which waiting task, which tasks are
 // preempted for it, and which machines are asked for a heartbeat at once.
 import type { ClaimView } from '../claims/claim-view';
+import { freeAfterForgetting } from '../claims/free-resources';
 import type { Machine } from '../claims/machine-entry';
 import type { PlannedPlacement, TaskEntry } from '../claims/task-entry';
 import { addResources, fitsIn, NO_RESOURCES, type Resources, subtractResources } from '../cluster/resources';
@@ -50,10 +51,10 @@
   const freeByMachine = new Map<Machine, Resources>();
   for (const machine of claimTable.machines.values()) {
     if (!claimTable.mayTakeWork(machine, now)) continue;
-    let available = claimTable.freeResources(machine);
+    let available = freeAfterForgetting(claimTable.freeResources(machine), machine);
     // Resources of stopping tasks count as free, so that no further task is preempted for the same waiting task.
     for (const task of machine.claims.values())
-      if (task.claim!.stopGraceS !== null) available = addResources(available, task.job.spec);
+      if (task.claim!.stopGraceS !== null) available = addResources(available, task.job.need);
     freeByMachine.set(machine, subtractResources(available, claimTable.reservations.reservedOn(machine.name)));
   }
   return freeByMachine;
@@ -70,7 +71,7 @@
   if (placement === null) return false;
   task.plan = placement;
   const available = addVictims(run, placement.victims, freeByMachine.get(placement.machine)!);
-  freeByMachine.set(placement.machine, subtractResources(available, task.job.spec));
+  freeByMachine.set(placement.machine, subtractResources(available, task.job.need));
   search.changed(placement.machine);
   if (task.notBefore <= now) for (const victim of placement.victims) preempt(claimTable, victim, task);
   return true;
@@ -79,7 +80,7 @@
 /** Counts the victims as preempted; returns the available resources including theirs. */
 function addVictims(run: PlanningRun, victims: readonly TaskEntry[], available: Resources): Resources {
   for (const victim of victims) run.preempted.add(victim);
-  return victims.reduce((sum, victim) => addResources(sum, victim.job.spec), available);
+  return victims.reduce((sum, victim) => addResources(sum, victim.job.need), available);
 }
 
 /**
@@ -127,5 +128,5 @@
   if (job.isGroup && !claimTable.members.mayStart(task, plan.machine)) return null;
   // The reserved resources may not be free yet.
   const isReserved = claimTable.reservations.reservedMachineFor(task.name) !== null;
-  return isReserved && !fitsIn(job.spec, claimTable.freeResources(plan.machine)) ? null : plan.machine;
+  return isReserved && !fitsIn(job.need, claimTable.freeResources(plan.machine)) ? null : plan.machine;
 }
--- a/packages/core/src/scheduling/placement.ts
+++ b/packages/core/src/scheduling/placement.ts
@@ -85,7 +85,7 @@
   readyMs: number,
 ): PlannedPlacement | null {
   const available = freeByMachine.get(machine)!;
-  if (fitsIn(task.job.spec, available)) return { machine, startsInMs: readyMs, victims: [] };
+  if (fitsIn(task.job.need, available)) return { machine, startsInMs: readyMs, victims: [] };
   const mayPreempt = claimTable.preempts && !claimTable.isCrashLooping(task.job);
   const victims = mayPreempt ? selectVictims(machine, task, available, preempted) : null;
   if (victims === null) return null;
--- a/packages/core/src/scheduling/preemption.ts
+++ b/packages/core/src/scheduling/preemption.ts
@@ -19,14 +19,14 @@
   task: TaskEntry,
   free: Resources,
   preempted: ReadonlySet<TaskEntry>,
-  need: Resources = task.job.spec,
+  need: Resources = task.job.need,
 ): TaskEntry[] | null {
   const victims: TaskEntry[] = [];
   let available = free;
   for (const candidate of preemptableTasks(machine, task, preempted)) {
     if (fitsIn(need, available)) break;
     victims.push(candidate);
-    available = addResources(available, candidate.job.spec);
+    available = addResources(available, candidate.job.need);
   }
   return fitsIn(need, available) ? victims : null;
 }
--- a/packages/core/src/scheduling/remaining-capacity.ts
+++ b/packages/core/src/scheduling/remaining-capacity.ts
@@ -50,7 +50,7 @@
   /** Counts `taskCount` more tasks of the job against its team's limit. */
   countUse(job: Job, taskCount: number): void {
     const { team } = job.spec;
-    this.#usedByTeam.set(team, addResources(this.usedBy(team), job.spec, taskCount));
+    this.#usedByTeam.set(team, addResources(this.usedBy(team), job.need, taskCount));
   }
 
   /** GPUs that the team has to leave free for the guarantees of other teams. */
--- a/packages/core/src/scheduling/replica-relocation.ts
+++ b/packages/core/src/scheduling/replica-relocation.ts
@@ -62,11 +62,11 @@
   doAllFit(replicas: readonly TaskEntry[]): boolean {
     const remaining = new Map<SpareCapacity, Resources>();
     return replicas.every((replica) => {
-      const { spec } = replica.job;
+      const { need } = replica.job;
       for (const spare of this.#sparesFor(replica)) {
         const free = remaining.get(spare) ?? spare.free;
-        if (!fitsIn(spec, free)) continue;
-        remaining.set(spare, subtractResources(free, spec));
+        if (!fitsIn(need, free)) continue;
+        remaining.set(spare, subtractResources(free, need));
         return true;
       }
       return false;
@@ -78,7 +78,7 @@
     const shape = `${job.spec.image}/${taskShapeIn(job, [zone])}`;
     const known = this.#sparesByShape.get(shape);
     if (known !== undefined) return known;
-    const spares = this.spareCapacity.filter((spare) => fitsIn(job.spec, spare.free) && mayMoveTo(replica, spare));
+    const spares = this.spareCapacity.filter((spare) => fitsIn(job.need, spare.free) && mayMoveTo(replica, spare));
     this.#sparesByShape.set(shape, spares);
     return spares;
   }
--- a/packages/core/src/scheduling/zone-choice.ts
+++ b/packages/core/src/scheduling/zone-choice.ts
@@ -73,7 +73,7 @@
 export function bestZone(job: Job, bins: readonly MachineBin[]): string | null {
   const freeByZone = new Map<string, number>();
   for (const bin of bins) {
-    if (!mayRunIn(job, bin) || !fitsIn(job.spec, bin.free)) continue;
+    if (!mayRunIn(job, bin) || !fitsIn(job.need, bin.free)) continue;
     const { zone } = bin.machine;
     freeByZone.set(zone, (freeByZone.get(zone) ?? 0) + bin.free.gpus + bin.free.cpus / CPUS_PER_GPU);
   }
--- a/packages/core/test/assignment.test.ts
+++ b/packages/core/test/assignment.test.ts
@@ -4,6 +4,7 @@
 import {
   type AssignmentInput,
   assignTasks,
+  capacityOf,
   JobTable,
   type MachineStatus,
   NO_RESOURCES,
@@ -30,7 +31,7 @@
 };
 
 function machineStatusIn(name: string, zone: string, freeGpus: number): MachineStatus {
-  return machineStatusOf(name, { zone, free: { cpus: 48, gpus: freeGpus, memoryGb: 192 } });
+  return machineStatusOf(name, { zone, free: capacityOf({ cpus: 48, gpus: freeGpus, memoryGb: 192 }) });
 }
 
 /** An assignment of no jobs to no machines; tests override what they need. */
@@ -120,7 +121,7 @@
 test('the steps of counting pending assignments grow with them and the machines, not with their product', () => {
   const stepsFor = (machineCount: number): number => {
     const counter = new StepCounter(1e8);
-    const need = { cpus: 1, gpus: 0, memoryGb: 0 };
+    const need = { ...NO_RESOURCES, cpus: 1 };
     const pendingAssignments = Array.from({ length: machineCount * 6 }, (_, i) =>
       counter.countReads({ machine: `m-${i % machineCount}`, partitionId: 0, revision: 5, need }),
     );
--- a/packages/core/test/autoscaler.test.ts
+++ b/packages/core/test/autoscaler.test.ts
@@ -4,12 +4,14 @@
 import {
   Autoscaler,
   type AutoscalerPlan,
+  capacityOf,
   Job,
   type MachineStatus,
   machineUse,
   NO_RESOURCES,
   Partitioner,
   type PartitionStatus,
+  subtractResources,
 } from '../src/index';
 import { CLUSTER_CONFIG, machineStatusOf, specOf } from './fixtures';
 
@@ -35,9 +37,9 @@
 
 /** The status of a machine on which replicas use `gpus` GPUs. */
 function used(name: string, gpus: number, overrides: Partial<MachineStatus> = {}): MachineStatus {
-  const usedResources = { cpus: gpus * 2, gpus, memoryGb: gpus * 8 };
+  const usedResources = { ...NO_RESOURCES, cpus: gpus * 2, gpus, memoryGb: gpus * 8 };
   return machineStatusOf(name, {
-    free: { cpus: 8 - usedResources.cpus, gpus: 4 - gpus, memoryGb: 32 - usedResources.memoryGb },
+    free: subtractResources(capacityOf({ cpus: 8, gpus: 4, memoryGb: 32 }), usedResources),
     byPriority: [usedResources, NO_RESOURCES, NO_RESOURCES, NO_RESOURCES],
     ...overrides,
   });
@@ -115,7 +117,7 @@
 
 /** The status of a machine that holds no tasks and for which a waiting batch task is planned. */
 function planned(name: string, overrides: Partial<MachineStatus> = {}): MachineStatus {
-  const plannedResources = { cpus: 2, gpus: 1, memoryGb: 8 };
+  const plannedResources = { ...NO_RESOURCES, cpus: 2, gpus: 1, memoryGb: 8 };
   return used(name, 1, {
     byPriority: [NO_RESOURCES, NO_RESOURCES, plannedResources, NO_RESOURCES],
     empty: true,
@@ -259,7 +261,7 @@
   // An empty machine needs no replacement; if most machines are silent, the fault is probably in this controller.
   assert.equal(plan([...healthy, machineStatusOf('m-4', { silentMs: 4000, empty: true })]), 0);
   assert.equal(plan([healthy[0]!, ...['m-2', 'm-3', 'm-4'].map((n) => used(n, 4, { silentMs: 4000 }))]), 0);
-  const missing = { cpus: 12, gpus: 6, memoryGb: 48 };
+  const missing = { ...NO_RESOURCES, cpus: 12, gpus: 6, memoryGb: 48 };
   assert.equal(plan(healthy, missing), 2);
   // Free GPUs reduce the number of machines to rent.
   assert.equal(plan([...healthy, machineStatusOf('m-4')], missing), 1);
@@ -372,14 +374,14 @@
       partitioner: PARTITIONER,
     }).drain;
   };
-  const half = { cpus: 4, gpus: 2, memoryGb: 16 };
+  const half = capacityOf({ cpus: 4, gpus: 2, memoryGb: 16 });
   const empty = (name: string, overrides: Partial<MachineStatus>): MachineStatus =>
     machineStatusOf(name, { empty: true, ...overrides });
   const busy = used('m-1', 4);
   const box = empty('m-2', { emptyMs: 90_000 });
   const expensiveBox = empty('m-3', { type: 'expensive', free: half, emptyMs: 60_000 });
   assert.deepEqual(drained([busy, box, expensiveBox], 0.5), ['m-3']);
-  const one = { cpus: 2, gpus: 1, memoryGb: 8 };
+  const one = capacityOf({ cpus: 2, gpus: 1, memoryGb: 8 });
   const nearlyEmpty = machineStatusOf('m-6', {
     type: 'expensive',
     free: one,
--- a/packages/core/test/fixtures.ts
+++ b/packages/core/test/fixtures.ts
@@ -1,5 +1,5 @@
 import type { JobSpec } from '@gingerlock/wire';
-import { type ClusterConfig, type MachineStatus, NO_RESOURCES } from '../src/index';
+import { capacityOf, type ClusterConfig, type MachineStatus, NO_RESOURCES } from '../src/index';
 
 /** Settings of a small deployment; tests override what they need. */
 export const CLUSTER_CONFIG: ClusterConfig = {
@@ -21,7 +21,7 @@
     zone: 'a',
     spot: false,
     agentEpoch: 1,
-    free: { cpus: 8, gpus: 4, memoryGb: 32 },
+    free: capacityOf({ cpus: 8, gpus: 4, memoryGb: 32 }),
     byPriority: [NO_RESOURCES, NO_RESOURCES, NO_RESOURCES, NO_RESOURCES],
     images: [],
     takesWork: true,
--- a/packages/core/test/probe-schedule.test.ts
+++ b/packages/core/test/probe-schedule.test.ts
@@ -1,7 +1,15 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { jobRecord } from '@gingerlock/wire';
-import { assignTasks, mustBeProbed, JobTable, NO_RESOURCES, type PartitionStatus, ProbeSchedule } from '../src/index';
+import {
+  assignTasks,
+  capacityOf,
+  mustBeProbed,
+  JobTable,
+  NO_RESOURCES,
+  type PartitionStatus,
+  ProbeSchedule,
+} from '../src/index';
 import { CLUSTER_CONFIG, machineStatusOf, specOf } from './fixtures';
 
 const team = { name: 'red', cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 };
@@ -11,7 +19,7 @@
 /** Sets up a job that is marked as crash-looping, and two partitions with one machine each. */
 function crashLoopingJob(
   byPriority = NO_RESOURCES,
-  free = { cpus: 8, gpus: 4, memoryGb: 32 },
+  free = capacityOf({ cpus: 8, gpus: 4, memoryGb: 32 }),
 ): {
   jobs: JobTable;
   probes: ProbeSchedule;
@@ -75,7 +83,7 @@
 });
 
 test('a probe waits for free resources: it preempts nothing and creates no demand for machines', () => {
-  const available = { cpus: 8, gpus: 4, memoryGb: 32 };
+  const available = capacityOf({ cpus: 8, gpus: 4, memoryGb: 32 });
   const { assign } = crashLoopingJob(available, NO_RESOURCES);
   assert.deepEqual([assign(0).assignments.length, assign(0).unschedulable.length], [0, 0]);
 });
--- a/packages/core/test/replica-relocation.test.ts
+++ b/packages/core/test/replica-relocation.test.ts
@@ -1,6 +1,14 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { type ClaimView, Job, type Machine, relocateReplicas, type SpareCapacity, type TaskEntry } from '../src/index';
+import {
+  capacityOf,
+  type ClaimView,
+  Job,
+  type Machine,
+  relocateReplicas,
+  type SpareCapacity,
+  type TaskEntry,
+} from '../src/index';
 import { specOf } from './fixtures';
 import { StepCounter } from './step-counter';
 
@@ -37,7 +45,7 @@
 
 function spareOf(gpus: number): SpareCapacity {
   const { image } = specOf('j-1');
-  return { type: 'box', zone: 'a', spot: false, free: { cpus: 8, gpus, memoryGb: 64 }, images: [image] };
+  return { type: 'box', zone: 'a', spot: false, free: capacityOf({ cpus: 8, gpus, memoryGb: 64 }), images: [image] };
 }
 
 // Guards against an owner that searches all spare machines for each of thousands of machines that are being drained.
--- a/packages/core/test/scale-out-choice.test.ts
+++ b/packages/core/test/scale-out-choice.test.ts
@@ -4,6 +4,7 @@
 import {
   chooseMachineOption,
   type MachineOption,
+  NO_RESOURCES,
   type ScaleOutChoice,
   type ScaleOutContext,
   type ScaleOutDemand,
@@ -11,11 +12,13 @@
 import { allOptions, anyTypes, clusterConfig, RUNS, ZONES } from './machine-types';
 
 const demand: fc.Arbitrary<ScaleOutDemand> = fc.record({
-  need: fc.record({
-    cpus: fc.constantFrom(0, 4, 8),
-    gpus: fc.constantFrom(1, 2),
-    memoryGb: fc.constantFrom(0, 16),
-  }),
+  need: fc
+    .record({
+      cpus: fc.constantFrom(0, 4, 8),
+      gpus: fc.constantFrom(1, 2),
+      memoryGb: fc.constantFrom(0, 16),
+    })
+    .map((need) => ({ ...NO_RESOURCES, ...need })),
   count: fc.integer({ min: 0, max: 20 }),
   imageGb: fc.constantFrom(0, 30, 70),
   types: fc.constantFrom(null, ['t-0'], ['t-1', 't-0']),
--- a/packages/core/test/scale-out-plan.test.ts
+++ b/packages/core/test/scale-out-plan.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import type { MachineType } from '@gingerlock/wire';
-import { countFitting, Job, NO_RESOURCES, ScaleOutPlan, type ScaleOutPlanInput } from '../src/index';
+import { capacityOf, countFitting, Job, NO_RESOURCES, ScaleOutPlan, type ScaleOutPlanInput } from '../src/index';
 import { specOf } from './fixtures';
 import { allOptions, anyTypes, clusterConfig, RUNS, ZONES } from './machine-types';
 import { StepCounter } from './step-counter';
@@ -107,7 +107,7 @@
 test('a suspect machine is replaced, by smaller machines if no large one can be rented', () => {
   const machine = {
     spot: false,
-    byPriority: [{ cpus: 16, gpus: 8, memoryGb: 64 }, NO_RESOURCES, NO_RESOURCES, NO_RESOURCES],
+    byPriority: [{ ...NO_RESOURCES, cpus: 16, gpus: 8, memoryGb: 64 }, NO_RESOURCES, NO_RESOURCES, NO_RESOURCES],
   };
   const suspect = { ...machine } as unknown as Parameters<ScaleOutPlan['planReplacement']>[0];
   const plan = planOf();
@@ -122,9 +122,10 @@
   const without = { ...SMALL, name: 'without', gpus: 0, price: 0.1, spotPrice: 0.1 };
   const plan = planOf({ types: new Map([SMALL, without].map((t) => [t.name, t])) });
   plan.planSpareGpus(0, 4);
-  plan.planReplacement({ spot: false, byPriority: [{ cpus: 16, gpus: 2, memoryGb: 8 }] } as unknown as Parameters<
-    ScaleOutPlan['planReplacement']
-  >[0]);
+  plan.planReplacement({
+    spot: false,
+    byPriority: [{ ...NO_RESOURCES, cpus: 16, gpus: 2, memoryGb: 8 }],
+  } as unknown as Parameters<ScaleOutPlan['planReplacement']>[0]);
   assert.equal(countRented(plan).without ?? 0, 0);
   assert.ok(countRented(plan).small! > 0);
 });
@@ -148,14 +149,11 @@
         const places = plan
           .requests(() => 'r')
           .map((r) => ({
-            fit: countFitting(
-              entry.job.spec,
-              all.find((t) => t.name === r.type)!,
-            ),
+            fit: countFitting(entry.job.need, capacityOf(all.find((t) => t.name === r.type)!)),
             ...r,
           }));
         const remaining = places.reduce((sum, { fit, count }) => sum + fit * count, 0);
-        const couldServe = open.some((o) => !o.spot && countFitting(entry.job.spec, o.type) > 0);
+        const couldServe = open.some((o) => !o.spot && countFitting(entry.job.need, capacityOf(o.type)) > 0);
         assert.ok(couldServe ? remaining >= tasks : remaining === 0);
         for (const { fit, spot } of places) {
           assert.equal(spot, false);
@@ -218,7 +216,7 @@
         return false;
       },
     });
-    const need = { cpus: 4, gpus: 3, memoryGb: 8 };
+    const need = { ...NO_RESOURCES, cpus: 4, gpus: 3, memoryGb: 8 };
     const suspect = { spot: false, byPriority: [need] } as unknown as Parameters<ScaleOutPlan['planReplacement']>[0];
     for (let i = 0; i < count; i++) plan.planReplacement(suspect);
     assert.equal(plan.requests(() => 'r').length, 0);
--- a/packages/daemon/src/controller/peer-handlers.ts
+++ b/packages/daemon/src/controller/peer-handlers.ts
@@ -63,7 +63,7 @@
   };
 }
 
-type StatusKinds = 'PartitionStatus' | 'PartitionStatusFragment' | 'ClaimList' | 'GroupReports';
+type StatusKinds = 'PartitionStatus' | 'PartitionStatusFragment' | 'ReportSpace' | 'ClaimList' | 'GroupReports';
 
 function statusHandlers(modules: PeerHandlerModules): Pick<PeerMessageHandlers, StatusKinds> {
   const { context, owned, statuses, claimLists, groupReports } = modules;
@@ -75,6 +75,7 @@
     PartitionStatusFragment: (from, message, now) => {
       if (!owned.owns(message.partitionId)) statuses.onFragment(from, message, now);
     },
+    ReportSpace: (from, message) => statuses.onReportSpace(from, message),
     ClaimList: (from, message, now) => {
       if (features.borrowing !== null) claimLists.onFragment(from, message, now);
     },
--- a/packages/daemon/src/leader/borrowing-feature.ts
+++ b/packages/daemon/src/leader/borrowing-feature.ts
@@ -100,7 +100,7 @@
 }
 
 function plannedUses({ job, tasks, placements, machine }: Decision): PlannedUse[] {
-  return tasks.map(() => ({ partitionId: placements[0]!.partitionId, machine, need: job.spec }));
+  return tasks.map(() => ({ partitionId: placements[0]!.partitionId, machine, need: job.need }));
 }
 
 function taskCountByJob(decisions: readonly Decision[]): Map<string, number> {
--- a/packages/daemon/src/leader/leader-groups.ts
+++ b/packages/daemon/src/leader/leader-groups.ts
@@ -216,7 +216,7 @@
     for (const placement of placements) {
       const { job, members } = placement;
       if (batch.jobs.has(job.id) || !this.#addReservation(batch, placement)) continue;
-      for (const { partitionId, machine } of members) uses.push({ partitionId, machine, need: job.spec });
+      for (const { partitionId, machine } of members) uses.push({ partitionId, machine, need: job.need });
     }
     this.#machinesInFlight = uses.map(({ machine }) => machine);
     return uses;
--- a/packages/daemon/src/owner/partition-status.ts
+++ b/packages/daemon/src/owner/partition-status.ts
@@ -76,7 +76,7 @@
   const byPriority = [...planned];
   for (const { job, claim } of machine.claims.values()) {
     const priority = advertisedPriority(job);
-    if (claim!.stopGraceS === null) byPriority[priority] = addResources(byPriority[priority]!, job.spec);
+    if (claim!.stopGraceS === null) byPriority[priority] = addResources(byPriority[priority]!, job.need);
   }
   return byPriority;
 }
--- a/packages/daemon/src/ownership/ownership-manager.ts
+++ b/packages/daemon/src/ownership/ownership-manager.ts
@@ -67,6 +67,7 @@
     const localNode = {
       node,
       process: this.process,
+      takesReportSpace: true,
       ...(features.borrowing === null ? {} : { takesClaimLists: true }),
       ...(features.replicaGroups === null ? {} : { takesGroupReports: true }),
     };
--- a/packages/daemon/src/peers/partition-statuses.ts
+++ b/packages/daemon/src/peers/partition-statuses.ts
@@ -5,6 +5,7 @@
 import type { PartitionOwner } from '../owner/partition-owner';
 import type { PeerChannel } from './peer-channel';
 import { SenderReassemblers } from './fragments';
+import { ReportSpacePublisher, ReportSpaces, withReportBytes } from './report-space';
 import { statusFrom, statusMessages } from './status-fragments';
 
 /** A status with its time of arrival and its owner. */
@@ -15,10 +16,19 @@
   readonly owner: string;
 }
 
+/** A controller that gets statuses. */
+export interface StatusReceiver {
+  readonly node: string;
+  /** Whether it accepts report space. Versions that do not know it would close the connection. */
+  readonly takesReportSpace: boolean;
+}
+
 /** The last status of each partition, including those owned here. */
 export class PartitionStatuses {
   readonly #received = new Map<number, ReceivedStatus>();
   readonly #reassemblers = new SenderReassemblers<PeerMessages['PartitionStatusFragment']>();
+  readonly #reportSpaces = new ReportSpaces();
+  readonly #reportSpacePublisher = new ReportSpacePublisher();
   /** Number of the last status that this process sent. */
   #sequence = 0;
 
@@ -34,8 +44,10 @@
 
   /** Stores a status unless one of a later ownership term is known. */
   onStatus(message: PeerPartitionStatus, now: number): void {
-    const { owner, partitionId, term, revision, machines, missing } = message;
+    const { owner, partitionId, term, revision } = message;
     if (term < (this.#received.get(partitionId)?.status.term ?? 0)) return;
+    const machines = this.#reportSpaces.addTo(message.machines, partitionId, term);
+    const missing = withReportBytes(message.missing, 0);
     const running = message.running.map(({ job, tasks }) => [job, tasks] as const);
     this.#received.set(partitionId, {
       status: { partitionId, term, revision, machines, missing, running },
@@ -50,12 +62,20 @@
     if (all !== null) this.onStatus(statusFrom(fragment, all), now);
   }
 
+  /** Handles a fragment of a partition's report space, which the next status of its owner is completed with. */
+  onReportSpace(from: string, fragment: PeerMessages['ReportSpace']): void {
+    this.#reportSpaces.onFragment(from, fragment);
+  }
+
   /** Stores the status of a partition owned here, and sends it to the given peers. */
-  publish(owner: PartitionOwner, node: string, now: number, peers: PeerChannel, to: readonly string[]): void {
+  publish(owner: PartitionOwner, node: string, now: number, peers: PeerChannel, to: readonly StatusReceiver[]): void {
     const status = owner.status(now);
     this.#received.set(owner.partitionId, { status, at: now, owner: node });
-    const messages = statusMessages(status, node, ++this.#sequence, peers.link.frameBytes);
-    for (const peer of to) peers.sendBatch(peer, messages);
+    const { frameBytes } = peers.link;
+    const messages = statusMessages(status, node, ++this.#sequence, frameBytes);
+    const spaceMessages = this.#reportSpacePublisher.messages(status, this.#sequence, frameBytes);
+    for (const peer of to)
+      peers.sendBatch(peer.node, peer.takesReportSpace ? [...spaceMessages, ...messages] : messages);
   }
 
   /** Sends the last status of every partition to a peer that has just connected. */
--- a/packages/daemon/src/peers/status-fragments.ts
+++ b/packages/daemon/src/peers/status-fragments.ts
@@ -1,5 +1,5 @@
 // Splits partition statuses of any size into messages that each fit into a frame of the link, and reassembles them.
-import type { MachineStatus, PartitionStatus } from '@gingerlock/core';
+import type { PartitionStatus } from '@gingerlock/core';
 import type { PeerMachineStatus, PeerMessage, PeerMessages, PeerPartitionStatus } from '@gingerlock/peer';
 import { FRAME_SHARE, FragmentReassembler, splitBySize } from './fragments';
 
@@ -17,7 +17,7 @@
 
 type RunningJob = PeerPartitionStatus['running'][number];
 
-function machineBytes(machine: MachineStatus): number {
+function machineBytes(machine: PeerMachineStatus): number {
   const texts = [machine.name, machine.type, machine.zone, ...machine.images];
   const textBytes = texts.reduce((sum, text) => sum + Buffer.byteLength(text) + LENGTH_BYTES, 0);
   return MACHINE_BYTES + textBytes + RESOURCES_BYTES * (machine.byPriority.length + 1);
--- a/packages/daemon/test/assignment-changes.test.ts
+++ b/packages/daemon/test/assignment-changes.test.ts
@@ -71,7 +71,7 @@
       running: [],
     };
     const job = jobOf(specOf('j-1', { tasks: machineCount }));
-    const intended = machines.map((_, i) => ({ machine: `m-${i}`, need: job.spec }));
+    const intended = machines.map((_, i) => ({ machine: `m-${i}`, need: job.need }));
     const added = [{ from: 0, count: machineCount, partitionId: 4, zone: null, term: 1 }];
     const uses = addAssignments(
       contextOf(() => true),
--- a/packages/daemon/test/status-fragments.test.ts
+++ b/packages/daemon/test/status-fragments.test.ts
@@ -6,7 +6,7 @@
 import { encodePeer, type PeerMessage, type PeerPartitionStatus } from '@gingerlock/peer';
 import { StatusReassembler, statusMessages } from '../src/peers/status-fragments';
 
-const resources = { cpus: 1, gpus: 2, memoryGb: 3 };
+const resources = { cpus: 1, gpus: 2, memoryGb: 3, reportBytes: 0 };
 
 const machine = fc.record({
   name: fc.string({ maxLength: 20 }),
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -66,6 +66,13 @@
   members: avroArray(MemberReport),
 });
 
+const MachineReportSpace = avroRecord('MachineReportSpace', {
+  machine: avroString,
+  free: avroInt,
+  /** By priority, the highest first. */
+  byPriority: avroArray(avroInt),
+});
+
 /** The partition's owner, which sends the message, and the revision of its watch cache. */
 const STATUS_HEAD = { owner: avroString, partitionId: avroInt, term: avroLong, revision: avroLong };
 
@@ -110,6 +117,8 @@
   ClaimList: { ...FRAGMENT_HEAD, machines: avroArray(MachineClaims) },
   /** The members of replica groups on a partition. Sent only to a leader that accepts group reports. */
   GroupReports: { ...FRAGMENT_HEAD, groups: avroArray(GroupReport) },
+  /** The report space of the machines of a partition. Sent only to controllers that accept it, before their status. */
+  ReportSpace: { ...FRAGMENT_HEAD, machines: avroArray(MachineReportSpace) },
 };
 
 /** An amount of each resource; see `Resources` in core. */
@@ -127,6 +136,9 @@
 /** The members of one replica group on one partition; see `GroupReport` in replica-groups. */
 export type PeerGroupReport = ValueOf<typeof GroupReport>;
 
+/** The report space of one machine: bytes that are free, and that are used by work of each priority. */
+export type PeerReportSpace = ValueOf<typeof MachineReportSpace>;
+
 /** The fields of each kind of message. */
 export type PeerMessages = { [K in keyof typeof MESSAGE_FIELDS]: FieldValues<(typeof MESSAGE_FIELDS)[K]> };
 
--- a/packages/replica-groups/src/partition-groups.ts
+++ b/packages/replica-groups/src/partition-groups.ts
@@ -57,7 +57,7 @@
         const member = record.members[task.index];
         if (member === undefined || task.state !== 'waiting' || this.#mayHaveStarted(task, record)) continue;
         this.#machineByTask.set(task.name, member.machine);
-        this.#reservedByMachine.set(member.machine, addResources(this.reservedOn(member.machine), task.job.spec));
+        this.#reservedByMachine.set(member.machine, addResources(this.reservedOn(member.machine), task.job.need));
       }
     }
   }
--- a/packages/replica-groups/test/assignment.test.ts
+++ b/packages/replica-groups/test/assignment.test.ts
@@ -8,6 +8,7 @@
 import {
   type AssignmentResult,
   assignTasks,
+  capacityOf,
   type GroupPlanner,
   JobTable,
   type MachineStatus,
@@ -21,9 +22,9 @@
 
 const TEAM = { name: 'red', cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 };
 const CONFIG = { ...CLUSTER_CONFIG, teams: new Map([[TEAM.name, TEAM]]) };
-const WHOLE_MACHINE: Resources = { cpus: 8, gpus: 4, memoryGb: 32 };
+const WHOLE_MACHINE: Resources = capacityOf({ cpus: 8, gpus: 4, memoryGb: 32 });
 /** Three members, each of which needs a whole machine. */
-const GROUP = specOf({ ...WHOLE_MACHINE, tasks: 3 });
+const GROUP = specOf({ cpus: 8, gpus: 4, memoryGb: 32, tasks: 3 });
 
 const PLANNER: GroupPlanner = {
   mayPlace: () => true,
--- a/packages/testkit/src/audits/liveness-audit.ts
+++ b/packages/testkit/src/audits/liveness-audit.ts
@@ -1,6 +1,6 @@
 // Checks progress once all faults are over: tasks start when resources are free, machines rented for waiting tasks are
 // used, and status requests are answered.
-import { type Resources, fitsIn, NO_RESOURCES, countFitting, allowsMachine, subtractResources } from '@gingerlock/core';
+import { type Resources, fitsIn, needOf, countFitting, allowsMachine, subtractResources } from '@gingerlock/core';
 import { type JobSpec, jobRecord, KEYS, parseTaskName } from '@gingerlock/wire';
 import type { ObservedStatus } from '../standins/users';
 import type { SimWorker } from '../standins/worker';
@@ -236,7 +236,7 @@
     const byZone = new Map<string, number>();
     for (const worker of this.world.workers.values()) {
       if (worker === without || !allowsMachine(spec, worker.type, worker.zone, worker.spot)) continue;
-      const members = countFitting(spec, this.#freeOn(worker));
+      const members = countFitting(needOf(spec), this.#freeOn(worker));
       byZone.set(worker.zone, (byZone.get(worker.zone) ?? 0) + members);
     }
     const counts = [...byZone.values()];
@@ -255,7 +255,7 @@
     if (spec.oneZone && zones.some((zone) => zone !== worker.zone)) return false;
     const inZone = zones.filter((zone) => zone === worker.zone).length;
     if (spec.spread && inZone >= Math.ceil(spec.tasks / 2)) return false;
-    return fitsIn(spec, this.#freeOn(worker));
+    return fitsIn(needOf(spec), this.#freeOn(worker));
   }
 
   /** The free resources of the machine. */
@@ -263,8 +263,8 @@
     const { world } = this;
     let available = world.capacityOfType(worker.type);
     for (const { state, task: taskName } of worker.tasks.values()) {
-      if (state !== 'exited')
-        available = subtractResources(available, world.job(parseTaskName(taskName)!.job) ?? NO_RESOURCES);
+      const spec = state === 'exited' ? undefined : world.job(parseTaskName(taskName)!.job);
+      if (spec !== undefined) available = subtractResources(available, needOf(spec));
     }
     return available;
   }
--- a/packages/testkit/src/simulation/world.ts
+++ b/packages/testkit/src/simulation/world.ts
@@ -1,6 +1,6 @@
 // A whole deployment in simulated time: production controllers, stand-ins for everything else, and audits that check
 // the invariants against the tasks that actually run on machines.
-import { NO_RESOURCES, type Resources } from '@gingerlock/core';
+import { capacityOf, NO_RESOURCES, type Resources } from '@gingerlock/core';
 import type { PartitionOwner } from '@gingerlock/daemon';
 import { isGroupSpec, type ReplicaGroupSettings } from '@gingerlock/replica-groups';
 import { holdRecord, type JobSpec, KEYS, LEADERSHIP, type MachineType, parseTaskName } from '@gingerlock/wire';
@@ -155,7 +155,8 @@
 
   /** Returns the resources of a machine of the type; no resources if the type does not exist. */
   capacityOfType(type: string): Resources {
-    return this.machineType(type) ?? NO_RESOURCES;
+    const machineType = this.machineType(type);
+    return machineType === undefined ? NO_RESOURCES : capacityOf(machineType);
   }
 
   fetchMs({ imageGb }: JobSpec, type: string): number {
--- a/packages/testkit/test/support/borrowing-mutants.ts
+++ b/packages/testkit/test/support/borrowing-mutants.ts
@@ -30,8 +30,8 @@
           function (this: Accounts, team) {
             const account = original.call(this, team);
             if (account === undefined) return undefined;
-            const { cpus, gpus, memoryGb } = account.surelyUsed;
-            return { ...account, surelyUsed: { cpus: cpus * 10, gpus: gpus * 10, memoryGb } };
+            const { cpus, gpus } = account.surelyUsed;
+            return { ...account, surelyUsed: { ...account.surelyUsed, cpus: cpus * 10, gpus: gpus * 10 } };
           },
       ),
   },
--- a/packages/testkit/test/support/placement-mutants.ts
+++ b/packages/testkit/test/support/placement-mutants.ts
@@ -1,5 +1,5 @@
 // One mutant for each check of where and when tasks run, and of ownership; mutants.test.ts runs them.
-import { ClaimTable, Ownership } from '@gingerlock/core';
+import { addResources, ClaimTable, Ownership } from '@gingerlock/core';
 import { PartitionOwner } from '@gingerlock/daemon';
 import type { Invariant } from '../../src/index';
 import { type Mutant, patch } from './mutant';
@@ -16,7 +16,7 @@
         (original) =>
           function (this: ClaimTable, machine) {
             const available = original.call(this, machine);
-            return { cpus: available.cpus + 32, gpus: available.gpus + 8, memoryGb: available.memoryGb + 128 };
+            return addResources(available, { cpus: 32, gpus: 8, memoryGb: 128, reportBytes: 0 });
           },
       ),
   },
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -3,6 +3,7 @@
 export * from './codec';
 export * from './users';
 export * from './workers';
+export * from './message-limits';
 export * from './cloud';
 export * from './machine-types';
 export * from './state';
--- a/packages/wire/src/records.ts
+++ b/packages/wire/src/records.ts
@@ -90,6 +90,8 @@
   readonly takesClaimLists?: boolean;
   /** Whether the process accepts group reports. Versions that do not know them would close the connection. */
   readonly takesGroupReports?: boolean;
+  /** Whether the process accepts report space. Versions that do not know it would close the connection. */
+  readonly takesReportSpace?: boolean;
 }
 
 const checkHold = compileValidator(
@@ -98,6 +100,7 @@
     i: Type.String(),
     c: Type.Optional(Type.Integer()),
     g: Type.Optional(Type.Integer()),
+    s: Type.Optional(Type.Integer()),
   }),
 );
 /** The format of the value at `KEYS.hold`. */
@@ -107,14 +110,16 @@
     i: hold.process,
     ...(hold.takesClaimLists === true ? { c: 1 } : {}),
     ...(hold.takesGroupReports === true ? { g: 1 } : {}),
+    ...(hold.takesReportSpace === true ? { s: 1 } : {}),
   }),
   read: (value: unknown): HoldRecord => {
-    const { n, i, c, g } = checkHold(value);
+    const { n, i, c, g, s } = checkHold(value);
     return {
       node: n,
       process: i,
       ...(c === 1 ? { takesClaimLists: true } : {}),
       ...(g === 1 ? { takesGroupReports: true } : {}),
+      ...(s === 1 ? { takesReportSpace: true } : {}),
     };
   },
 };
