Heartbeats: bound the commands of an answer to 64 KiB, stops before forgets

An answer of more than 64 KiB is beyond the protocol, and its lease is not renewed.

Cause: a command may take more bytes than the entry of its task, and nothing counted the bytes of an answer.

Change: what does not fit is left to the answer of the next heartbeat, and stops come first, since cancellations have a bound.

Why it works: both kinds of command are repeated by every heartbeat until the report lacks the task.

--- a/packages/core/src/claims/heartbeat-reconciler.ts
+++ b/packages/core/src/claims/heartbeat-reconciler.ts
@@ -2,7 +2,15 @@
  * Reconciliation of a worker's heartbeat with the task table: which claims it confirms or ends, and which tasks the
  * worker is to stop or forget.
  */
-import type { ExitCause, MachineType, ReportedTask, TaskState, WorkerCommand, Heartbeat } from '@gingerlock/wire';
+import {
+  type ExitCause,
+  type MachineType,
+  type ReportedTask,
+  splitCommands,
+  type TaskState,
+  type WorkerCommand,
+  type Heartbeat,
+} from '@gingerlock/wire';
 import type { ClusterConfig } from '../cluster/cluster-config';
 import type { Job } from '../jobs/jobs';
 import type { FailureAttribution } from './failure-attribution';
@@ -41,7 +49,10 @@
     readonly alarm: (message: string, detail: Record<string, unknown>) => void,
   ) {}
 
-  /** Applies the task reports of a heartbeat; returns the commands to forget and to stop tasks, in this order. */
+  /**
+   * Applies the task reports of a heartbeat; returns the commands to forget and to stop tasks, in this order. If they do
+   * not all fit into one answer, stops come first and the next heartbeat is answered with the rest.
+   */
   reconcile(machine: Machine, heartbeat: Heartbeat, now: number): WorkerCommand[] {
     this.#endUnlistedClaims(machine, heartbeat, now);
     const forget: WorkerCommand[] = [];
@@ -54,7 +65,8 @@
       const graceS = reported.state === 'exited' ? null : this.#reconcileHeld(machine, reported, reported.state, now);
       if (graceS !== null) stop.push({ op: 'stop', task: reported.task, attempt: reported.attempt, graceS });
     }
-    return [...forget, ...stop];
+    const messages = splitCommands([...forget, ...stop]);
+    return messages.length <= 1 ? (messages[0] ?? []) : splitCommands([...stop, ...forget])[0]!;
   }
 
   /**
--- a/packages/core/test/report-space.test.ts
+++ b/packages/core/test/report-space.test.ts
@@ -176,6 +176,21 @@
   assert.ok(worker.largestReport <= MAX_BODY_BYTES, `${worker.largestReport} bytes`);
 });
 
+// Guards against answers with a command for each of the tasks of a full report, which need more bytes than the report.
+test('an answer has no more commands than fit, stops first, and later answers have the rest', () => {
+  const claimTable = claimTableOf([]);
+  const worker = new MeasuredWorker(claimTable);
+  for (let i = 0; i < 1050; i++) {
+    const [state, cause] = i < 100 ? (['exited', 'done'] as const) : (['running', null] as const);
+    worker.tasks.set(`j-000010/${i} 9999999`, { task: `j-000010/${i}`, attempt: 9_999_999, state, cause });
+  }
+  const first = worker.report(1000);
+  assert.ok(first.length >= MIN_LISTED && first.every(({ op }) => op === 'stop'));
+  for (let now = 1500; now < 4000; now += 500) worker.report(now);
+  assert.equal(worker.tasks.size, 0);
+  assert.ok(worker.largestAnswer <= MAX_BODY_BYTES, `${worker.largestAnswer} bytes`);
+});
+
 function assignmentOf(
   specs: readonly JobSpec[],
   machines: readonly MachineStatus[],
