Owner: send stops straight to a worker in requests of 64 KiB at most

What callers would see: stops of more than some 900 tasks of a cancelled job on one machine went in one request beyond 64 KiB, which a worker may refuse with 400, so that they ran on until the next heartbeat.

Cause: `WorkerCommandSender` put all stops of a machine into one request.

Change: the stops are split as the commands of answers are. They may arrive in any order.

--- a/packages/daemon/src/owner/worker-command-sender.ts
+++ b/packages/daemon/src/owner/worker-command-sender.ts
@@ -1,6 +1,6 @@
 // Sends an owner's commands directly to the workers of its partition, in addition to the answers to their heartbeats.
 import { type ClaimTable, groupBy, type Machine, type TaskEntry } from '@gingerlock/core';
-import { decodeHeartbeat, encodeDirectCommands } from '@gingerlock/wire';
+import { decodeHeartbeat, encodeDirectCommands, splitCommands } from '@gingerlock/wire';
 import type { ControllerContext } from '../controller/controller-context';
 
 /** Timeout of a stop request, in heartbeat intervals. */
@@ -28,10 +28,12 @@
       attempt: claim!.attempt,
       graceS: claim!.stopGraceS ?? 0,
     }));
-    const body = encodeDirectCommands(this.claimTable.fencingToken(machine), machine.agentEpoch, commands);
-    this.#post(machine, body, STOP_TIMEOUT_INTERVALS, (detail) => {
-      this.context.log.debug(detail, 'direct stop unanswered');
-    });
+    for (const message of splitCommands(commands)) {
+      const body = encodeDirectCommands(this.claimTable.fencingToken(machine), machine.agentEpoch, message);
+      this.#post(machine, body, STOP_TIMEOUT_INTERVALS, (detail) => {
+        this.context.log.debug(detail, 'direct stop unanswered');
+      });
+    }
   }
 
   /**
--- a/packages/daemon/test/worker-command-sender.test.ts
+++ b/packages/daemon/test/worker-command-sender.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { ClaimTable, Machine, TaskEntry } from '@gingerlock/core';
+import { decode, decodeCommands, MAX_BODY_BYTES } from '@gingerlock/wire';
 import { StepCounter } from '../../core/test/step-counter';
 import type { ControllerContext } from '../src/controller/controller-context';
 import { WorkerCommandSender } from '../src/owner/worker-command-sender';
@@ -34,3 +35,24 @@
   assert.deepEqual([few.requests, many.requests], [200, 800]);
   assert.ok(many.steps <= few.steps * 4.4, `${few.steps} and ${many.steps} steps`);
 });
+
+// Guards against a direct request with a stop for each of the tasks of a machine, which no worker accepts beyond 64 KiB.
+test('the stops of all tasks on a machine go in requests of 64 KiB at most, each task once', () => {
+  const bodies: Buffer[] = [];
+  const context = {
+    clusterConfig: { heartbeatIntervalMs: 1000 },
+    log: { debug: () => undefined },
+    http: (_addr: string, _method: string, _path: string, body: Buffer) => {
+      bodies.push(body);
+      return Promise.reject(new Error('not sent in this test'));
+    },
+  } as unknown as ControllerContext;
+  const claimTable = { fencingToken: () => 2 ** 40, machines: new Map() } as unknown as ClaimTable;
+  const machine = { name: 'm-1', agentEpoch: 1 } as Machine;
+  const names = Array.from({ length: 1200 }, (_, i) => `j-000010/${i}`);
+  const claim = { machine, attempt: 2 ** 40, stopGraceS: 7.5 };
+  new WorkerCommandSender(context, claimTable).stopAll(names.map((name) => ({ name, claim }) as unknown as TaskEntry));
+  for (const body of bodies) assert.ok(Buffer.byteLength(JSON.stringify(decode(body))) <= MAX_BODY_BYTES);
+  const stopped = bodies.flatMap((body) => decodeCommands(body).commands.map(({ task }) => task));
+  assert.deepEqual(stopped, names);
+});
