Assignment: no more tasks of arrays at once than one controller can keep in memory

What callers saw: one job of 100,000 tiny tasks on enough machines is assigned as a whole, and each owner keeps an entry, a claim and a report of each task. The only controller left aborted for memory, and all leases ran out.

Cause: only the team's limit and the machines bounded what is assigned, and neither does for tasks of 0.0004 CPUs.

Change: an array is assigned no task beyond a sixth of `machine_limits.ram_mb` at 600 bytes a task, 31,666 with 114 MB, counted over all jobs, as any one controller may own all partitions. What is beyond it waits and is no demand for machines. Services are not held back. Without the figure in the settings there is no such limit.

Why it works: the memory for tasks is bounded by the settings whatever users submit, and arrays go on as their tasks end.

Result: the test fails on the commit before (all of 100,000 that fit are assigned).

--- a/packages/borrowing/src/accounts.ts
+++ b/packages/borrowing/src/accounts.ts
@@ -7,8 +7,8 @@
   type Job,
   NO_RESOURCES,
   addResources,
+  assignedUsage,
   type Team,
-  usageByTeam,
   subtractResources,
 } from '@gingerlock/core';
 import { parseTaskName } from '@gingerlock/wire';
@@ -113,7 +113,7 @@
     surelyRunning: ReadonlyMap<string, Resources>,
     waiting: ReadonlyMap<string, Resources>,
   ) {
-    const high = usageByTeam(jobs);
+    const high = assignedUsage(jobs).byTeam;
     for (const team of clusterConfig.teams.values()) {
       const { name } = team;
       const resourcesOf = (use: ReadonlyMap<string, Resources>): Resources => use.get(name) ?? NO_RESOURCES;
--- a/packages/borrowing/test/fixtures.ts
+++ b/packages/borrowing/test/fixtures.ts
@@ -16,6 +16,7 @@
     cancellationBoundMs: 20_000,
     maxClockSkewMs: 100,
     cloudListLagMs: 2000,
+    maxAssignedTasks: Infinity,
   };
 }
 
--- a/packages/core/src/cluster/cluster-config.ts
+++ b/packages/core/src/cluster/cluster-config.ts
@@ -29,6 +29,11 @@
   readonly maxClockSkewMs: number;
   /** Usual lag of the cloud's list of machines; sometimes it lags by up to twice this. */
   readonly cloudListLagMs: number;
+  /**
+   * Maximum number of unfinished tasks that are assigned at a time if some of them belong to arrays: any one controller
+   * may have to keep all of them in memory. Infinity if the memory of controllers is not known.
+   */
+  readonly maxAssignedTasks: number;
 }
 
 /** A machine that has been silent for this many heartbeat intervals is suspect (the grant lease in DESIGN). */
--- a/packages/core/src/jobs/assigned-usage.ts
+++ b/packages/core/src/jobs/assigned-usage.ts
@@ -3,16 +3,25 @@
 import { type Resources, NO_RESOURCES, addResources } from '../cluster/resources';
 import type { Job } from './jobs';
 
-/** The resources of all assigned, unfinished tasks by team; teams without such tasks are omitted. */
-export function usageByTeam(jobs: Iterable<Job>): Map<string, Resources> {
-  const useByTeam = new Map<string, Resources>();
+/** All assigned, unfinished tasks. */
+export interface AssignedUsage {
+  readonly taskCount: number;
+  /** Their resources by team; teams without such tasks are omitted. */
+  readonly byTeam: Map<string, Resources>;
+}
+
+/** Counts the assigned, unfinished tasks of all jobs. */
+export function assignedUsage(jobs: Iterable<Job>): AssignedUsage {
+  const byTeam = new Map<string, Resources>();
+  let total = 0;
   for (const job of jobs) {
     const taskCount = countAssignedUnfinished(job);
     if (taskCount === 0) continue;
     const { team } = job.spec;
-    useByTeam.set(team, addResources(useByTeam.get(team) ?? NO_RESOURCES, job.need, taskCount));
+    byTeam.set(team, addResources(byTeam.get(team) ?? NO_RESOURCES, job.need, taskCount));
+    total += taskCount;
   }
-  return useByTeam;
+  return { taskCount: total, byTeam };
 }
 
 /** How many unfinished tasks of the job are assigned to partitions. */
--- a/packages/core/src/scheduling/assignment.ts
+++ b/packages/core/src/scheduling/assignment.ts
@@ -1,7 +1,7 @@
 // The leader's assignment of waiting tasks to partitions by the free resources of their machines, within the limits and
 // guarantees of teams.
 import type { Team } from '../cluster/cluster-config';
-import { countWithinGuarantee, countWithinLimit } from '../cluster/quota';
+import { countWithinGuarantee } from '../cluster/quota';
 import { fitsIn } from '../cluster/resources';
 import { countAssignedUnfinished, countUnfinishedIn } from '../jobs/assigned-usage';
 import { type Job, jobOrder } from '../jobs/jobs';
@@ -103,7 +103,7 @@
       this.#countRestAsUnschedulable(job, waiting, team, withinGuarantee);
       return;
     }
-    const allowed = countWithinLimit(team, this.#capacity.usedBy(team.name), job.need);
+    const allowed = this.#capacity.countAllowed(job, team);
     if (allowed === 0) return;
     const zones = this.#zonesFor(job);
     if (mustBeProbed(job, this.input.probes)) this.#assignProbe(job, waiting, zones);
@@ -116,7 +116,7 @@
     const team = this.#teamOf(job);
     if (waiting.length === 0 || team === undefined || job.isGroup || mustBeProbed(job, this.input.probes)) return;
     const used = this.#capacity.usedBy(team.name);
-    const allowed = Math.min(countWithinLimit(team, used, job.need), countWithinGuarantee(team, used, job.need));
+    const allowed = Math.min(this.#capacity.countAllowed(job, team), countWithinGuarantee(team, used, job.need));
     if (allowed === 0) return;
     this.#withinGuaranteeByJob.set(job.id, this.#assignTasks(job, waiting, allowed, this.#zonesFor(job), 0));
   }
@@ -158,7 +158,7 @@
   #countRestAsUnschedulable(job: Job, waiting: WaitingRanges, team: Team, { placed, missing }: PlacedCounts): void {
     if (placed > 0 || missing === 0) return;
     const waitingCount = countWaitingFrom(job, waiting, 0);
-    const allowed = countWithinLimit(team, this.#capacity.usedBy(team.name), job.need);
+    const allowed = this.#capacity.countAllowed(job, team);
     const rest = Math.min(waitingCount - missing, allowed);
     const index = this.#unschedulable.findIndex((entry) => entry.job === job);
     if (rest <= 0 || index < 0) return;
--- a/packages/core/src/scheduling/remaining-capacity.ts
+++ b/packages/core/src/scheduling/remaining-capacity.ts
@@ -1,6 +1,8 @@
 // The capacity that one assignment has left: free resources of machines, GPUs held back, and the teams' use.
+import type { Team } from '../cluster/cluster-config';
+import { countWithinLimit } from '../cluster/quota';
 import { addResources, NO_RESOURCES, type Resources } from '../cluster/resources';
-import { usageByTeam } from '../jobs/assigned-usage';
+import { assignedUsage } from '../jobs/assigned-usage';
 import type { Job } from '../jobs/jobs';
 import type { AssignmentInput } from './assignment-types';
 import { type MachineBin, machineBinsOf, allocateInBin } from './machine-bin';
@@ -13,6 +15,8 @@
   /** By name of the machine. */
   readonly #binByMachine: ReadonlyMap<string, MachineBin>;
   readonly #usedByTeam: Map<string, Resources>;
+  /** How many more tasks may be assigned before controllers run short of memory; may be negative. */
+  #tasksLeft: number;
   readonly #heldBackByTeam: ReadonlyMap<string, number> | null;
   /** Sum of the free GPUs of all machines. */
   #freeGpus: number;
@@ -21,7 +25,9 @@
     this.bins = machineBinsOf(input);
     this.zones = [...new Set(this.bins.map(({ machine }) => machine.zone))];
     this.#binByMachine = new Map(this.bins.map((bin) => [bin.machine.name, bin]));
-    this.#usedByTeam = usageByTeam(jobs);
+    const { byTeam, taskCount } = assignedUsage(jobs);
+    this.#usedByTeam = byTeam;
+    this.#tasksLeft = input.clusterConfig.maxAssignedTasks - taskCount;
     this.#heldBackByTeam = input.heldBack;
     this.#freeGpus = this.bins.reduce((sum, bin) => sum + Math.max(0, bin.free.gpus), 0);
   }
@@ -47,9 +53,16 @@
     return this.#usedByTeam.get(team) ?? NO_RESOURCES;
   }
 
-  /** Counts `taskCount` more tasks of the job against its team's limit. */
+  /** How many more tasks of the job the limit of its team and the memory of controllers allow; services are few. */
+  countAllowed(job: Job, team: Team): number {
+    const withinLimit = countWithinLimit(team, this.usedBy(team.name), job.need);
+    return job.spec.kind === 'service' ? withinLimit : Math.min(withinLimit, Math.max(0, this.#tasksLeft));
+  }
+
+  /** Counts `taskCount` more tasks of the job as assigned. */
   countUse(job: Job, taskCount: number): void {
     const { team } = job.spec;
+    this.#tasksLeft -= taskCount;
     this.#usedByTeam.set(team, addResources(this.usedBy(team), job.need, taskCount));
   }
 
--- a/packages/core/test/fixtures.ts
+++ b/packages/core/test/fixtures.ts
@@ -11,6 +11,7 @@
   cancellationBoundMs: 20_000,
   maxClockSkewMs: 100,
   cloudListLagMs: 2000,
+  maxAssignedTasks: Infinity,
 };
 
 /** The status of a machine without tasks. */
--- a/packages/core/test/report-space.test.ts
+++ b/packages/core/test/report-space.test.ts
@@ -21,6 +21,7 @@
   type AssignmentInput,
   assignTasks,
   ClaimTable,
+  type ClusterConfig,
   JobTable,
   type MachineStatus,
   planPlacements,
@@ -194,6 +195,7 @@
 function assignmentOf(
   specs: readonly JobSpec[],
   machines: readonly MachineStatus[],
+  config: ClusterConfig = clusterConfig,
 ): { assigned: number; unschedulable: number } {
   const jobs = new JobTable(() => 64);
   specs.forEach((spec, i) => {
@@ -202,11 +204,11 @@
   });
   const input: AssignmentInput = {
     now: 0,
-    probes: new ProbeSchedule(clusterConfig),
+    probes: new ProbeSchedule(config),
     jobs: jobs.live.values(),
     statuses: [{ partitionId: 0, term: 1, revision: 0, machines, missing: machines[0]!.byPriority[0]!, running: [] }],
     pendingAssignments: [],
-    clusterConfig,
+    clusterConfig: config,
     types,
     maxAssignments: 100,
     preempts: true,
@@ -273,3 +275,16 @@
   assert.equal(relocateReplicas(view, new Map(), () => [spareWith(50)], 60_000).length, 0);
   assert.equal(relocateReplicas(view, new Map(), () => [spareWith(500)], 60_000).length, 1);
 });
+
+// Guards against 100,000 tiny tasks assigned at once: the only controller left ran out of memory, again at each restart.
+test('no more tasks of arrays are assigned than a controller can keep, whatever the machines, but services are', () => {
+  const machines = Array.from({ length: 20 }, (_, i) => machineStatusOf(`m-${i}`));
+  const limited = { ...clusterConfig, maxAssignedTasks: 4000 };
+  const tiny = ['j-000010', 'j-000011'].map((id) => tinyArray(id, { tasks: 100_000 }));
+  const both = assignmentOf(tiny, machines, limited);
+  assert.deepEqual([both.assigned, both.unschedulable], [4000, 0]);
+  // The rest neither counts as demand for machines nor keeps a less urgent service from its place.
+  const service = specOf('j-000001', { kind: 'service', priority: 'low', tasks: 2 });
+  assert.equal(assignmentOf([...tiny, service], machines, limited).assigned, 4002);
+  assert.ok(assignmentOf(tiny, machines).assigned > 10_000);
+});
--- a/packages/daemon/src/settings/platform-settings.ts
+++ b/packages/daemon/src/settings/platform-settings.ts
@@ -16,6 +16,12 @@
   txn_ops: Type.Integer({ minimum: 3 }),
 };
 
+/** Memory that an owner needs for one task with its claim and its entry in a report, in bytes. */
+const TASK_BYTES = 600;
+
+/** Share of a controller's memory that tasks may take: one controller may own all partitions, and lead. */
+const TASKS_MEMORY_SHARE = 1 / 6;
+
 const PlatformFile = Type.Object({
   node: Type.String({ minLength: 1, maxLength: 64 }),
   area: Type.String(),
@@ -35,7 +41,7 @@
       next: Type.Optional(Type.Union([Type.Null(), Type.Partial(Type.Object(StoreLimits))])),
     }),
     cloud: Type.Object({ rps: Positive, list_lag_s: Amount }),
-    machine_limits: Type.Object({ sockets: Type.Integer({ minimum: 16 }) }),
+    machine_limits: Type.Object({ sockets: Type.Integer({ minimum: 16 }), ram_mb: Type.Optional(Positive) }),
     skew_ms: Amount,
     objectives: Type.Optional(Type.Array(Type.Unknown())),
   }),
@@ -113,7 +119,9 @@
   };
 }
 
-function clusterConfigOf({ count, zones, teams, workers, skew_ms, cloud }: PlatformFile['facts']): ClusterConfig {
+function clusterConfigOf(facts: PlatformFile['facts']): ClusterConfig {
+  const { count, zones, teams, workers, skew_ms, cloud, machine_limits } = facts;
+
   return {
     controllerCount: count,
     zones,
@@ -128,9 +136,15 @@
     cancellationBoundMs: workers.cancel_s * 1000,
     maxClockSkewMs: skew_ms,
     cloudListLagMs: cloud.list_lag_s * 1000,
+    maxAssignedTasks: maxAssignedTasks(machine_limits.ram_mb),
   };
 }
 
+/** How many tasks a controller may have to keep in memory; Infinity if its memory is not known. */
+function maxAssignedTasks(ramMb: number | undefined): number {
+  return ramMb === undefined ? Infinity : Math.floor((ramMb * 1e6 * TASKS_MEMORY_SHARE) / TASK_BYTES);
+}
+
 function smallerLimit(state: PlatformFile['facts']['state'], limit: keyof typeof StoreLimits): number {
   return Math.min(state[limit], state.next?.[limit] ?? Infinity);
 }
--- a/packages/replica-groups/test/fixtures.ts
+++ b/packages/replica-groups/test/fixtures.ts
@@ -11,6 +11,7 @@
   cancellationBoundMs: 20_000,
   maxClockSkewMs: 100,
   cloudListLagMs: 2000,
+  maxAssignedTasks: Infinity,
 };
 
 export const SETTINGS: ReplicaGroupSettings = { ...REPLICA_GROUP_DEFAULTS, classes: new Set(['replicated']) };
