Autoscaling: GPUs on machines whose reports are full are not spare

What callers would see: machines full of tiny services keep free GPUs that no task can get. They counted as headroom, so no machine was rented ahead of the next service, and replicas were drained towards them in vain.

Cause: headroom and consolidation count free GPUs alone; the other decisions compare all resources.

Change: `usableGpus` is none where the report has no space for a task of the longest name, for headroom, for the GPUs that may be spared and for the room of a zone. Machines that take no work are as before.

--- a/packages/core/src/autoscaling/consolidation-budget.ts
+++ b/packages/core/src/autoscaling/consolidation-budget.ts
@@ -1,6 +1,7 @@
 // Limits on consolidation: spare GPUs in the cluster, free GPUs in the zone, and one ordinary machine per partition.
 import type { Partitioner } from '../cluster/partitioner';
 import type { MachineStatus } from '../scheduling/partition-status';
+import { usableGpus } from './service-capacity';
 
 /** A machine that could be consolidated. */
 export interface ConsolidationCandidate {
@@ -45,7 +46,7 @@
    */
   #moveWithinZone({ machine, usedGpus }: ConsolidationCandidate): boolean {
     const { name, zone, takesWork, free } = machine;
-    const freeElsewhereGpus = (this.freeGpusByZone.get(zone) ?? 0) - (takesWork ? free.gpus : 0);
+    const freeElsewhereGpus = (this.freeGpusByZone.get(zone) ?? 0) - (takesWork ? usableGpus(free) : 0);
     const partitionId = this.partitioner.partitionOf(name, zone);
     if (this.#busyPartitions.has(partitionId) || usedGpus > freeElsewhereGpus) return false;
     this.#busyPartitions.add(partitionId);
--- a/packages/core/src/autoscaling/consolidation.ts
+++ b/packages/core/src/autoscaling/consolidation.ts
@@ -8,7 +8,7 @@
 import { unitPrice } from './machine-option';
 import { isSuspect } from './machine-silence';
 import { machineUse } from './machine-use';
-import { BATCH_PRIORITY } from './service-capacity';
+import { BATCH_PRIORITY, usableGpus } from './service-capacity';
 
 /** The longest time that the consolidation of a machine may take, in boot times of its type. */
 const MAX_CONSOLIDATION_BOOTS = 2;
@@ -100,8 +100,8 @@
   const { zone, free, takesWork } = machine;
   if (machine.spot) {
     spot.usedGpus += usedGpus;
-    if (takesWork) spot.freeGpus += free.gpus;
-  } else if (takesWork) freeOrdinaryGpusByZone.set(zone, (freeOrdinaryGpusByZone.get(zone) ?? 0) + free.gpus);
+    if (takesWork) spot.freeGpus += usableGpus(free);
+  } else if (takesWork) freeOrdinaryGpusByZone.set(zone, (freeOrdinaryGpusByZone.get(zone) ?? 0) + usableGpus(free));
 }
 
 function isNearlyEmpty(
--- a/packages/core/src/autoscaling/service-capacity.ts
+++ b/packages/core/src/autoscaling/service-capacity.ts
@@ -1,13 +1,24 @@
 // GPUs that are available to services; services may preempt batch work.
-import { type MachineType, PRIORITIES } from '@gingerlock/wire';
+import { type MachineType, MAX_REPORTED_TASK_BYTES, PRIORITIES } from '@gingerlock/wire';
+import type { Resources } from '../cluster/resources';
 import type { MachineStatus, PartitionStatus } from '../scheduling/partition-status';
 
 /** Work of this priority or a less urgent one is batch work, which services may preempt. */
 export const BATCH_PRIORITY = PRIORITIES.indexOf('normal');
 
+/** The free GPUs that a task could use: none if the worker's report has no space for a further task. */
+export function usableGpus({ gpus, reportBytes }: Pick<Resources, 'gpus' | 'reportBytes'>): number {
+  return reportBytes < MAX_REPORTED_TASK_BYTES ? 0 : gpus;
+}
+
 /** GPUs of a machine that are available to new services: the free ones and those that batch work uses. */
-export function gpusForServices({ byPriority, free }: MachineStatus): number {
-  return byPriority.reduce((sum, { gpus }, priority) => sum + (priority >= BATCH_PRIORITY ? gpus : 0), free.gpus);
+export function gpusForServices({ byPriority, free, takesWork }: MachineStatus): number {
+  let { gpus, reportBytes } = free;
+  for (let priority = BATCH_PRIORITY; priority < byPriority.length; priority++) {
+    gpus += byPriority[priority]!.gpus;
+    reportBytes += byPriority[priority]!.reportBytes;
+  }
+  return takesWork ? usableGpus({ gpus, reportBytes }) : gpus;
 }
 
 /** GPUs available to new services on the ordinary machines that take work. */
--- a/packages/core/test/autoscaler.test.ts
+++ b/packages/core/test/autoscaler.test.ts
@@ -267,6 +267,35 @@
   assert.equal(plan([...healthy, machineStatusOf('m-4')], missing), 1);
 });
 
+// Guards against spare GPUs on machines whose reports are full, so that none are rented and the next service waits.
+test('free GPUs that no report has space for do not count as spare, and nothing is moved to them', () => {
+  const fullReport = (name: string): MachineStatus => {
+    const { free } = machineStatusOf(name);
+    return machineStatusOf(name, { free: { ...free, reportBytes: 50 } });
+  };
+  const outcome = (machines: readonly MachineStatus[], headroom: number): AutoscalerPlan => {
+    const autoscaler = new Autoscaler(clusterConfig, 1, { ...limits, headroom });
+    autoscaler.applyCloudList(
+      machines.map((m) => listed(m.name, 60)),
+      0,
+    );
+    return autoscaler.plan({
+      now: 10_000,
+      types,
+      statuses: statuses(1, machines),
+      unschedulable: [],
+      partitioner: PARTITIONER,
+    });
+  };
+  const busy = [used('m-1', 4), used('m-2', 4)];
+  const rented = ({ scaleOut }: AutoscalerPlan): number => scaleOut.reduce((sum, { count }) => sum + count, 0);
+  assert.equal(rented(outcome([...busy, machineStatusOf('m-3')], 0.5)), 0);
+  assert.ok(rented(outcome([...busy, fullReport('m-3')], 0.5)) > 0);
+  const drained = (elsewhere: MachineStatus): readonly string[] => outcome([used('m-4', 1), elsewhere], 0).drain;
+  assert.deepEqual(drained(used('m-5', 2)), ['m-4']);
+  assert.deepEqual(drained({ ...used('m-5', 2), free: { ...used('m-5', 2).free, reportBytes: 50 } }), []);
+});
+
 test('a nearly empty machine is drained only if its tasks fit elsewhere in the zone and the headroom is kept', () => {
   const plan = (machines: readonly MachineStatus[]): readonly string[] => {
     const autoscaler = new Autoscaler(clusterConfig, 1, { ...limits, headroom: 0.1 });
--- a/packages/wire/src/message-limits.ts
+++ b/packages/wire/src/message-limits.ts
@@ -3,7 +3,7 @@
 // whatever else the tasks take.
 import { Buffer } from 'node:buffer';
 import { MAX_BODY_BYTES } from './codec';
-import { MAX_TASKS } from './users';
+import { MAX_JOB_ID_DIGITS, MAX_TASKS } from './users';
 import type { WorkerCommand } from './workers';
 
 /** The longest name of a machine, a type or a zone in a report, in JSON: one character may take six bytes there. */
@@ -57,6 +57,9 @@
   return REPORTED_TASK_BYTES + taskName.length;
 }
 
+/** The most bytes that a report needs for any task. */
+export const MAX_REPORTED_TASK_BYTES = reportedTaskBytes(`j-${'9'.repeat(MAX_JOB_ID_DIGITS)}/${MAX_TASKS - 1}`);
+
 /** Sizes of tasks in a report are rounded up to a multiple of this, so that nearly all jobs have the same. */
 const SIZE_STEP_BYTES = 8;
 
--- a/packages/wire/src/users.ts
+++ b/packages/wire/src/users.ts
@@ -74,7 +74,10 @@
   cancelled: 'aborted',
 };
 
-const JOB_ID = /^j-[0-9]{1,32}$/;
+/** Maximum number of digits in a job id. */
+export const MAX_JOB_ID_DIGITS = 32;
+
+const JOB_ID = new RegExp(`^j-[0-9]{1,${MAX_JOB_ID_DIGITS}}$`);
 
 /** Whether the string has the form of a job id, `j-` followed by digits. */
 export function isJobId(id: string): boolean {
