--- a/packages/daemon/src/api/server.ts
+++ b/packages/daemon/src/api/server.ts
@@ -11,6 +11,9 @@
 /** Above this share of its connection limit, the server closes a worker's connection after each heartbeat. */
 const NEAR_LIMIT_SHARE = 0.75;
 
+/** Status by which the HTTP library refuses a body beyond the limit; the client gets 400. */
+const PAYLOAD_TOO_LARGE = 413;
+
 /**
  * Creates the server, which does not listen yet. `sockets`: how many sockets the process may have open. Requests that
  * are too large or not valid HTTP get 400 without a body; an exception in the controller is logged and gets 503.
@@ -21,8 +24,12 @@
   // Bodies are passed on undecoded, whatever their content type.
   app.removeAllContentTypeParsers();
   app.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body));
-  app.setErrorHandler((error: Error & { statusCode?: number }, _request, reply) => {
+  app.setErrorHandler((error: Error & { statusCode?: number }, request, reply) => {
     const status = error.statusCode ?? 500;
+    if (status === PAYLOAD_TOO_LARGE) {
+      const bytes = Number(request.headers['content-length'] ?? NaN);
+      log.info({ path: request.routeOptions.url, bytes, from: request.ip }, 'request too large');
+    }
     // Bodies that are too large or truncated count as malformed.
     if (status >= 400 && status < 500) return send(reply, { status: 400, body: null });
     log.error({ error: error.stack }, 'request failed');
--- a/packages/daemon/test/daemon.test.ts
+++ b/packages/daemon/test/daemon.test.ts
@@ -31,6 +31,22 @@
   assert.equal(settingsOf(platform, { max_spot_machines: 3 }).operators.maxSpotMachines, 3);
 });
 
+// Guards against refused reports that leave no trace: the worker loses its lease again and again, and no log says why.
+test('HTTP: a request that is too large is logged with its path and size', async () => {
+  const world = new World({ seed: 3 });
+  await world.sim.run(4000);
+  const lines: unknown[] = [];
+  const info = (fields: Record<string, unknown>, message: string): void => void lines.push({ ...fields, message });
+  const app = openServer(world.nodes[0]!.controller!, { ...SILENT, info }, 600);
+  const payload = Buffer.alloc(MAX_BODY_BYTES + 1);
+  const headers = { 'content-type': 'application/msgpack' };
+  await app.inject({ method: 'POST', url: '/checkin', payload, headers });
+  await app.inject({ method: 'POST', url: '/checkin', payload: payload.subarray(0, 9), headers });
+  await app.close();
+  const from = '127.0.0.1';
+  assert.deepEqual(lines, [{ path: '/checkin', bytes: MAX_BODY_BYTES + 1, from, message: 'request too large' }]);
+});
+
 test('HTTP: invalid requests get their status at once, and the server keeps working', async () => {
   const world = new World({ seed: 3 });
   const node = world.nodes[0]!;
