--- a/packages/core/test/claim-table.test.ts
+++ b/packages/core/test/claim-table.test.ts
@@ -1,22 +1,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { jobRecord, type MachineType, PRIORITIES, type AssignedRange, type Heartbeat } from '@gingerlock/wire';
+import { jobRecord, PRIORITIES, type AssignedRange, type Heartbeat } from '@gingerlock/wire';
 import { TOKENS_PER_TERM, ClaimTable, JobTable, planPlacements, plannedByPriority, type TaskEntry } from '../src/index';
-import { CLUSTER_CONFIG, specOf } from './fixtures';
+import { BOX, CLUSTER_CONFIG, specOf } from './fixtures';
 
 const clusterConfig = { ...CLUSTER_CONFIG, controllers: 1 };
-const type: MachineType = {
-  name: 'box',
-  cpus: 16,
-  gpus: 4,
-  memoryGb: 64,
-  cacheGb: 100,
-  fetchGbPerS: 10,
-  price: 4,
-  spotPrice: 1,
-  bootS: 5,
-  zones: ['a'],
-};
+const type = BOX;
 const spec = specOf('j-000001', { kind: 'service', priority: 'high' });
 
 /** The claim table of an owner under term 2. */
--- a/packages/core/test/fixtures.ts
+++ b/packages/core/test/fixtures.ts
@@ -1,5 +1,5 @@
-import type { JobSpec } from '@gingerlock/wire';
-import { capacityOf, type ClusterConfig, type MachineStatus, NO_RESOURCES } from '../src/index';
+import type { JobSpec, MachineType } from '@gingerlock/wire';
+import { capacityOf, type ClusterConfig, type MachineStatus, NO_RESOURCES, type ScaleOutPlanInput } from '../src/index';
 
 /** Settings of a small deployment; tests override what they need. */
 export const CLUSTER_CONFIG: ClusterConfig = {
@@ -63,3 +63,30 @@
     ...overrides,
   };
 }
+
+/** A machine type with four GPUs. */
+export const BOX: MachineType = {
+  name: 'box',
+  cpus: 16,
+  gpus: 4,
+  memoryGb: 64,
+  cacheGb: 100,
+  fetchGbPerS: 10,
+  price: 4,
+  spotPrice: 1,
+  bootS: 5,
+  zones: ['a'],
+};
+
+/** Input of a scale-out plan without machines, in which everything may be requested. */
+export const SCALE_OUT_INPUT: Omit<ScaleOutPlanInput, 'clusterConfig' | 'types'> = {
+  booting: [],
+  drainingIdleMachines: [],
+  known: [],
+  maxOrdinaryMachines: Infinity,
+  maxSpotMachines: Infinity,
+  mayRequest: () => true,
+  isSilent: () => false,
+  wasRefused: () => false,
+  isSpotOnly: () => false,
+};
--- a/packages/core/test/report-space.test.ts
+++ b/packages/core/test/report-space.test.ts
@@ -11,7 +11,6 @@
   type Heartbeat,
   type JobSpec,
   jobRecord,
-  type MachineType,
   MAX_BODY_BYTES,
   type ReportedTask,
   type TaskState,
@@ -32,24 +31,13 @@
   type Machine,
   TOKENS_PER_TERM,
 } from '../src/index';
-import { CLUSTER_CONFIG, machineStatusOf, specOf } from './fixtures';
+import { BOX, CLUSTER_CONFIG, machineStatusOf, SCALE_OUT_INPUT, specOf } from './fixtures';
 
 const TEAM = { name: 'red', cpus: 0, gpus: 0, cpusMax: 0, gpusMax: 0 };
 const clusterConfig = { ...CLUSTER_CONFIG, teams: new Map([[TEAM.name, TEAM]]) };
 const TERM = 2;
 const FENCING_TOKEN = TERM * TOKENS_PER_TERM;
-const TYPE: MachineType = {
-  name: 'box',
-  cpus: 96,
-  gpus: 8,
-  memoryGb: 384,
-  cacheGb: 100,
-  fetchGbPerS: 10,
-  price: 4,
-  spotPrice: 1,
-  bootS: 5,
-  zones: ['a'],
-};
+const TYPE = { ...BOX, cpus: 96, gpus: 8, memoryGb: 384 };
 const types = new Map([[TYPE.name, TYPE]]);
 /** At least this many tiny tasks fit into a report, whatever their states. */
 const MIN_LISTED = 500;
@@ -238,19 +226,7 @@
 
 // Guards against a plan that rents one machine for tiny tasks of which its worker can report a fraction.
 test('as many machines are rented for tiny tasks as can report them', () => {
-  const plan = new ScaleOutPlan({
-    clusterConfig,
-    types,
-    booting: [],
-    drainingIdleMachines: [],
-    known: [],
-    maxOrdinaryMachines: Infinity,
-    maxSpotMachines: Infinity,
-    mayRequest: () => true,
-    isSilent: () => false,
-    wasRefused: () => false,
-    isSpotOnly: () => false,
-  });
+  const plan = new ScaleOutPlan({ ...SCALE_OUT_INPUT, clusterConfig, types });
   const [job] = jobTableOf([tinyArray('j-000010', { tasks: 2400 })]).live.values();
   plan.planForTasks([{ job: job!, count: 2400, zones: null }], 0);
   const rented = plan.requests(() => 'r').reduce((sum, { count }) => sum + count, 0);
--- a/packages/core/test/scale-out-plan.test.ts
+++ b/packages/core/test/scale-out-plan.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import type { MachineType } from '@gingerlock/wire';
 import { capacityOf, countFitting, Job, NO_RESOURCES, ScaleOutPlan, type ScaleOutPlanInput } from '../src/index';
-import { specOf } from './fixtures';
+import { SCALE_OUT_INPUT, specOf } from './fixtures';
 import { allOptions, anyTypes, clusterConfig, RUNS, ZONES } from './machine-types';
 import { StepCounter } from './step-counter';
 
@@ -36,15 +36,7 @@
   return new ScaleOutPlan({
     clusterConfig,
     types: new Map([SMALL, LARGE].map((t) => [t.name, t])),
-    booting: [],
-    drainingIdleMachines: [],
-    known: [],
-    maxOrdinaryMachines: Infinity,
-    maxSpotMachines: Infinity,
-    mayRequest: () => true,
-    isSilent: () => false,
-    wasRefused: () => false,
-    isSpotOnly: () => false,
+    ...SCALE_OUT_INPUT,
     ...overrides,
   });
 }
--- a/packages/daemon/test/report-space.test.ts
+++ b/packages/daemon/test/report-space.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test';
 import { capacityOf, type MachineStatus, NO_RESOURCES, type PartitionStatus } from '@gingerlock/core';
 import { decodePeer, encodePeer, type PeerMessage } from '@gingerlock/peer';
+import { machineStatusOf } from '../../core/test/fixtures';
 import type { PartitionOwner } from '../src/owner/partition-owner';
 import type { PeerChannel } from '../src/peers/peer-channel';
 import { PartitionStatuses } from '../src/peers/partition-statuses';
@@ -11,23 +12,8 @@
 
 function machineOf(name: string, freeBytes: number, batchBytes: number): MachineStatus {
   const batch = { ...NO_RESOURCES, cpus: 1, reportBytes: batchBytes };
-  return {
-    name,
-    type: 'box',
-    zone: 'north',
-    spot: false,
-    agentEpoch: 1,
-    free: { ...EMPTY, reportBytes: freeBytes },
-    byPriority: [NO_RESOURCES, NO_RESOURCES, NO_RESOURCES, batch],
-    images: [],
-    takesWork: true,
-    draining: false,
-    evictionNotice: false,
-    isQuarantined: false,
-    empty: false,
-    emptyMs: 0,
-    silentMs: 5,
-  };
+  const byPriority = [NO_RESOURCES, NO_RESOURCES, NO_RESOURCES, batch];
+  return machineStatusOf(name, { free: { ...EMPTY, reportBytes: freeBytes }, byPriority });
 }
 
 /** Publishes the machines of partition 3 to one controller; returns the messages, decoded, that it gets. */
--- a/packages/daemon/test/status-fragments.test.ts
+++ b/packages/daemon/test/status-fragments.test.ts
@@ -4,6 +4,7 @@
 import fc from 'fast-check';
 import { type MachineStatus, NO_RESOURCES, type PartitionStatus } from '@gingerlock/core';
 import { encodePeer, type PeerMessage, type PeerPartitionStatus } from '@gingerlock/peer';
+import { machineStatusOf } from '../../core/test/fixtures';
 import { StatusReassembler, statusMessages } from '../src/peers/status-fragments';
 
 const resources = { cpus: 1, gpus: 2, memoryGb: 3, reportBytes: 0 };
@@ -13,24 +14,9 @@
   images: fc.array(fc.string({ maxLength: 30 }), { maxLength: 9 }),
 });
 
-function machineStatusOf({ name, images }: { name: string; images: string[] }): MachineStatus {
-  return {
-    name,
-    type: 'box',
-    zone: 'north',
-    spot: false,
-    agentEpoch: 1,
-    free: resources,
-    byPriority: [resources, NO_RESOURCES, NO_RESOURCES, resources],
-    images,
-    takesWork: true,
-    draining: false,
-    evictionNotice: false,
-    isQuarantined: false,
-    empty: false,
-    emptyMs: 0,
-    silentMs: 5,
-  };
+function withImages({ name, images }: { name: string; images: string[] }): MachineStatus {
+  const byPriority = [resources, NO_RESOURCES, NO_RESOURCES, resources];
+  return machineStatusOf(name, { free: resources, byPriority, images });
 }
 
 const status: fc.Arbitrary<PartitionStatus> = fc
@@ -42,7 +28,7 @@
     partitionId: 3,
     term: 9,
     revision: 11,
-    machines: machines.map(machineStatusOf),
+    machines: machines.map(withImages),
     missing: resources,
     running,
   }));
