Assignment: share the bound on assigned tasks among jobs, services included

A service of 100,000 tiny replicas was not bounded at all and would end controllers for memory as an array did.

Change: `TaskBudget`, a dynamic threshold: a job gets more tasks only while it has fewer than the budget has left. Demand for machines is bounded by the budget and doesn't use it up.

Why it works: n endless jobs settle at an equal share, a job without tasks gets the next one that is free, and the sum never exceeds the bound.

--- a/packages/core/src/cluster/cluster-config.ts
+++ b/packages/core/src/cluster/cluster-config.ts
@@ -30,8 +30,8 @@
   /** Usual lag of the cloud's list of machines; sometimes it lags by up to twice this. */
   readonly cloudListLagMs: number;
   /**
-   * Maximum number of unfinished tasks that are assigned at a time if some of them belong to arrays: any one controller
-   * may have to keep all of them in memory. Infinity if the memory of controllers is not known.
+   * Maximum number of unfinished tasks that are assigned at a time, since any one controller may have to keep all of
+   * them in memory; see `TaskBudget`. Infinity if the memory of controllers is not known.
    */
   readonly maxAssignedTasks: number;
 }
--- a/packages/core/src/jobs/assigned-usage.ts
+++ b/packages/core/src/jobs/assigned-usage.ts
@@ -5,7 +5,8 @@
 
 /** All assigned, unfinished tasks. */
 export interface AssignedUsage {
-  readonly taskCount: number;
+  /** Their number by job id; jobs without such tasks are omitted. */
+  readonly taskCountByJob: Map<string, number>;
   /** Their resources by team; teams without such tasks are omitted. */
   readonly byTeam: Map<string, Resources>;
 }
@@ -13,15 +14,15 @@
 /** Counts the assigned, unfinished tasks of all jobs. */
 export function assignedUsage(jobs: Iterable<Job>): AssignedUsage {
   const byTeam = new Map<string, Resources>();
-  let total = 0;
+  const taskCountByJob = new Map<string, number>();
   for (const job of jobs) {
     const taskCount = countAssignedUnfinished(job);
     if (taskCount === 0) continue;
     const { team } = job.spec;
     byTeam.set(team, addResources(byTeam.get(team) ?? NO_RESOURCES, job.need, taskCount));
-    total += taskCount;
+    taskCountByJob.set(job.id, taskCount);
   }
-  return { taskCount: total, byTeam };
+  return { taskCountByJob, byTeam };
 }
 
 /** How many unfinished tasks of the job are assigned to partitions. */
--- a/packages/core/src/scheduling/assignment.ts
+++ b/packages/core/src/scheduling/assignment.ts
@@ -146,8 +146,9 @@
     heldBackGpus: number,
   ): PlacedCounts {
     const found = this.#findPlacements(job, waiting, allowed, zones, heldBackGpus);
-    const { indices, placements, intended, missing } = found;
-    this.#capacity.countUse(job, placements.length + missing);
+    const { indices, placements, intended } = found;
+    this.#capacity.countUse(job, placements.length);
+    const missing = this.#capacity.countDemand(job, found.missing);
     if (placements.length > 0) this.#assignments.push({ job, added: assignedRangesOf(indices, placements), intended });
     if (missing > 0)
       this.#unschedulable.push({ job, count: missing, zones: zones.openZones(this.input.clusterConfig.zones) });
@@ -159,11 +160,10 @@
     if (placed > 0 || missing === 0) return;
     const waitingCount = countWaitingFrom(job, waiting, 0);
     const allowed = this.#capacity.countAllowed(job, team);
-    const rest = Math.min(waitingCount - missing, allowed);
+    const rest = this.#capacity.countDemand(job, Math.min(waitingCount - missing, allowed));
     const index = this.#unschedulable.findIndex((entry) => entry.job === job);
     if (rest <= 0 || index < 0) return;
     this.#unschedulable[index] = { ...this.#unschedulable[index]!, count: missing + rest };
-    this.#capacity.countUse(job, rest);
   }
 
   /**
--- a/packages/core/src/scheduling/remaining-capacity.ts
+++ b/packages/core/src/scheduling/remaining-capacity.ts
@@ -6,6 +6,7 @@
 import type { Job } from '../jobs/jobs';
 import type { AssignmentInput } from './assignment-types';
 import { type MachineBin, machineBinsOf, allocateInBin } from './machine-bin';
+import { TaskBudget } from './task-budget';
 
 /** The resources that one assignment has not allocated yet, and the teams' use so far. */
 export class RemainingCapacity {
@@ -15,8 +16,7 @@
   /** By name of the machine. */
   readonly #binByMachine: ReadonlyMap<string, MachineBin>;
   readonly #usedByTeam: Map<string, Resources>;
-  /** How many more tasks may be assigned before controllers run short of memory; may be negative. */
-  #tasksLeft: number;
+  readonly #taskBudget: TaskBudget;
   readonly #heldBackByTeam: ReadonlyMap<string, number> | null;
   /** Sum of the free GPUs of all machines. */
   #freeGpus: number;
@@ -25,9 +25,9 @@
     this.bins = machineBinsOf(input);
     this.zones = [...new Set(this.bins.map(({ machine }) => machine.zone))];
     this.#binByMachine = new Map(this.bins.map((bin) => [bin.machine.name, bin]));
-    const { byTeam, taskCount } = assignedUsage(jobs);
+    const { byTeam, taskCountByJob } = assignedUsage(jobs);
     this.#usedByTeam = byTeam;
-    this.#tasksLeft = input.clusterConfig.maxAssignedTasks - taskCount;
+    this.#taskBudget = new TaskBudget(input.clusterConfig.maxAssignedTasks, taskCountByJob);
     this.#heldBackByTeam = input.heldBack;
     this.#freeGpus = this.bins.reduce((sum, bin) => sum + Math.max(0, bin.free.gpus), 0);
   }
@@ -53,16 +53,30 @@
     return this.#usedByTeam.get(team) ?? NO_RESOURCES;
   }
 
-  /** How many more tasks of the job the limit of its team and the memory of controllers allow; services are few. */
+  /** How many more tasks of the job the limit of its team and the memory of controllers allow. */
   countAllowed(job: Job, team: Team): number {
     const withinLimit = countWithinLimit(team, this.usedBy(team.name), job.need);
-    return job.spec.kind === 'service' ? withinLimit : Math.min(withinLimit, Math.max(0, this.#tasksLeft));
+    return Math.min(withinLimit, this.#taskBudget.countAllowed(job.id));
   }
 
   /** Counts `taskCount` more tasks of the job as assigned. */
   countUse(job: Job, taskCount: number): void {
+    this.#taskBudget.assign(job.id, taskCount);
+    this.#countForTeam(job, taskCount);
+  }
+
+  /**
+   * Counts tasks of the job that fit on no machine as demand for machines, as far as the memory of controllers allows;
+   * returns how many these are.
+   */
+  countDemand(job: Job, missing: number): number {
+    const count = this.#taskBudget.demand(missing);
+    this.#countForTeam(job, count);
+    return count;
+  }
+
+  #countForTeam(job: Job, taskCount: number): void {
     const { team } = job.spec;
-    this.#tasksLeft -= taskCount;
     this.#usedByTeam.set(team, addResources(this.usedBy(team), job.need, taskCount));
   }
 
--- a/packages/core/test/report-space.test.ts
+++ b/packages/core/test/report-space.test.ts
@@ -253,14 +253,39 @@
 });
 
 // Guards against 100,000 tiny tasks assigned at once: the only controller left ran out of memory, again at each restart.
-test('no more tasks of arrays are assigned than a controller can keep, whatever the machines, but services are', () => {
+test('no more tasks are assigned than a controller can keep, whatever the machines and the kinds of jobs', () => {
   const machines = Array.from({ length: 20 }, (_, i) => machineStatusOf(`m-${i}`));
   const limited = { ...clusterConfig, maxAssignedTasks: 4000 };
-  const tiny = ['j-000010', 'j-000011'].map((id) => tinyArray(id, { tasks: 100_000 }));
-  const both = assignmentOf(tiny, machines, limited);
-  assert.deepEqual([both.assigned, both.unschedulable], [4000, 0]);
-  // The rest neither counts as demand for machines nor keeps a less urgent service from its place.
-  const service = specOf('j-000001', { kind: 'service', priority: 'low', tasks: 2 });
-  assert.equal(assignmentOf([...tiny, service], machines, limited).assigned, 4002);
-  assert.ok(assignmentOf(tiny, machines).assigned > 10_000);
+  const ids = Array.from({ length: 30 }, (_, i) => `j-0000${10 + i}`);
+  for (const kind of ['array', 'service'] as const) {
+    const tiny = ids.map((id) => tinyArray(id, { kind, tasks: 100_000 }));
+    const { assigned, unschedulable } = assignmentOf(tiny, machines, limited);
+    assert.deepEqual([assigned, unschedulable], [4000, 0]);
+  }
+  const [id] = ids;
+  assert.ok(assignmentOf([tinyArray(id!, { tasks: 100_000 })], machines).assigned > 10_000);
+});
+
+// Guards against a job of 100,000 tiny tasks that leaves no place to the jobs after it, whose machines stay idle.
+test('a job of many tiny tasks leaves tasks to later and less urgent jobs', () => {
+  const machines = Array.from({ length: 20 }, (_, i) => machineStatusOf(`m-${i}`));
+  const limited = { ...clusterConfig, maxAssignedTasks: 4000 };
+  const tiny = ['j-000010', 'j-000011'].map((id) =>
+    tinyArray(id, { kind: 'service', priority: 'high', tasks: 100_000 }),
+  );
+  const others = ['j-000001', 'j-000002'].map((id) => specOf(id, { kind: 'array', priority: 'low', tasks: 8 }));
+  const all = assignmentOf([...tiny, ...others], machines, limited).assigned;
+  assert.equal(all - assignmentOf(tiny, machines, limited).assigned, 16);
+});
+
+// Guards against machines rented for tasks that would not be assigned there, and against tasks without machines that
+// keep others from being assigned.
+test('tasks without machines are demand as far as controllers can keep them, and keep no other job waiting', () => {
+  const machines = [machineStatusOf('m-1')];
+  const limited = { ...clusterConfig, maxAssignedTasks: 4000 };
+  const elsewhere = Array.from({ length: 30 }, (_, i) =>
+    tinyArray(`j-0000${10 + i}`, { priority: 'high', tasks: 100_000, types: ['other'] }),
+  );
+  const small = specOf('j-000001', { kind: 'array', priority: 'low', tasks: 3 });
+  assert.deepEqual(assignmentOf([...elsewhere, small], machines, limited), { assigned: 3, unschedulable: 4000 });
 });
