Settings: the bound on assigned tasks follows from the heap's limit too

What callers would see: controllers with more memory in the settings than `run` gives their heap (64 MB at 250 MB on the large sites) would assign 69,444 tiny tasks, 42 MB by 600 bytes each; with 1 GB 277,777, which the heap can't hold.

Cause: only `machine_limits.ram_mb` was looked at, while the controllers that ended had run out of their heap.

Change: the smaller one of a quarter of the heap's limit and a sixth of the memory counts, also if the platform names no memory.

--- a/packages/daemon/src/settings/platform-settings.ts
+++ b/packages/daemon/src/settings/platform-settings.ts
@@ -3,6 +3,7 @@
 import type { PeerAddress } from '@gingerlock/peer';
 import { type Static, Type } from '@sinclair/typebox';
 import { checkSettings, SettingsError } from './settings-error';
+import { maxTasksInMemory } from './task-memory';
 
 const Address = Type.String({ pattern: '^[^\\s:]+:[0-9]{1,5}$' });
 const Positive = Type.Number({ exclusiveMinimum: 0 });
@@ -16,12 +17,6 @@
   txn_ops: Type.Integer({ minimum: 3 }),
 };
 
-/** Memory that an owner needs for one task with its claim and its entry in a report, in bytes. */
-const TASK_BYTES = 600;
-
-/** Share of a controller's memory that tasks may take: one controller may own all partitions, and lead. */
-const TASKS_MEMORY_SHARE = 1 / 6;
-
 const PlatformFile = Type.Object({
   node: Type.String({ minLength: 1, maxLength: 64 }),
   area: Type.String(),
@@ -94,12 +89,12 @@
 }
 
 /**
- * Maps the platform's settings to the code's names.
+ * Maps the platform's settings to the code's names. `heapBytes`: the limit of this process's heap.
  * @throws SettingsError if the times of `facts.workers` leave no safe bound; see `checkAnswerBound`
  */
-export function platformSettingsOf(file: PlatformFile): PlatformSettings {
+export function platformSettingsOf(file: PlatformFile, heapBytes: number): PlatformSettings {
   const { facts } = file;
-  const clusterConfig = clusterConfigOf(facts);
+  const clusterConfig = clusterConfigOf(facts, heapBytes);
   checkAnswerBound(clusterConfig);
   return {
     node: file.node,
@@ -119,9 +114,8 @@
   };
 }
 
-function clusterConfigOf(facts: PlatformFile['facts']): ClusterConfig {
+function clusterConfigOf(facts: PlatformFile['facts'], heapBytes: number): ClusterConfig {
   const { count, zones, teams, workers, skew_ms, cloud, machine_limits } = facts;
-
   return {
     controllerCount: count,
     zones,
@@ -136,15 +130,10 @@
     cancellationBoundMs: workers.cancel_s * 1000,
     maxClockSkewMs: skew_ms,
     cloudListLagMs: cloud.list_lag_s * 1000,
-    maxAssignedTasks: maxAssignedTasks(machine_limits.ram_mb),
+    maxAssignedTasks: maxTasksInMemory(heapBytes, machine_limits.ram_mb),
   };
 }
 
-/** How many tasks a controller may have to keep in memory; Infinity if its memory is not known. */
-function maxAssignedTasks(ramMb: number | undefined): number {
-  return ramMb === undefined ? Infinity : Math.floor((ramMb * 1e6 * TASKS_MEMORY_SHARE) / TASK_BYTES);
-}
-
 function smallerLimit(state: PlatformFile['facts']['state'], limit: keyof typeof StoreLimits): number {
   return Math.min(state[limit], state.next?.[limit] ?? Infinity);
 }
--- a/packages/daemon/test/daemon.test.ts
+++ b/packages/daemon/test/daemon.test.ts
@@ -31,6 +31,22 @@
   assert.equal(settingsOf(platform, { max_spot_machines: 3 }).operators.maxSpotMachines, 3);
 });
 
+// Guards against controllers with much memory but a small heap, which 100,000 tiny tasks end although the memory is there.
+test('the heap and the memory of a controller both bound the tasks that are assigned', () => {
+  const maxTasks = (ramMb: number | undefined, heapMb: number): number => {
+    const facts = { ...platform.facts, machine_limits: { ...platform.facts.machine_limits, ram_mb: ramMb } };
+    return settingsOf({ ...platform, facts }, {}, {}, heapMb * 1e6).clusterConfig.maxAssignedTasks;
+  };
+  const small = maxTasks(114, 64);
+  // Tasks, machines and jobs share the memory: at 600 bytes a task, half of it is no longer safe.
+  assert.ok(small * 600 <= 32e6 && small * 600 >= 8e6, `${small} tasks`);
+  assert.ok(maxTasks(4000, 64) * 600 <= 32e6);
+  assert.ok(maxTasks(undefined, 64) * 600 <= 32e6);
+  assert.ok(maxTasks(114, 4000) * 600 <= 57e6);
+  assert.ok(maxTasks(1000, 1000) > 2 * small);
+  assert.equal(maxTasks(undefined, Infinity), Infinity);
+});
+
 // Guards against refused reports that leave no trace: the worker loses its lease again and again, and no log says why.
 test('HTTP: a request that is too large is logged with its path and size', async () => {
   const world = new World({ seed: 3 });
