--- a/packages/testkit/src/loopback/loopback-settings.ts
+++ b/packages/testkit/src/loopback/loopback-settings.ts
@@ -1,8 +1,5 @@
-// Describes loopback deployments: zones, teams, machine type, times and the settings files of controllers.
-import type { MachineType } from '@gingerlock/wire';
-
-/** The zones, to which controllers and machines are assigned in turn. */
-export const ZONES: readonly string[] = ['north', 'south', 'east'];
+// Describes loopback deployments: teams, times and the settings files of controllers.
+import { ZONES } from '../simulation/deployment';
 
 const TEAMS: readonly string[] = ['red', 'blue'];
 
@@ -13,20 +10,6 @@
 /** `cancel_s` of the settings. */
 export const CANCELLATION_BOUND_S = 8;
 
-/** The machine type of all machines. */
-export const MACHINE_TYPE: MachineType = {
-  name: 'box',
-  cpus: 16,
-  gpus: 4,
-  memoryGb: 64,
-  cacheGb: 100,
-  fetchGbPerS: 10,
-  price: 4,
-  spotPrice: 1,
-  bootS: 5,
-  zones: [...ZONES],
-};
-
 /** The values that a settings file is built from. */
 export interface LoopbackSettingsSource {
   /** The names of all controllers. */
--- a/packages/testkit/src/loopback/loopback.ts
+++ b/packages/testkit/src/loopback/loopback.ts
@@ -3,6 +3,7 @@
 import { encodeSubmission, holdRecord, type JobSpec, KEYS, LEADERSHIP, parseTaskName } from '@gingerlock/wire';
 import { BorrowingAudit, type BorrowingAuditedWorld } from '../audits/borrowing-audit';
 import type { Invariant } from '../audits/invariants';
+import { BOX_TYPE, ZONES } from '../simulation/deployment';
 import { SimCloud } from '../standins/cloud';
 import type { RentedMachine } from '../standins/cloud-records';
 import { SimStateService } from '../standins/state-service';
@@ -11,7 +12,7 @@
 import type { WorkerWorld } from '../standins/worker-world';
 import { type LoopbackControllerOptions, LoopbackControllers } from './loopback-controllers';
 import { LoopbackNetwork } from './loopback-network';
-import { CANCELLATION_BOUND_S, HEARTBEAT_INTERVAL_S, MACHINE_TYPE, WORKER_LEASE_S, ZONES } from './loopback-settings';
+import { CANCELLATION_BOUND_S, HEARTBEAT_INTERVAL_S, WORKER_LEASE_S } from './loopback-settings';
 import { RealTime } from './real-time';
 
 /** How often the audit runs, and how often conditions are polled. */
@@ -69,7 +70,7 @@
     this.state.onStored = () => this.borrowing.audit(Infinity);
     this.cloud = new SimCloud({
       sim: this.sim,
-      types: [MACHINE_TYPE],
+      types: [BOX_TYPE],
       neverUp: 0,
       // Enough ordinary machines per zone for the start, with none to spare if they divide evenly over the zones.
       capacity: Math.ceil(options.machines / ZONES.length),
@@ -116,7 +117,7 @@
     await this.network.listen('state:1', (method, path, body, from) => this.state.handle(method, path, body, from));
     await this.network.listen('cloud:1', (method, path, body) => this.cloud.handle(method, path, body));
     await this.#controllers.startAll();
-    for (let i = 0; i < this.options.machines; i++) this.cloud.boot(MACHINE_TYPE, ZONES[i % ZONES.length]!, false, 0);
+    for (let i = 0; i < this.options.machines; i++) this.cloud.boot(BOX_TYPE, ZONES[i % ZONES.length]!, false, 0);
     this.#auditRepeatedly();
   }
 
--- a/packages/testkit/src/simulation/deployment.ts
+++ b/packages/testkit/src/simulation/deployment.ts
@@ -18,24 +18,25 @@
 /** The zones of most simulated deployments. */
 export const ZONES: readonly string[] = ['north', 'south', 'east'];
 
+/** The only machine type of most deployments, in each zone. */
+export const BOX_TYPE: MachineType = {
+  name: 'box',
+  cpus: 16,
+  gpus: 4,
+  memoryGb: 64,
+  cacheGb: 100,
+  fetchGbPerS: 10,
+  price: 4,
+  spotPrice: 1,
+  bootS: 5,
+  zones: [...ZONES],
+};
+
 /** A deployment with one machine type and a controller in each zone. */
 export const ONE_TYPE: Deployment = {
   zones: ZONES,
   controllerZones: ZONES,
-  types: [
-    {
-      name: 'box',
-      cpus: 16,
-      gpus: 4,
-      memoryGb: 64,
-      cacheGb: 100,
-      fetchGbPerS: 10,
-      price: 4,
-      spotPrice: 1,
-      bootS: 5,
-      zones: [...ZONES],
-    },
-  ],
+  types: [BOX_TYPE],
   maxClockSkewMs: 100,
   neverUp: 0,
   fetch: null,
