--- a/packages/core/src/jobs/assigned-usage.ts
+++ b/packages/core/src/jobs/assigned-usage.ts
@@ -5,8 +5,7 @@
 
 /** All assigned, unfinished tasks. */
 export interface AssignedUsage {
-  /** Their number by job id; jobs without such tasks are omitted. */
-  readonly taskCountByJob: Map<string, number>;
+  readonly taskCount: number;
   /** Their resources by team; teams without such tasks are omitted. */
   readonly byTeam: Map<string, Resources>;
 }
@@ -14,15 +13,15 @@
 /** Counts the assigned, unfinished tasks of all jobs. */
 export function assignedUsage(jobs: Iterable<Job>): AssignedUsage {
   const byTeam = new Map<string, Resources>();
-  const taskCountByJob = new Map<string, number>();
+  let total = 0;
   for (const job of jobs) {
     const taskCount = countAssignedUnfinished(job);
     if (taskCount === 0) continue;
     const { team } = job.spec;
     byTeam.set(team, addResources(byTeam.get(team) ?? NO_RESOURCES, job.need, taskCount));
-    taskCountByJob.set(job.id, taskCount);
+    total += taskCount;
   }
-  return { taskCountByJob, byTeam };
+  return { taskCount: total, byTeam };
 }
 
 /** How many unfinished tasks of the job are assigned to partitions. */
--- a/packages/core/src/scheduling/remaining-capacity.ts
+++ b/packages/core/src/scheduling/remaining-capacity.ts
@@ -25,9 +25,9 @@
     this.bins = machineBinsOf(input);
     this.zones = [...new Set(this.bins.map(({ machine }) => machine.zone))];
     this.#binByMachine = new Map(this.bins.map((bin) => [bin.machine.name, bin]));
-    const { byTeam, taskCountByJob } = assignedUsage(jobs);
+    const { byTeam, taskCount } = assignedUsage(jobs);
     this.#usedByTeam = byTeam;
-    this.#taskBudget = new TaskBudget(input.clusterConfig.maxAssignedTasks, taskCountByJob);
+    this.#taskBudget = new TaskBudget(input.clusterConfig.maxAssignedTasks - taskCount);
     this.#heldBackByTeam = input.heldBack;
     this.#freeGpus = this.bins.reduce((sum, bin) => sum + Math.max(0, bin.free.gpus), 0);
   }
@@ -56,12 +56,12 @@
   /** How many more tasks of the job the limit of its team and the memory of controllers allow. */
   countAllowed(job: Job, team: Team): number {
     const withinLimit = countWithinLimit(team, this.usedBy(team.name), job.need);
-    return Math.min(withinLimit, this.#taskBudget.countAllowed(job.id));
+    return Math.min(withinLimit, this.#taskBudget.countAllowed(job));
   }
 
   /** Counts `taskCount` more tasks of the job as assigned. */
   countUse(job: Job, taskCount: number): void {
-    this.#taskBudget.assign(job.id, taskCount);
+    this.#taskBudget.assign(job, taskCount);
     this.#countForTeam(job, taskCount);
   }
 
--- a/packages/core/src/scheduling/task-budget.ts
+++ b/packages/core/src/scheduling/task-budget.ts
@@ -1,4 +1,6 @@
 // How many tasks may be assigned before controllers run short of memory, and how many of them one job may have.
+import { countAssignedUnfinished } from '../jobs/assigned-usage';
+import type { Job } from '../jobs/jobs';
 
 /**
  * The budget of assigned tasks in one assignment. It is shared by a dynamic threshold: a job gets more tasks only while
@@ -7,31 +9,29 @@
  * no other job waiting.
  */
 export class TaskBudget {
-  readonly #assignedByJob: Map<string, number>;
   /** How many more tasks may be assigned; may be negative. */
   #left: number;
   /** How many more tasks there may be with those that machines are rented for; may be negative. */
   #leftForDemand: number;
+  /** The tasks of this assignment. */
+  readonly #addedByJob = new Map<Job, number>();
 
-  /** `maxTasks`: Infinity if there is no limit. `assignedByJob`: the assigned tasks by job id. */
-  constructor(maxTasks: number, assignedByJob: ReadonlyMap<string, number>) {
-    this.#assignedByJob = new Map(assignedByJob);
-    let assigned = 0;
-    for (const count of assignedByJob.values()) assigned += count;
-    this.#left = maxTasks - assigned;
-    this.#leftForDemand = this.#left;
+  /** `left`: how many more tasks may be assigned; may be negative, Infinity if there is no limit. */
+  constructor(left: number) {
+    this.#left = left;
+    this.#leftForDemand = left;
   }
 
   /** How many more tasks of the job may be assigned: as many as leave the budget at least what the job then has. */
-  countAllowed(jobId: string): number {
+  countAllowed(job: Job): number {
     if (this.#left === Infinity) return Infinity;
-    const assigned = this.#assignedByJob.get(jobId) ?? 0;
+    const assigned = countAssignedUnfinished(job) + (this.#addedByJob.get(job) ?? 0);
     return Math.max(0, Math.ceil((this.#left - assigned) / 2));
   }
 
   /** Counts more tasks of the job as assigned. */
-  assign(jobId: string, count: number): void {
-    this.#assignedByJob.set(jobId, (this.#assignedByJob.get(jobId) ?? 0) + count);
+  assign(job: Job, count: number): void {
+    this.#addedByJob.set(job, (this.#addedByJob.get(job) ?? 0) + count);
     this.#left -= count;
     this.#leftForDemand -= count;
   }
--- a/packages/daemon/src/peers/partition-statuses.ts
+++ b/packages/daemon/src/peers/partition-statuses.ts
@@ -16,11 +16,11 @@
   readonly owner: string;
 }
 
-/** A controller that gets statuses. */
-export interface StatusReceiver {
-  readonly node: string;
-  /** Whether it accepts report space. Versions that do not know it would close the connection. */
-  readonly takesReportSpace: boolean;
+/** The controllers that get statuses. */
+export interface StatusReceivers {
+  readonly nodes: readonly string[];
+  /** Whether the controller accepts report space. Versions that do not know it would close the connection. */
+  takesReportSpace(node: string): boolean;
 }
 
 /** The last status of each partition, including those owned here. */
@@ -68,14 +68,16 @@
   }
 
   /** Stores the status of a partition owned here, and sends it to the given peers. */
-  publish(owner: PartitionOwner, node: string, now: number, peers: PeerChannel, to: readonly StatusReceiver[]): void {
+  publish(owner: PartitionOwner, node: string, now: number, peers: PeerChannel, to: StatusReceivers): void {
     const status = owner.status(now);
     this.#received.set(owner.partitionId, { status, at: now, owner: node });
     const { frameBytes } = peers.link;
     const messages = statusMessages(status, node, ++this.#sequence, frameBytes);
     const spaceMessages = this.#reportSpacePublisher.messages(status, this.#sequence, frameBytes);
-    for (const peer of to)
-      peers.sendBatch(peer.node, peer.takesReportSpace ? [...spaceMessages, ...messages] : messages);
+    for (const peer of to.nodes) {
+      const takesSpace = spaceMessages.length > 0 && to.takesReportSpace(peer);
+      peers.sendBatch(peer, takesSpace ? [...spaceMessages, ...messages] : messages);
+    }
   }
 
   /** Sends the last status of every partition to a peer that has just connected. */
--- a/packages/daemon/src/peers/report-space.ts
+++ b/packages/daemon/src/peers/report-space.ts
@@ -87,7 +87,7 @@
   }
 }
 
-/** Adds report space to decoded resources. */
-export function withReportBytes(resources: PeerResources, reportBytes: number): Resources {
-  return Object.assign(resources, { reportBytes });
+/** Returns decoded resources with their report space. */
+export function withReportBytes({ cpus, gpus, memoryGb }: PeerResources, reportBytes: number): Resources {
+  return { cpus, gpus, memoryGb, reportBytes };
 }
--- a/packages/daemon/src/peers/status-publisher.ts
+++ b/packages/daemon/src/peers/status-publisher.ts
@@ -6,7 +6,7 @@
 import { type ClaimLists, claimListMessages, claimsOf } from './claim-lists';
 import { type GroupReports, groupReportMessages } from './group-reports';
 import type { PeerChannel } from './peer-channel';
-import type { PartitionStatuses, StatusReceiver } from './partition-statuses';
+import type { PartitionStatuses, StatusReceivers } from './partition-statuses';
 
 /** Statuses are published at most this many times in a heartbeat interval, however often something changes. */
 const MAX_PER_HEARTBEAT = 6;
@@ -67,21 +67,19 @@
    * Returns the peers that get the statuses now. The leader gets every status, since it assigns tasks by them. The
    * other controllers get them less often: they show users what runs, and learn the cached images for a failover.
    */
-  #statusReceivers(now: number): StatusReceiver[] {
+  #statusReceivers(now: number): StatusReceivers {
     const { clusterConfig, clusterState } = this.context;
     const leaderNode = clusterState.owners.get(LEADERSHIP)?.record.node;
     const isDueForAll = now - this.#sentToAllAt > Math.min(clusterConfig.heartbeatIntervalMs, DISPLAY_LAG_MS / 2);
     if (isDueForAll) this.#sentToAllAt = now;
-    const takers = this.#nodesThatTakeReportSpace();
-    return this.peers.link.nodes
-      .filter((node) => isDueForAll || node === leaderNode)
-      .map((node) => ({ node, takesReportSpace: takers.has(node) }));
+    const nodes = this.peers.link.nodes.filter((node) => isDueForAll || node === leaderNode);
+    return { nodes, takesReportSpace: (node) => this.#takesReportSpace(node) };
   }
 
-  /** The controllers that accept report space. One that owns nothing is not known to do so, and has no use for it. */
-  #nodesThatTakeReportSpace(): Set<string> {
+  /** Whether a controller accepts report space. One that owns nothing is not known to do so, and has no use for it. */
+  #takesReportSpace(node: string): boolean {
     const holds = [...this.context.clusterState.holds.values()];
-    return new Set(holds.filter(({ record }) => record.takesReportSpace === true).map(({ record }) => record.node));
+    return holds.some(({ record }) => record.node === node && record.takesReportSpace === true);
   }
 
   /** Publishes the claim lists to the leader if it accepts them. */
--- a/packages/daemon/test/report-space.test.ts
+++ b/packages/daemon/test/report-space.test.ts
@@ -44,7 +44,7 @@
     running: [],
   };
   const owner = { partitionId: 3, status: () => status } as unknown as PartitionOwner;
-  sender.publish(owner, 'node-1', 0, peers, [{ node: 'node-2', takesReportSpace }]);
+  sender.publish(owner, 'node-1', 0, peers, { nodes: ['node-2'], takesReportSpace: () => takesReportSpace });
   return sent;
 }
 
