Settings: the bound on assigned tasks allows eight tasks on each of 4,000 machines

Cause: docs/limits.md reckons with 4,000 machines of eight tasks, 32,000 tasks, and the bound was 31,666 with 114 MB.

Change: three tenths of the heap's limit or a fifth of the memory: 38,000 tasks with 114 MB, 39,845 with more and `run` as it is.

--- a/packages/daemon/src/settings/task-memory.ts
+++ b/packages/daemon/src/settings/task-memory.ts
@@ -4,10 +4,10 @@
 const TASK_BYTES = 600;
 
 /** Share of the heap that tasks may take: one controller may own all partitions, and lead. */
-const HEAP_SHARE = 1 / 4;
+const HEAP_SHARE = 0.3;
 
 /** Share of a controller's memory that tasks may take; a process needs memory beside its heap. */
-const MEMORY_SHARE = 1 / 6;
+const MEMORY_SHARE = 1 / 5;
 
 /**
  * Returns how many tasks a controller can keep. `heapBytes`: limit of its heap, Infinity if there is none. `ramMb`: its
