--- a/packages/testkit/src/simulation/controller-settings.ts
+++ b/packages/testkit/src/simulation/controller-settings.ts
@@ -11,7 +11,7 @@
   readonly heartbeatIntervalMs: number;
   readonly workerLeaseMs: number;
   readonly cancellationBoundMs: number;
-  readonly options: { readonly nextLimits?: StateLimits };
+  readonly options: { readonly nextLimits?: StateLimits; readonly ramMb?: number };
 }
 
 /** Returns the settings of one controller, in the form of the parsed settings file. */
@@ -37,7 +37,7 @@
       },
       state: { rps: 200, write_rps: 100, value_kb: 8, txn_ops: 12, ...nextLimitSettings(source.options.nextLimits) },
       cloud: { rps: 8, list_lag_s: 2 },
-      machine_limits: { sockets: 600 },
+      machine_limits: { sockets: 600, ram_mb: source.options.ramMb },
       skew_ms: deployment.maxClockSkewMs,
     },
   };
--- a/packages/testkit/src/simulation/world-options.ts
+++ b/packages/testkit/src/simulation/world-options.ts
@@ -34,6 +34,8 @@
   readonly features?: unknown;
   /** Limits that the state service may enforce later in the scenario: `facts.state.next` of the settings. */
   readonly nextLimits?: StateLimits;
+  /** The memory of each controller according to the platform's settings, in megabytes; default: not known. */
+  readonly ramMb?: number;
   /** Fields that are the same in all random jobs. */
   readonly jobs?: Partial<JobSpec>;
   /**
--- a/packages/testkit/test/tiny-tasks.test.ts
+++ b/packages/testkit/test/tiny-tasks.test.ts
@@ -73,6 +73,29 @@
   assertNoLeaseLost(world);
 });
 
+// Guards against controllers that keep more tasks than their memory holds, and against jobs that wait although a machine
+// has room, because those before them have used up what controllers can keep.
+test('jobs of 100,000 tiny tasks leave tasks to others, and all of them no more than controllers can keep', async () => {
+  const world = new World({ seed: 34, machines: 6, capacity: 0, load: 0, ramMb: 3 });
+  // A fifth of the memory, of which each task takes some 600 bytes.
+  const maxTasks = 1000;
+  const tasksRunning = (): number => [...world.workers.values()].reduce((sum, { tasks }) => sum + tasks.size, 0);
+  await world.sim.run(6000);
+  submit(world, 3, { tasks: 100_000, estimateS: 900, team: 'red' });
+  submit(world, 1, { kind: 'service', tasks: 100_000, team: 'red' });
+  await world.sim.run(16_000);
+  const small = submit(world, 3, { tasks: 8, estimateS: 4, team: 'blue', priority: 'low' });
+  for (let until = 17_000; until <= 60_000; until += 1000) {
+    await world.sim.run(until);
+    assert.ok(tasksRunning() <= maxTasks, `${tasksRunning()} tasks`);
+  }
+  for (const id of small)
+    assert.equal(world.users.observedByJob.get(id)!.final, 'done', `${world.doneOf(id)} of ${id}`);
+  assert.ok(tasksRunning() >= maxTasks / 2, `${tasksRunning()} tasks`);
+  assert.deepEqual(world.violations, []);
+  assertNoLeaseLost(world);
+});
+
 // Guards against leases lost when reports are full and their owners change: new owners adopt what is reported.
 test('tiny tasks get done though controllers and the leader end while all reports are full', async () => {
   const world = new World({ seed: 33, controllers: 5, machines: 5, capacity: 0, load: 0.2 });
