--- a/packages/core/test/autoscaler-fixtures.ts
+++ b/packages/core/test/autoscaler-fixtures.ts
@@ -7,21 +7,10 @@
   type PartitionStatus,
   subtractResources,
 } from '../src/index';
-import { CLUSTER_CONFIG, machineStatusOf } from './fixtures';
+import { BOX, CLUSTER_CONFIG, machineStatusOf } from './fixtures';
 
 export const clusterConfig = { ...CLUSTER_CONFIG, controllers: 2, zones: ['a', 'b'] };
-export const type: MachineType = {
-  name: 'box',
-  cpus: 8,
-  gpus: 4,
-  memoryGb: 32,
-  cacheGb: 100,
-  fetchGbPerS: 5,
-  price: 4,
-  spotPrice: 1,
-  bootS: 10,
-  zones: ['a', 'b'],
-};
+export const type: MachineType = { ...BOX, cpus: 8, memoryGb: 32, fetchGbPerS: 5, bootS: 10, zones: ['a', 'b'] };
 export const types = new Map([[type.name, type]]);
 export const limits = { headroom: 0, maxOrdinaryMachines: Infinity, maxSpotMachines: Infinity };
 
--- a/packages/core/test/immovable-demand.test.ts
+++ b/packages/core/test/immovable-demand.test.ts
@@ -10,18 +10,14 @@
   findImmovableDemand,
   type UnschedulableDemand,
 } from '../src/index';
-import { machineStatusOf, specOf } from './fixtures';
+import { BOX, machineStatusOf, specOf } from './fixtures';
 
 const HOME_ZONES = ['north', 'south'];
 const box: MachineType = {
-  name: 'box',
+  ...BOX,
   cpus: 8,
-  gpus: 4,
   memoryGb: 32,
-  cacheGb: 100,
   fetchGbPerS: 5,
-  price: 4,
-  spotPrice: 1,
   bootS: 10,
   zones: ['north', 'south', 'west'],
 };
