--- a/packages/testkit/src/loopback/loopback-controllers.ts
+++ b/packages/testkit/src/loopback/loopback-controllers.ts
@@ -15,8 +15,23 @@
   readonly gpusMax: number;
   /** The features file, parsed. */
   readonly features: unknown;
-  /** The log of all controllers; default: no log. */
+  /** The log of all controllers; default: no log. Processes log to their standard error. */
   readonly log?: Log;
+  /** The memory of a controller in the settings, in megabytes; default: not given. */
+  readonly ramMb?: number;
+}
+
+/** Starts and ends the controllers of a deployment, by name. */
+export interface ControllerRunner {
+  /** The names of all controllers, including those that do not run. */
+  readonly names: readonly string[];
+  /** Reserves the addresses of all controllers, and starts them. */
+  startAll(): Promise<void>;
+  /** Starts a controller; a restarted controller listens at its previous addresses. */
+  start(name: string): Promise<void>;
+  /** Ends a controller, and breaks its connections. */
+  end(name: string): Promise<void>;
+  endAll(): Promise<void>;
 }
 
 interface RunningController {
@@ -26,8 +41,7 @@
 }
 
 /** Starts and ends controllers. A restarted controller listens at its previous address. */
-export class LoopbackControllers {
-  /** The names of all controllers, including those that do not run. */
+export class LoopbackControllers implements ControllerRunner {
   readonly names: readonly string[];
   readonly #running = new Map<string, RunningController>();
   /** The controllers that have been started at least once. */
@@ -40,7 +54,6 @@
     this.names = Array.from({ length: options.controllers }, (_, i) => `node-${i}`);
   }
 
-  /** Reserves an address for each peer link, and starts all controllers. */
   async startAll(): Promise<void> {
     for (const name of this.names) this.network.register(`peer:${name}`, `127.0.0.1:${await freePort()}`);
     for (const name of this.names) await this.start(name);
@@ -74,7 +87,6 @@
     return loopbackSettings({ controllers: this.names, guaranteedGpus, gpusMax, peerAddressOf }, name);
   }
 
-  /** Ends a controller, and breaks its connections. */
   async end(name: string): Promise<void> {
     const running = this.#running.get(name);
     this.#running.delete(name);
--- a/packages/testkit/src/loopback/loopback-settings.ts
+++ b/packages/testkit/src/loopback/loopback-settings.ts
@@ -18,11 +18,18 @@
   readonly gpusMax: number;
   /** Returns the address and port at which a controller listens for its peers. */
   peerAddressOf(node: string): string;
+  /** Where controllers listen and find the services; default: names for the network of the deployment. */
+  readonly addresses?: { readonly clients: string; readonly state: string; readonly cloud: string };
+  /** The memory of a controller, in megabytes; default: not given. */
+  readonly ramMb?: number;
 }
 
+/** Addresses for controllers that run in the process of the deployment. */
+const NAMED_ADDRESSES = { clients: '127.0.0.1:0', state: 'state:1', cloud: 'cloud:1' };
+
 /** Returns the settings of one controller, in the form of the parsed settings file. */
 export function loopbackSettings(source: LoopbackSettingsSource, node: string): unknown {
-  const { controllers, guaranteedGpus, gpusMax } = source;
+  const { controllers, guaranteedGpus, gpusMax, addresses = NAMED_ADDRESSES, ramMb } = source;
   const zoneOf = (name: string): string => ZONES[controllers.indexOf(name) % ZONES.length]!;
   const peers = controllers
     .filter((name) => name !== node)
@@ -30,10 +37,10 @@
   return {
     node,
     area: zoneOf(node),
-    client_listen: '127.0.0.1:0',
+    client_listen: addresses.clients,
     cluster_listen: source.peerAddressOf(node),
     peers,
-    services: { cloud: 'cloud:1', state: 'state:1' },
+    services: { cloud: addresses.cloud, state: addresses.state },
     facts: {
       count: controllers.length,
       zones: ZONES,
@@ -41,7 +48,7 @@
       workers: { report_s: HEARTBEAT_INTERVAL_S, lease_s: WORKER_LEASE_S, cancel_s: CANCELLATION_BOUND_S },
       state: { rps: 400, write_rps: 200, value_kb: 8, txn_ops: 12 },
       cloud: { rps: 8, list_lag_s: 1 },
-      machine_limits: { sockets: 600 },
+      machine_limits: { sockets: 600, ...(ramMb === undefined ? {} : { ram_mb: ramMb }) },
       skew_ms: 100,
     },
   };
--- a/packages/testkit/src/loopback/loopback.ts
+++ b/packages/testkit/src/loopback/loopback.ts
@@ -1,5 +1,6 @@
 // A small deployment on loopback in real time: controllers with their own servers and peer links, stand-in servers for
 // the state service, cloud and workers, and users who submit and cancel jobs.
+import type { HttpResponse } from '@gingerlock/clients';
 import { encodeSubmission, holdRecord, type JobSpec, KEYS, LEADERSHIP, parseTaskName } from '@gingerlock/wire';
 import { BorrowingAudit, type BorrowingAuditedWorld } from '../audits/borrowing-audit';
 import type { Invariant } from '../audits/invariants';
@@ -10,7 +11,7 @@
 import { newObservedStatus, type ObservedStatus } from '../standins/users';
 import { SimWorker } from '../standins/worker';
 import type { WorkerWorld } from '../standins/worker-world';
-import { type LoopbackControllerOptions, LoopbackControllers } from './loopback-controllers';
+import { type ControllerRunner, type LoopbackControllerOptions, LoopbackControllers } from './loopback-controllers';
 import { LoopbackNetwork } from './loopback-network';
 import { CANCELLATION_BOUND_S, HEARTBEAT_INTERVAL_S, WORKER_LEASE_S } from './loopback-settings';
 import { RealTime } from './real-time';
@@ -60,12 +61,16 @@
   readonly borrowing = new BorrowingAudit(this);
   /** The number of times each recorded occurrence happened. */
   readonly occurrences = new Map<string, number>();
-  readonly #controllers: LoopbackControllers;
+  readonly #controllers: ControllerRunner;
   #isStopped = false;
 
-  constructor(readonly options: LoopbackOptions) {
+  /** @param runner creates what runs the controllers; default: they run in this process */
+  constructor(
+    readonly options: LoopbackOptions,
+    runner: (network: LoopbackNetwork) => ControllerRunner = (network) => new LoopbackControllers(network, options),
+  ) {
     this.sim = new RealTime(options.seed);
-    this.#controllers = new LoopbackControllers(this.network, options);
+    this.#controllers = runner(this.network);
     this.state = new SimStateService(this.sim);
     this.state.onStored = () => this.borrowing.audit(Infinity);
     this.cloud = new SimCloud({
@@ -114,8 +119,12 @@
 
   /** Starts the stand-in services, all controllers, and then the machines. */
   async start(): Promise<void> {
-    await this.network.listen('state:1', (method, path, body, from) => this.state.handle(method, path, body, from));
-    await this.network.listen('cloud:1', (method, path, body) => this.cloud.handle(method, path, body));
+    await this.network.listen('state:1', async (method, path, body, from) =>
+      this.answerOf('state', await this.state.handle(method, path, body, from)),
+    );
+    await this.network.listen('cloud:1', (method, path, body) =>
+      this.answerOf('cloud', this.cloud.handle(method, path, body)),
+    );
     await this.#controllers.startAll();
     for (let i = 0; i < this.options.machines; i++) this.cloud.boot(BOX_TYPE, ZONES[i % ZONES.length]!, false, 0);
     this.#auditRepeatedly();
@@ -232,6 +241,9 @@
     this.violations.push({ rule, detail });
   }
 
+  /** Returns what a service sends in place of its answer; tests change it to garble answers. */
+  answerOf: (service: 'state' | 'cloud', answer: HttpResponse) => HttpResponse = (_service, answer) => answer;
+
   /** Ends all parts of the deployment. */
   async stop(): Promise<void> {
     this.#isStopped = true;
