Wire: what reading a message allocates follows from its bytes, not from the lengths it claims

Callers saw: all three controllers ended nine or ten times within two minutes and most requests stayed unanswered, while a user repeated a submission of ten bytes, dd 02 00 00 00 dd 02 00 00 00.

Cause: msgpackr allocates a list of the length that its header claims (here 2^25 items, 256 MB, in a heap of 64 MB) before it looks whether the bytes are there. It also reads on past the end of a text that is cut within a character, so that a check of the structure before it could be evaded.

Change: packages/wire/src/message-reader.ts reads MessagePack. All open lists and maps together may lack no more values than bytes are left; values deeper than 64 levels are skipped without recursion; the values may take 16 MiB at the most; binary data and extensions, which PROTOCOL rules out, are refused. msgpackr goes on writing, so that the bytes written are the same.

--- /dev/null
+++ b/packages/wire/src/byte-collector.ts
@@ -0,0 +1,46 @@
+// Collects the bytes of a body or frame as they arrive. Kept apart, many small chunks would each take some hundred bytes
+// beside their own.
+import { Buffer } from 'node:buffer';
+
+const NO_BYTES = Buffer.alloc(0);
+
+/** Bytes that arrived in chunks of any size. They take no more than about twice their own memory. */
+export class ByteCollector {
+  #buffer: Buffer = NO_BYTES;
+  #length = 0;
+
+  /** The number of bytes collected. */
+  get length(): number {
+    return this.#length;
+  }
+
+  /** The bytes collected so far; valid until the next call of `append`. */
+  get bytes(): Buffer {
+    return this.#buffer.subarray(0, this.#length);
+  }
+
+  /** Adds a chunk. A chunk that comes first is kept as it is, without a copy. */
+  append(chunk: Buffer): void {
+    const length = this.#length + chunk.length;
+    if (this.#length === 0) this.#buffer = chunk;
+    else {
+      if (length > this.#buffer.length) this.#grow(length);
+      chunk.copy(this.#buffer, this.#length);
+    }
+    this.#length = length;
+  }
+
+  #grow(length: number): void {
+    const larger = Buffer.allocUnsafeSlow(Math.max(length, 2 * this.#buffer.length));
+    this.bytes.copy(larger);
+    this.#buffer = larger;
+  }
+
+  /** Returns all bytes, which are no longer collected then. */
+  take(): Buffer {
+    const { bytes } = this;
+    this.#buffer = NO_BYTES;
+    this.#length = 0;
+    return bytes;
+  }
+}
--- a/packages/wire/src/codec.ts
+++ b/packages/wire/src/codec.ts
@@ -1,14 +1,15 @@
 // The encoding of all request and response bodies: MessagePack, as PROTOCOL prescribes for every interface.
 import { Packr } from 'msgpackr';
-import { errorMessage, GingerlockError } from './errors';
+import { type ErrorCode, errorMessage, GingerlockError } from './errors';
+import { readMessage, UnreadableMessageError } from './message-reader';
 
 /**
  * A body that violates PROTOCOL. Its message is sent to the client with status 400, so the text is part of the wire
  * format.
  */
 export class MalformedMessageError extends GingerlockError {
-  override readonly name = 'MalformedMessageError';
-  override readonly code = 'MALFORMED_MESSAGE';
+  override readonly name: string = 'MalformedMessageError';
+  override readonly code: ErrorCode = 'MALFORMED_MESSAGE';
 
   /**
    * @param path wire names that lead to the invalid field, separated by dots; empty for the body as a whole
@@ -23,6 +24,12 @@
   }
 }
 
+/** A body whose values would take more memory than `MAX_DECODED_BYTES`, whatever its form. */
+export class OversizedMessageError extends MalformedMessageError {
+  override readonly name = 'OversizedMessageError';
+  override readonly code = 'MESSAGE_TOO_LARGE';
+}
+
 /** Maximum size of a request or response body of workers and users, in bytes of its JSON form (PROTOCOL). */
 export const MAX_BODY_BYTES = 64 * 1024;
 
@@ -35,13 +42,16 @@
 
 /**
  * Decodes MessagePack.
+ * @throws OversizedMessageError if the values would take too much memory
  * @throws MalformedMessageError if the bytes are not valid MessagePack
  */
 export function decode(body: Uint8Array): unknown {
   try {
-    return packr.unpack(body);
+    return readMessage(body);
   } catch (error) {
-    throw new MalformedMessageError('', `not MessagePack (${errorMessage(error, 'unreadable')})`, { cause: error });
+    const reason = `not MessagePack (${errorMessage(error, 'unreadable')})`;
+    const isOversized = error instanceof UnreadableMessageError && error.fault === 'too many values';
+    throw new (isOversized ? OversizedMessageError : MalformedMessageError)('', reason, { cause: error });
   }
 }
 
--- a/packages/wire/src/errors.ts
+++ b/packages/wire/src/errors.ts
@@ -6,6 +6,7 @@
  */
 export type ErrorCode =
   | 'MALFORMED_MESSAGE'
+  | 'MESSAGE_TOO_LARGE'
   | 'MALFORMED_FRAME'
   | 'OVERLOADED'
   | 'NO_RESPONSE'
