Bodies: small chunks and answers of any size no longer take more memory than their bytes

Callers saw: nothing yet; found while looking for other paths by which bytes from outside end a controller.

Cause: the server and the client kept each chunk of a body apart until its end. 64 KiB in chunks of one byte took some 20 MB; answers of any service or worker were read up to 8 MiB each, with eight at once.

A list whose pages do not go on is refused. An answer that can't be decoded names request, size and reason in the error. The test of 'request too large' now also expects the line of the malformed request that it sends.

--- a/packages/clients/src/cloud.ts
+++ b/packages/clients/src/cloud.ts
@@ -2,11 +2,11 @@
 import {
   CLOUD_PATHS,
   type CloudMachine,
-  decode,
   encode,
   errorMessage,
   GingerlockError,
   machineListOf,
+  MalformedMessageError,
   type MachineTypeList,
   readMachineTypes,
   rentedNamesOf,
@@ -15,7 +15,13 @@
   MAX_MACHINES_PER_RETURN,
   returnRequestMap,
 } from '@gingerlock/wire';
-import type { Http } from './ports';
+import { readAnswer } from './answers';
+import { type Http, MAX_LIST_BYTES } from './ports';
+
+/** Whether the body of a refusal says that there is no capacity. */
+function isNoCapacity(refusal: unknown): boolean {
+  return JSON.stringify(refusal).includes('no capacity');
+}
 
 /** The outcome of a rental request. */
 export type RentResult =
@@ -55,23 +61,25 @@
     readonly timeoutMs: number,
   ) {}
 
-  /** Sends a GET request and returns the decoded body. Throws if the status is not 200. */
-  async #get(path: string): Promise<unknown> {
-    const response = await this.http(this.addr, 'GET', path, null, this.timeoutMs);
+  /** Sends a GET request and returns what `read` returns for its body. Throws if the status is not 200. */
+  async #get<T>(path: string, read: (value: unknown) => T): Promise<T> {
+    const response = await this.http(this.addr, 'GET', path, null, this.timeoutMs, MAX_LIST_BYTES);
     if (response.status !== 200) throw new CloudRequestError(`GET ${path}`, response.status);
-    return decode(response.body);
+    return readAnswer(`GET cloud ${path}`, response, read);
   }
 
   /** The machine types that the cloud offers, at their current prices. */
   async types(): Promise<MachineTypeList> {
-    return readMachineTypes(await this.#get(CLOUD_PATHS.types));
+    return this.#get(CLOUD_PATHS.types, readMachineTypes);
   }
 
   /** Reads all pages of the list of rented machines. The list may be stale by up to `cloud.list_lag_s` (settings). */
   async list(): Promise<CloudMachine[]> {
     const machines: CloudMachine[] = [];
     for (let after = '', more = true; more;) {
-      const page = machineListOf(await this.#get(CLOUD_PATHS.list(after)));
+      const page = await this.#get(CLOUD_PATHS.list(after), machineListOf);
+      if (after !== '' && page.machines.at(-1)?.name === after)
+        throw new MalformedMessageError('rigs', 'a page does not go on from the one before');
       machines.push(...page.machines);
       after = page.machines.at(-1)?.name ?? after;
       more = page.more && page.machines.length > 0;
@@ -91,8 +99,9 @@
         encode(rentRequestMap(request)),
         this.timeoutMs,
       );
-      if (response.status === 200) return { kind: 'rented', names: rentedNamesOf(decode(response.body)) };
-      if (response.status === 503 && JSON.stringify(decode(response.body)).includes('no capacity'))
+      if (response.status === 200)
+        return { kind: 'rented', names: readAnswer('POST cloud rental', response, rentedNamesOf) };
+      if (response.status === 503 && readAnswer('POST cloud rental', response, isNoCapacity))
         return { kind: 'no capacity' };
       return { kind: 'unknown', why: `status ${response.status}` };
     } catch (error) {
--- a/packages/clients/src/http.ts
+++ b/packages/clients/src/http.ts
@@ -1,12 +1,7 @@
 // The HTTP port over node:http.
 import { Agent, type IncomingMessage, request } from 'node:http';
-import { ResponseTooLargeError, type Http, type HttpResponse, NoResponseError } from './ports';
-
-/**
- * Largest response that is accepted. A page of a list has at most 512 KiB. Responses of `/follow` have no such limit;
- * if one is too large, all keys are read again page by page.
- */
-const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
+import { ByteCollector } from '@gingerlock/wire';
+import { ResponseTooLargeError, type Http, type HttpResponse, MAX_ANSWER_BYTES, NoResponseError } from './ports';
 
 /** A host that was idle for this long may be replaced by another host for which connections are kept alive. */
 const KEEP_ALIVE_IDLE_MS = 30_000;
@@ -49,21 +44,19 @@
   const keepAliveAgent = new Agent({ keepAlive: true, maxSockets: 8, maxFreeSockets: 4, scheduling: 'lifo' });
   const closingAgent = new Agent({ keepAlive: false, maxSockets: 8 });
   const hosts = new KeepAliveHosts(keepAliveHosts);
-  return (addr, method, path, body, timeoutMs) =>
+  return (addr, method, path, body, timeoutMs, maxResponseBytes = MAX_ANSWER_BYTES) =>
     new Promise<HttpResponse>((resolve, reject) => {
       const requestLine = `${method} ${addr}${path}`;
       const onResponse = (res: IncomingMessage): void => {
-        const chunks: Buffer[] = [];
-        let receivedBytes = 0;
+        const received = new ByteCollector();
         res.on('data', (chunk: Buffer) => {
-          receivedBytes += chunk.length;
-          if (receivedBytes > MAX_RESPONSE_BYTES)
-            req.destroy(new ResponseTooLargeError(requestLine, MAX_RESPONSE_BYTES));
-          else chunks.push(chunk);
+          if (received.length + chunk.length > maxResponseBytes)
+            req.destroy(new ResponseTooLargeError(requestLine, maxResponseBytes));
+          else received.append(chunk);
         });
         res.on('end', () => {
           clearTimeout(timer);
-          resolve({ status: res.statusCode ?? 0, body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks) });
+          resolve({ status: res.statusCode ?? 0, body: received.take() });
         });
         res.on('error', fail);
         res.on('aborted', () => fail(new NoResponseError(`${requestLine}: connection closed within the response`)));
--- a/packages/clients/src/index.ts
+++ b/packages/clients/src/index.ts
@@ -5,3 +5,4 @@
 export { KeyValueStore, StoreRejectedError, type CompareAndSwapResult } from './key-value-store';
 export * from './watch-cache';
 export * from './cloud';
+export * from './answers';
--- a/packages/clients/src/key-value-store.ts
+++ b/packages/clients/src/key-value-store.ts
@@ -3,13 +3,14 @@
 import {
   type Change,
   type Condition,
-  decode,
   encode,
   eventsOf,
   GingerlockError,
   leaseMap,
   leaseIdOf,
   listOf,
+  MalformedMessageError,
+  OversizedMessageError,
   revisionOf,
   STATE_PATHS,
   type StateEvent,
@@ -17,7 +18,8 @@
   transactionMap,
 } from '@gingerlock/wire';
 import { type RateLimiter, OverloadedError, type Urgency, URGENCY } from './rate-limiter';
-import { type Clock, type Http, type HttpResponse, ResponseTooLargeError } from './ports';
+import { readAnswer } from './answers';
+import { type Clock, type Http, type HttpResponse, MAX_LIST_BYTES, ResponseTooLargeError } from './ports';
 
 /** Number of entries in one page of a list. */
 const PAGE_ENTRIES = 1000;
@@ -103,9 +105,11 @@
     const items: StateItem[] = [];
     let revision = 0;
     for (let after = '', hasMore = true; hasMore;) {
-      const answer = await this.#send(URGENCY.rest, 0, 'GET', STATE_PATHS.list(prefix, after, PAGE_ENTRIES), null);
+      const path = STATE_PATHS.list(prefix, after, PAGE_ENTRIES);
+      const answer = await this.#send(URGENCY.rest, 0, 'GET', path, null, undefined, MAX_LIST_BYTES);
       if (answer.status !== 200) throw new StoreRejectedError(answer.status, 'list');
-      const page = listOf(decode(answer.body));
+      const page = readAnswer('GET state list', answer, listOf);
+      checkProgress(after, page);
       // Keys may change while the pages are read; callers follow those changes from the first page's revision.
       if (after === '') revision = page.revision;
       items.push(...page.items);
@@ -121,20 +125,17 @@
    * answer; the caller then lists all keys again.
    */
   async follow(prefix: string, after: number): Promise<StoreChanges | null> {
-    const answer = await this.#changesAfter(prefix, after);
-    if (answer === null || answer.status === 410) return null;
-    if (answer.status !== 200) throw new StoreRejectedError(answer.status, 'follow');
-    const changes = eventsOf(decode(answer.body));
-    this.#noteRevision(changes.revision);
-    return changes;
-  }
-
-  /** Returns null if the answer is too large. A retry would not help: the number of changes only grows. */
-  async #changesAfter(prefix: string, after: number): Promise<HttpResponse | null> {
     try {
-      return await this.#send(URGENCY.cancel, 0, 'GET', STATE_PATHS.follow(prefix, after, 0), null);
+      const path = STATE_PATHS.follow(prefix, after, 0);
+      const answer = await this.#send(URGENCY.cancel, 0, 'GET', path, null, undefined, MAX_LIST_BYTES);
+      if (answer.status === 410) return null;
+      if (answer.status !== 200) throw new StoreRejectedError(answer.status, 'follow');
+      const changes = readAnswer('GET state follow', answer, eventsOf);
+      this.#noteRevision(changes.revision);
+      return changes;
     } catch (error) {
-      if (error instanceof ResponseTooLargeError) return null;
+      // A retry would not help: the number of changes only grows.
+      if (error instanceof ResponseTooLargeError || error instanceof OversizedMessageError) return null;
       throw error;
     }
   }
@@ -168,9 +169,12 @@
   #outcomeOf(answer: HttpResponse, changes: readonly Change[]): CompareAndSwapResult {
     switch (answer.status) {
       case 200:
-        return { kind: 'done', revision: this.#noteRevision(revisionOf(decode(answer.body))) };
+        return { kind: 'done', revision: this.#noteRevision(readAnswer('POST state transaction', answer, revisionOf)) };
       case 409:
-        return { kind: 'conflict', revision: this.#noteRevision(revisionOf(decode(answer.body))) };
+        return {
+          kind: 'conflict',
+          revision: this.#noteRevision(readAnswer('POST state transaction', answer, revisionOf)),
+        };
       case 400:
         return changes.some((change) => 'put' in change && change.lease !== undefined)
           ? { kind: 'no lease' }
@@ -187,7 +191,7 @@
   async grantLease(ttlMs: number): Promise<number> {
     const answer = await this.#send(URGENCY.renew, 0, 'POST', STATE_PATHS.leases, leaseMap(ttlMs));
     if (answer.status !== 200) throw new StoreRejectedError(answer.status, 'lease');
-    return leaseIdOf(decode(answer.body));
+    return readAnswer('POST state lease', answer, leaseIdOf);
   }
 
   /** Extends the lease by its full length from now. Returns false if it has expired. */
@@ -206,12 +210,13 @@
     path: string,
     body: unknown,
     maxWaitMs?: number,
+    maxAnswerBytes?: number,
   ): Promise<HttpResponse> {
     const { http, addr, rateLimiter, timeoutMs } = this.options;
     // The rate limit may take longer than the timeout to admit a large transaction and those queued before it.
     const writesMs = ((writes * WRITE_WAIT_FACTOR) / rateLimiter.writesPerS) * 1000;
     await rateLimiter.acquire(urgency, writes, maxWaitMs ?? Math.max(timeoutMs, writesMs));
-    return http(addr, method, path, body === null ? null : encode(body), timeoutMs);
+    return http(addr, method, path, body === null ? null : encode(body), timeoutMs, maxAnswerBytes);
   }
 
   #noteRevision(revision: number): number {
@@ -220,6 +225,11 @@
   }
 }
 
+/** Throws if a page that begins after a key does not go on from there: the list would have no end. */
+function checkProgress(after: string, { items }: { readonly items: readonly StateItem[] }): void {
+  if (items.length > 0 && items.at(-1)!.key <= after) throw new MalformedMessageError('items', 'not in order');
+}
+
 function outcomeOfError(error: unknown): CompareAndSwapResult {
   if (error instanceof OverloadedError) return { kind: 'refused', why: error.message };
   return { kind: 'unknown', why: error instanceof Error ? error.message : 'failed' };
--- a/packages/clients/src/ports.ts
+++ b/packages/clients/src/ports.ts
@@ -1,5 +1,5 @@
 // The ports through which a controller uses time, randomness and HTTP. The testkit implements them in simulated time.
-import { GingerlockError } from '@gingerlock/wire';
+import { GingerlockError, MAX_BODY_BYTES } from '@gingerlock/wire';
 
 /** Time and randomness. */
 export interface Clock {
@@ -19,9 +19,19 @@
   readonly body: Buffer;
 }
 
+/** MessagePack takes at most this many times the bytes of the same value in JSON, whose size PROTOCOL limits. */
+const MESSAGEPACK_PER_JSON_BYTE = 5;
+
+/** Largest answer of a worker, and of a service to anything but a list or a watch, in bytes. */
+export const MAX_ANSWER_BYTES = MESSAGEPACK_PER_JSON_BYTE * MAX_BODY_BYTES;
+
+/** Largest answer of a service that lists or watches, in bytes. What does not fit is read again page by page. */
+export const MAX_LIST_BYTES = 4 * 1024 * 1024;
+
 /**
  * Sends one HTTP request to `addr` (`HOST:PORT`) and resolves with the response, whatever its status.
- * Rejects with a `NoResponseError` if no complete response arrives in time: the request may have been executed.
+ * Rejects with a `NoResponseError` if no complete response arrives in time: the request may have been executed. It
+ * rejects with a `ResponseTooLargeError` if the response exceeds `maxResponseBytes`, by default `MAX_ANSWER_BYTES`.
  */
 export type Http = (
   addr: string,
@@ -29,6 +39,7 @@
   path: string,
   body: Buffer | null,
   timeoutMs: number,
+  maxResponseBytes?: number,
 ) => Promise<HttpResponse>;
 
 /** No complete response arrived; the request may have been executed. */
--- a/packages/daemon/src/api/reply.ts
+++ b/packages/daemon/src/api/reply.ts
@@ -9,6 +9,8 @@
   readonly body: Buffer | null;
   /** After how many seconds the request may be sent again. */
   readonly retryAfterS?: number;
+  /** Why the body of the request could not be decoded; only if it could not. */
+  readonly malformedReason?: string;
 }
 
 /** Returns an error reply with the reason as its text. */
@@ -18,5 +20,6 @@
 
 /** Returns the reply (400) to a request whose decoding threw the error. */
 export function malformed(error: unknown): Reply {
-  return refusal(400, error instanceof MalformedMessageError ? error.message : 'malformed');
+  const reason = error instanceof MalformedMessageError ? error.message : 'malformed';
+  return { ...refusal(400, reason), malformedReason: reason };
 }
--- a/packages/daemon/src/api/server.ts
+++ b/packages/daemon/src/api/server.ts
@@ -1,9 +1,11 @@
 // The HTTP interface of a controller for users, workers and members of replica groups, without any scheduling logic.
-import { fastify, type FastifyInstance, type FastifyReply } from 'fastify';
+import { fastify, type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify';
 import { MAX_BODY_BYTES, RENDEZVOUS_PATH } from '@gingerlock/wire';
 import type { Controller } from '../controller/controller';
 import type { Log } from '../controller/log';
+import { RefusalLog, type RefusedMessage } from '../controller/refusal-log';
 import type { Reply } from './reply';
+import { PAYLOAD_TOO_LARGE, readBody } from './request-body';
 
 /** Share of the sockets for users and workers. The rest is for the store, the cloud and the peers. */
 const SOCKETS_SHARE = 0.85;
@@ -11,9 +13,6 @@
 /** Above this share of its connection limit, the server closes a worker's connection after each heartbeat. */
 const NEAR_LIMIT_SHARE = 0.75;
 
-/** Status by which the HTTP library refuses a body beyond the limit; the client gets 400. */
-const PAYLOAD_TOO_LARGE = 413;
-
 /**
  * Creates the server, which does not listen yet. `sockets`: how many sockets the process may have open. Requests that
  * are too large or not valid HTTP get 400 without a body; an exception in the controller is logged and gets 503.
@@ -23,19 +22,25 @@
   const isNearConnectionLimit = limitConnections(app, Math.floor(sockets * SOCKETS_SHARE));
   // Bodies are passed on undecoded, whatever their content type.
   app.removeAllContentTypeParsers();
-  app.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body));
+  app.addContentTypeParser('*', (request, stream, done) =>
+    readBody(stream, declaredBytes(request), MAX_BODY_BYTES, done),
+  );
+  const refusals = new RefusalLog(log, controller.clock);
   app.setErrorHandler((error: Error & { statusCode?: number }, request, reply) => {
     const status = error.statusCode ?? 500;
-    if (status === PAYLOAD_TOO_LARGE) {
-      const bytes = Number(request.headers['content-length'] ?? NaN);
-      log.info({ path: request.routeOptions.url, bytes, from: request.ip }, 'request too large');
+    if (status < 400 || status >= 500) {
+      log.error({ error: error.stack }, 'request failed');
+      return send(reply, { status: 503, body: null });
     }
     // Bodies that are too large or truncated count as malformed.
-    if (status >= 400 && status < 500) return send(reply, { status: 400, body: null });
-    log.error({ error: error.stack }, 'request failed');
-    return send(reply, { status: 503, body: null });
+    const refused = refusedMessage(request, declaredBytes(request), error.message);
+    if (status === PAYLOAD_TOO_LARGE) refusals.tooLarge(refused);
+    else refusals.malformed(refused);
+    // The rest of a body would have to be read before the next request.
+    void reply.header('connection', 'close');
+    return send(reply, { status: 400, body: null });
   });
-  addRoutes(app, controller, isNearConnectionLimit);
+  addRoutes(app, controller, isNearConnectionLimit, refusals);
   return app;
 }
 
@@ -52,22 +57,48 @@
   return () => connections > maxConnections * NEAR_LIMIT_SHARE;
 }
 
-function addRoutes(app: FastifyInstance, controller: Controller, isNearConnectionLimit: () => boolean): void {
+function addRoutes(
+  app: FastifyInstance,
+  controller: Controller,
+  isNearConnectionLimit: () => boolean,
+  refusals: RefusalLog,
+): void {
+  /** Sends the answer to a request whose body the controller has decoded. */
+  const sendDecoded = (request: FastifyRequest, reply: FastifyReply, answer: Reply): FastifyReply => {
+    const { malformedReason } = answer;
+    if (malformedReason !== undefined)
+      refusals.malformed(refusedMessage(request, bodyOf(request.body).length, malformedReason));
+    return send(reply, answer);
+  };
   app.get('/up', (_request, reply) => send(reply, controller.up()));
   app.post('/checkin', async (request, reply) => {
     const answer = await controller.checkin(bodyOf(request.body));
     // If there are more workers than sockets, connections that stay open would lock out the remaining workers.
     if (isNearConnectionLimit()) void reply.header('connection', 'close');
-    return send(reply, answer);
+    return sendDecoded(request, reply, answer);
   });
-  app.post('/submissions', async (request, reply) => send(reply, await controller.submit(bodyOf(request.body))));
+  app.post('/submissions', async (request, reply) =>
+    sendDecoded(request, reply, await controller.submit(bodyOf(request.body))),
+  );
   app.get('/submissions/:id', async (request, reply) => send(reply, await controller.poll(idIn(request.params))));
   app.post('/submissions/:id/cancel', async (request, reply) =>
     send(reply, await controller.cancel(idIn(request.params))),
   );
   const { rendezvous } = controller;
   if (rendezvous !== null)
-    app.post(RENDEZVOUS_PATH, async (request, reply) => send(reply, await rendezvous.ask(bodyOf(request.body))));
+    app.post(RENDEZVOUS_PATH, async (request, reply) =>
+      sendDecoded(request, reply, await rendezvous.ask(bodyOf(request.body))),
+    );
+}
+
+/** The length that a request declares for its body, in bytes; NaN if it declares none. */
+function declaredBytes(request: FastifyRequest): number {
+  return Number(request.headers['content-length'] ?? NaN);
+}
+
+function refusedMessage(request: FastifyRequest, bytes: number, reason: string): RefusedMessage {
+  const path = request.routeOptions.url ?? 'unknown path';
+  return { path, from: request.ip, bytes: Number.isNaN(bytes) ? null : bytes, reason };
 }
 
 /** The body of a request; empty if it has none. */
--- a/packages/daemon/test/daemon.test.ts
+++ b/packages/daemon/test/daemon.test.ts
@@ -60,7 +60,11 @@
   await app.inject({ method: 'POST', url: '/checkin', payload: payload.subarray(0, 9), headers });
   await app.close();
   const from = '127.0.0.1';
-  assert.deepEqual(lines, [{ path: '/checkin', bytes: MAX_BODY_BYTES + 1, from, message: 'request too large' }]);
+  const reason = 'not MessagePack (bytes after the message)';
+  assert.deepEqual(lines, [
+    { path: '/checkin', bytes: MAX_BODY_BYTES + 1, from, message: 'request too large' },
+    { path: '/checkin', bytes: 9, from, reason, message: 'malformed message' },
+  ]);
 });
 
 test('HTTP: invalid requests get their status at once, and the server keeps working', async () => {
--- a/packages/testkit/test/malformed-messages.test.ts
+++ b/packages/testkit/test/malformed-messages.test.ts
@@ -203,3 +203,30 @@
       assert.deepEqual(unexpected, []);
     }
   }));
+
+test('bodies that arrive in chunks of one byte take no more memory than others and end no controller', () =>
+  withDeployment(async (deployment) => {
+    const head = 'POST /submissions HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n';
+    const chunks = Buffer.from('1\r\n\x80\r\n'.repeat(MAX_BODY_BYTES - 1), 'latin1');
+    // None of the bodies is complete, so that all of them are held at once.
+    const sends = Array.from({ length: 20 }, () =>
+      deployment.sendRaw(deployment.addressOf(0), [Buffer.from(head), chunks]),
+    );
+    await Promise.all(sends);
+  }));
+
+test('garbled answers of the state service and the cloud count as no answer and end no controller', () =>
+  withDeployment(async (deployment) => {
+    const mutations = malformed(deployment);
+    const { world } = deployment;
+    let garbled = 0;
+    world.answerOf = (service, answer) => {
+      if (deployment.random() > (service === 'cloud' ? 0.9 : 0.3)) return answer;
+      garbled++;
+      if (garbled % 2 === 0) return { status: 200, body: INCIDENT_SUBMISSION };
+      return { status: answer.status, body: mutations.from(answer.body, 1024 * 1024) };
+    };
+    await world.pause(5000);
+    world.answerOf = (_service, answer) => answer;
+    assert.ok(garbled > 20, `${garbled} answers were garbled`);
+  }));
