Peers: frames are checked before they are decoded, and small before the peer has told its name

A frame of seven bytes from anyone who can connect to cluster_listen ended a controller.

Cause: avsc allocates a list of the length that it claims, and reads on past the end of the bytes. Chunks of a frame were joined anew with each one that arrived, and a frame of 1 MiB was awaited from a connection that had not said who it is.

Change: avro-scanner.ts walks over a payload by the declared fields before avsc sees it: every item of a list takes a byte at least, lengths are not negative, values take 16 MiB at the most. Before the Hello a frame has 1,024 bytes at most. Fragments and partitions beyond what a deployment can have are dropped. Malformed frames, relayed reports and answers to /inspect are logged.

--- a/packages/daemon/src/controller/composition.ts
+++ b/packages/daemon/src/controller/composition.ts
@@ -90,7 +90,7 @@
   const storeContact = new StoreContact(watchCache, confirmation);
   const heartbeats = new OwnerHeartbeats(context, owned, ownership, storeContact);
   const router = new PartitionRouter({ context, owned, statuses, workerConnectivity, heartbeats });
-  const relay = new HeartbeatRelay(settings, clock, peers, router);
+  const relay = new HeartbeatRelay(context, peers, router);
   const rateSharing = new RateSharing(rateLimiter, peers, clock, heartbeatIntervalMs);
   const previousOwners = new PreviousOwnerQueries(owned.ownersById, peers, heartbeatIntervalMs);
   const modules = { ...base, ownership, releases, confirmation, storeContact, relay, rateSharing, previousOwners };
--- a/packages/daemon/src/controller/controller-context.ts
+++ b/packages/daemon/src/controller/controller-context.ts
@@ -8,6 +8,7 @@
 import { TransactionSizeLimit } from '../state/transaction-size-limit';
 import type { Announcements } from './announcements';
 import type { Log } from './log';
+import { RefusalLog } from './refusal-log';
 import type { StoreLease } from './store-lease-keeper';
 import type { WorkTimer } from './work-timer';
 
@@ -64,6 +65,8 @@
   readonly clusterConfig: ClusterConfig;
   readonly clock: Clock;
   readonly log: Log;
+  /** Logs messages of peers and workers that can't be decoded. */
+  readonly refusals: RefusalLog;
   readonly http: Http;
   readonly keyValueStore: KeyValueStore;
   readonly watchCache: WatchCache;
@@ -85,6 +88,7 @@
     this.clusterConfig = options.settings.clusterConfig;
     this.clock = options.clock;
     this.log = options.log;
+    this.refusals = new RefusalLog(options.log, options.clock);
     this.http = options.http;
     this.keyValueStore = options.keyValueStore;
     this.watchCache = options.watchCache;
--- a/packages/daemon/src/controller/peer-handlers.ts
+++ b/packages/daemon/src/controller/peer-handlers.ts
@@ -15,6 +15,9 @@
 import type { PeerMessageHandlers } from './peer-dispatcher';
 import type { StoreContact } from './store-contact';
 
+/** No deployment has more partitions: there are as many as controllers, whose number the settings limit. */
+const MAX_PARTITIONS = 1000;
+
 /** The modules that the handlers use. */
 export interface PeerHandlerModules {
   readonly context: ControllerContext;
@@ -70,21 +73,28 @@
   const { features } = context.settings;
   return {
     PartitionStatus: (_from, message, now) => {
-      if (!owned.owns(message.partitionId)) statuses.onStatus(message, now);
+      if (isPartition(message) && !owned.owns(message.partitionId)) statuses.onStatus(message, now);
     },
     PartitionStatusFragment: (from, message, now) => {
-      if (!owned.owns(message.partitionId)) statuses.onFragment(from, message, now);
+      if (isPartition(message) && !owned.owns(message.partitionId)) statuses.onFragment(from, message, now);
+    },
+    ReportSpace: (from, message) => {
+      if (isPartition(message)) statuses.onReportSpace(from, message);
     },
-    ReportSpace: (from, message) => statuses.onReportSpace(from, message),
     ClaimList: (from, message, now) => {
-      if (features.borrowing !== null) claimLists.onFragment(from, message, now);
+      if (features.borrowing !== null && isPartition(message)) claimLists.onFragment(from, message, now);
     },
     GroupReports: (from, message) => {
-      if (features.replicaGroups !== null) groupReports.onFragment(from, message);
+      if (features.replicaGroups !== null && isPartition(message)) groupReports.onFragment(from, message);
     },
   };
 }
 
+/** Whether the message is about a partition that can exist: what is kept for each must not grow without end. */
+function isPartition({ partitionId }: { readonly partitionId: number }): boolean {
+  return partitionId >= 0 && partitionId < MAX_PARTITIONS;
+}
+
 type OwnershipKinds = 'OwnershipQuery' | 'OwnershipAnswer' | 'Relay' | 'RelayAnswer';
 
 function ownershipHandlers(modules: PeerHandlerModules): Pick<PeerMessageHandlers, OwnershipKinds> {
--- a/packages/daemon/src/owner/worker-command-sender.ts
+++ b/packages/daemon/src/owner/worker-command-sender.ts
@@ -1,6 +1,6 @@
 // Sends an owner's commands directly to the workers of its partition, in addition to the answers to their heartbeats.
 import { type ClaimTable, groupBy, type Machine, type TaskEntry } from '@gingerlock/core';
-import { decodeHeartbeat, encodeDirectCommands, splitCommands } from '@gingerlock/wire';
+import { decodeHeartbeat, encodeDirectCommands, errorMessage, type Heartbeat, splitCommands } from '@gingerlock/wire';
 import type { ControllerContext } from '../controller/controller-context';
 
 /** Timeout of a stop request, in heartbeat intervals. */
@@ -56,8 +56,7 @@
     const { http, clusterConfig, log } = this.context;
     const timeoutMs = clusterConfig.heartbeatIntervalMs;
     try {
-      const agentEpoch =
-        knownAgentEpoch ?? decodeHeartbeat((await http(addr, 'GET', '/inspect', null, timeoutMs)).body).agentEpoch;
+      const agentEpoch = knownAgentEpoch ?? (await this.#inspect(name, addr, timeoutMs)).agentEpoch;
       const fencingToken = this.claimTable.fencingToken(this.claimTable.machines.get(name));
       await http(addr, 'POST', '/commands', encodeDirectCommands(fencingToken, agentEpoch, []), timeoutMs);
     } catch (error) {
@@ -65,6 +64,18 @@
     }
   }
 
+  /** Asks a worker for its report. */
+  async #inspect(name: string, addr: string, timeoutMs: number): Promise<Heartbeat> {
+    const { body } = await this.context.http(addr, 'GET', '/inspect', null, timeoutMs);
+    try {
+      return decodeHeartbeat(body);
+    } catch (error) {
+      const reason = errorMessage(error, 'malformed');
+      this.context.refusals.malformed({ path: '/inspect', from: name, bytes: body.length, reason });
+      throw error;
+    }
+  }
+
   /** Sends commands. `onUnanswered` is called with the fields of a log line if the worker does not answer. */
   #post(
     { name, addr }: Machine,
--- a/packages/daemon/src/peers/fragments.ts
+++ b/packages/daemon/src/peers/fragments.ts
@@ -20,6 +20,9 @@
   return chunks;
 }
 
+/** The most fragments of one message: some ten times those of the largest fleet. A message that claims more is dropped. */
+const MAX_FRAGMENTS = 64;
+
 /** Identifies a fragment. Fragments of one message differ only in `index`. */
 export interface Fragment {
   readonly term: number;
@@ -65,6 +68,7 @@
 
   /** Adds a fragment. Returns all fragments of its message in order once they are complete, otherwise null. */
   add(fragment: P): readonly P[] | null {
+    if (fragment.fragmentCount < 1 || fragment.fragmentCount > MAX_FRAGMENTS) return null;
     if (this.#first === null || !isSameMessage(this.#first, fragment)) {
       this.#first = fragment;
       this.#byIndex.clear();
--- a/packages/daemon/src/peers/heartbeat-relay.ts
+++ b/packages/daemon/src/peers/heartbeat-relay.ts
@@ -2,8 +2,10 @@
 // can't reach it. Only the owner decides on the answer.
 import { type Clock, sleep } from '@gingerlock/clients';
 import type { PeerMessage, PeerMessages } from '@gingerlock/peer';
-import { decodeHeartbeat, encodeRedirect, type Heartbeat } from '@gingerlock/wire';
+import { decodeHeartbeat, encodeRedirect, errorMessage, type Heartbeat } from '@gingerlock/wire';
 import { refusal, type Reply } from '../api/reply';
+import type { ControllerContext } from '../controller/controller-context';
+import type { RefusalLog } from '../controller/refusal-log';
 import type { Settings } from '../settings/settings';
 import type { PeerChannel } from './peer-channel';
 
@@ -25,6 +27,12 @@
 /** Heartbeats are relayed for this many worker leases before the worker is redirected again. */
 const MAX_RELAY_LEASES = 2;
 
+/** The statuses with which an owner answers a heartbeat. */
+const OWNER_STATUSES: ReadonlySet<number> = new Set([200, 400, 421, 503]);
+
+/** What the log names in place of a path for relayed heartbeats. */
+const RELAY_PATH = 'relayed heartbeat';
+
 /** The owner that a worker's last heartbeat was redirected or relayed to. */
 interface Redirection {
   readonly owner: string;
@@ -56,12 +64,19 @@
   readonly #pendingRelays = new Map<string, (reply: Reply) => void>();
   #isStopped = false;
 
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly #refusals: RefusalLog;
+
   constructor(
-    readonly settings: Settings,
-    readonly clock: Clock,
+    { settings, clock, refusals }: Pick<ControllerContext, 'settings' | 'clock' | 'refusals'>,
     readonly peers: PeerChannel,
     readonly routing: PartitionRouting,
-  ) {}
+  ) {
+    this.settings = settings;
+    this.clock = clock;
+    this.#refusals = refusals;
+  }
 
   /** Stops the relay: heartbeats that wait for an owner are refused at their next check. */
   stop(): void {
@@ -168,7 +183,7 @@
   onRelay(from: string, message: PeerMessages['Relay']): void {
     const { peers } = this;
     if (message.to === this.settings.node) {
-      this.#answer(from, message, this.#replyAsOwner(message.body));
+      this.#answer(from, message, this.#replyAsOwner(message));
     } else if (from === message.from && peers.nodes.includes(message.to)) {
       if (peers.isAlive(message.to) && peers.send(message.to, { kind: 'Relay', ...message })) return;
       this.#answer(from, message, refusal(503, 'owner is out of reach'));
@@ -178,17 +193,27 @@
   /** Handles the owner's answer to a relayed heartbeat, or forwards it to the controller that relayed the heartbeat. */
   onAnswer(message: PeerMessages['RelayAnswer']): void {
     if (message.to !== this.settings.node) this.peers.send(message.to, { kind: 'RelayAnswer', ...message });
-    else this.#pendingRelays.get(message.id)?.({ status: message.status, body: Buffer.from(message.body) });
+    else this.#pendingRelays.get(message.id)?.(this.#replyOf(message));
+  }
+
+  /** Returns the owner's reply; 503 if its status is none that an owner gives. */
+  #replyOf({ status, body, to }: PeerMessages['RelayAnswer']): Reply {
+    if (OWNER_STATUSES.has(status)) return { status, body: Buffer.from(body) };
+    const reason = `status ${status}`;
+    this.#refusals.malformed({ path: RELAY_PATH, from: to, bytes: body.length, reason });
+    return refusal(503, 'owner is out of reach');
   }
 
-  #replyAsOwner(body: Buffer): Reply {
+  #replyAsOwner({ from, body }: PeerMessages['Relay']): Reply {
     try {
       const heartbeat = decodeHeartbeat(body);
       const partitionId = this.routing.partitionOf(heartbeat);
       if (partitionId === undefined || !this.routing.owns(partitionId)) return refusal(503, 'not the owner');
       this.routing.onRelayed(partitionId);
       return this.routing.answer(partitionId, heartbeat);
-    } catch {
+    } catch (error) {
+      const reason = errorMessage(error, 'malformed');
+      this.#refusals.malformed({ path: RELAY_PATH, from, bytes: body.length, reason });
       return refusal(400, 'malformed');
     }
   }
--- a/packages/daemon/src/serve.ts
+++ b/packages/daemon/src/serve.ts
@@ -22,6 +22,9 @@
 /** A peer counts as not alive after this many heartbeat intervals without a message. */
 const PEER_SILENCE_INTERVALS = 2;
 
+/** What the log names in place of a path for messages of peers. */
+const PEER_PATH = 'peer link';
+
 /**
  * Starts one controller, which runs until the process is killed. Resolves once it serves; rejects if it can't listen.
  */
@@ -34,6 +37,7 @@
     peers: settings.peers,
     silenceMs: settings.clusterConfig.heartbeatIntervalMs * PEER_SILENCE_INTERVALS,
     log: (message, detail) => log.debug(detail, message),
+    onMalformed: (message) => controller.context.refusals.malformed({ path: PEER_PATH, ...message }),
   });
   const controller = new Controller({
     settings,
--- a/packages/peer/src/frames.ts
+++ b/packages/peer/src/frames.ts
@@ -1,6 +1,6 @@
 // Framing of the connections between controllers. A frame is the payload's length in bytes as a big-endian 32-bit
 // unsigned integer, followed by the payload.
-import { GingerlockError } from '@gingerlock/wire';
+import { ByteCollector, GingerlockError } from '@gingerlock/wire';
 
 /** Largest payload of a frame, in bytes. */
 export const MAX_FRAME_BYTES = 1024 * 1024;
@@ -8,14 +8,20 @@
 /** Size of the length field before each payload. */
 const HEADER_BYTES = 4;
 
-/** A frame that declares more than `MAX_FRAME_BYTES`; the connection that it arrived on is closed. */
+/** A frame that declares more than is accepted; the connection that it arrived on is closed. */
 export class MalformedFrameError extends GingerlockError {
   override readonly name = 'MalformedFrameError';
   override readonly code = 'MALFORMED_FRAME';
 
-  /** @param payloadBytes the length that the frame declares */
-  constructor(readonly payloadBytes: number) {
-    super(`frame of ${payloadBytes} bytes, expected at most ${MAX_FRAME_BYTES}`);
+  /**
+   * @param payloadBytes the length that the frame declares
+   * @param maxBytes the largest length that is accepted
+   */
+  constructor(
+    readonly payloadBytes: number,
+    maxBytes = MAX_FRAME_BYTES,
+  ) {
+    super(`frame of ${payloadBytes} bytes, expected at most ${maxBytes}`);
   }
 }
 
@@ -29,19 +35,31 @@
 
 /**
  * Yields the payloads of a stream of frames until the stream ends. An incomplete frame at the end is dropped.
- * @throws MalformedFrameError as soon as a frame declares more than `MAX_FRAME_BYTES`
+ * @param maxBytes returns the largest payload that is accepted now
+ * @throws MalformedFrameError as soon as a frame declares more than is accepted
  */
-export async function* frames(chunks: AsyncIterable<Buffer>): AsyncGenerator<Buffer> {
-  let buffered: Buffer = Buffer.alloc(0);
+export async function* frames(
+  chunks: AsyncIterable<Buffer>,
+  maxBytes: () => number = () => MAX_FRAME_BYTES,
+): AsyncGenerator<Buffer> {
+  const incomplete = new ByteCollector();
   for await (const chunk of chunks) {
-    buffered = buffered.length === 0 ? chunk : Buffer.concat([buffered, chunk]);
-    while (buffered.length >= HEADER_BYTES) {
-      const length = buffered.readUInt32BE(0);
-      if (length > MAX_FRAME_BYTES) throw new MalformedFrameError(length);
-      const end = HEADER_BYTES + length;
-      if (buffered.length < end) break;
-      yield buffered.subarray(HEADER_BYTES, end);
-      buffered = buffered.subarray(end);
+    incomplete.append(chunk);
+    if (!hasFrame(incomplete.bytes, maxBytes())) continue;
+    let rest = incomplete.take();
+    while (hasFrame(rest, maxBytes())) {
+      const end = HEADER_BYTES + rest.readUInt32BE(0);
+      yield rest.subarray(HEADER_BYTES, end);
+      rest = rest.subarray(end);
     }
+    if (rest.length > 0) incomplete.append(rest);
   }
 }
+
+/** Whether the bytes begin with a complete frame. */
+function hasFrame(bytes: Buffer, maxBytes: number): boolean {
+  if (bytes.length < HEADER_BYTES) return false;
+  const length = bytes.readUInt32BE(0);
+  if (length > maxBytes) throw new MalformedFrameError(length, maxBytes);
+  return bytes.length >= HEADER_BYTES + length;
+}
--- a/packages/peer/src/link.ts
+++ b/packages/peer/src/link.ts
@@ -1,7 +1,8 @@
 // Messages between controllers over TCP.
 import { createConnection, createServer, type Server, type Socket } from 'node:net';
 import { errorMessage } from '@gingerlock/wire';
-import { frame, frames, MAX_FRAME_BYTES } from './frames';
+import { MalformedPayloadError } from './avro-scanner';
+import { frame, frames, MalformedFrameError, MAX_FRAME_BYTES } from './frames';
 import { decodePeer, encodePeer, PEER_VERSION, type PeerMessage, type PeerMessages } from './messages';
 
 /** The address on which another controller accepts connections from its peers. */
@@ -41,6 +42,17 @@
   /** A peer counts as dead after no message from it has arrived for this long, in milliseconds. */
   readonly silenceMs: number;
   readonly log: (message: string, detail: Record<string, unknown>) => void;
+  /** Called when a connection is closed because of what arrived on it. */
+  readonly onMalformed?: (received: MalformedPeerMessage) => void;
+}
+
+/** Bytes that are no message, or a message that does not belong where it arrived. */
+export interface MalformedPeerMessage {
+  /** The peer's name, or the address of the connection if the peer has not told its name. */
+  readonly from: string;
+  /** Size that the message declares or has, in bytes. */
+  readonly bytes: number;
+  readonly reason: string;
 }
 
 /**
@@ -59,6 +71,9 @@
 /** Delay before the first retry of a failed connection, as a share of `silenceMs`. */
 const FIRST_BACKOFF_SHARE = 1 / 16;
 
+/** Largest payload that is accepted before the other side has told who it is, in bytes. */
+const MAX_HELLO_BYTES = 1024;
+
 /** A connection whose peer has sent its `Hello`. */
 interface Connection {
   readonly socket: Socket;
@@ -171,6 +186,7 @@
   async #serve(socket: Socket, expected: string | null): Promise<void> {
     let node: string | null = null;
     let connection: Connection | null = null;
+    const address = socket.remoteAddress ?? 'unknown';
     socket.setNoDelay(true);
     // A network failure can leave the connection open without an error. The socket's own timeout can't detect that,
     // because sent data resets it too. Checks are counted instead of time: after this process has stalled, the first
@@ -182,7 +198,8 @@
     socket.on('error', () => socket.destroy());
     socket.write(frame(encodePeer({ kind: 'Hello', version: PEER_VERSION, node: this.options.node })));
     try {
-      for await (const payload of frames(socket)) {
+      const maxBytes = (): number => (node === null ? MAX_HELLO_BYTES : MAX_FRAME_BYTES);
+      for await (const payload of frames(socket, maxBytes)) {
         silentChecks = 0;
         const message = decodePeer(payload);
         if (message.kind === 'Hello') {
@@ -194,7 +211,7 @@
         this.onMessage(node, message);
       }
     } catch (error) {
-      this.options.log('peer connection ended', { peer: node, error: errorMessage(error, 'failed') });
+      this.#connectionFailed(error, node, address);
     } finally {
       clearInterval(silenceTimer);
       socket.destroy();
@@ -202,6 +219,14 @@
     }
   }
 
+  /** Reports why a connection ended: for what arrived, or because it broke. */
+  #connectionFailed(error: unknown, node: string | null, address: string): void {
+    const { log, onMalformed } = this.options;
+    if (error instanceof MalformedFrameError || error instanceof MalformedPayloadError)
+      onMalformed?.({ from: node ?? address, bytes: error.payloadBytes, reason: error.message });
+    else log('peer connection ended', { peer: node, error: errorMessage(error, 'failed') });
+  }
+
   /** Whether the other side is a known peer with the same version and, if `expected` is set, the dialled one. */
   #accepts({ version, node }: PeerMessages['Hello'], expected: string | null): boolean {
     if (version === PEER_VERSION && this.nodes.includes(node) && (expected ?? node) === node) return true;
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -1,6 +1,7 @@
 // The messages between controllers. The only messages that a safety property depends on are the peers' confirmations
 // that they can't reach the key-value store either.
 import avro from 'avsc';
+import { AvroScanner } from './avro-scanner';
 import {
   avroArray,
   avroBoolean,
@@ -15,6 +16,14 @@
   type ValueOf,
 } from './avro-types';
 
+/** The largest integer that the encoding takes. */
+const MAX_INTEGER = Number.MAX_SAFE_INTEGER - 1;
+
+/** Returns a count that a worker reported as messages to peers can carry it: no honest worker counts further. */
+export function reportedCount(count: number): number {
+  return Math.min(count, MAX_INTEGER);
+}
+
 /** Version of the messages' schema. Controllers with different versions don't connect to each other. */
 export const PEER_VERSION = 7;
 
@@ -148,9 +157,12 @@
 /** A message of any kind. */
 export type PeerMessage = { [K in keyof PeerMessages]: { kind: K } & PeerMessages[K] }[keyof PeerMessages];
 
+/** The types of the messages; a message begins with the index of its own. */
+const MESSAGE_TYPES = Object.entries(MESSAGE_FIELDS).map(([kind, fields]) => avroRecord(kind, fields));
+
 function unionSchema(): unknown {
   const defined = new Set<string>();
-  return Object.entries(MESSAGE_FIELDS).map(([kind, fields]) => avroRecord(kind, fields).schema(defined));
+  return MESSAGE_TYPES.map((messageType) => messageType.schema(defined));
 }
 
 const type = avro.Type.forSchema(unionSchema() as never, { wrapUnions: true });
@@ -161,8 +173,14 @@
   return type.toBuffer({ [kind]: fields });
 }
 
-/** Decodes the payload of a frame. Throws an `Error` from avsc if the bytes do not match the schema. */
+/**
+ * Decodes the payload of a frame.
+ * @throws MalformedPayloadError if the bytes do not match the schema, or if their values would take too much memory
+ */
 export function decodePeer(bytes: Buffer): PeerMessage {
+  const scanner = new AvroScanner(bytes);
+  MESSAGE_TYPES[scanner.choice(MESSAGE_TYPES.length)]!.scan(scanner);
+  scanner.finish();
   const value = type.fromBuffer(bytes) as Record<string, object>;
   const kind = Object.keys(value)[0]!;
   return { kind, ...value[kind] } as PeerMessage;
--- a/packages/testkit/test/malformed-messages.test.ts
+++ b/packages/testkit/test/malformed-messages.test.ts
@@ -5,6 +5,7 @@
 import { createConnection } from 'node:net';
 import { before, test } from 'node:test';
 import { nodeHttp } from '@gingerlock/clients';
+import { encodePeer, frame, type PeerMessage } from '@gingerlock/peer';
 import { encodeHeartbeat, encodeSubmission, type JobSpec, MAX_BODY_BYTES } from '@gingerlock/wire';
 import {
   LoopbackDeployment,
@@ -12,6 +13,7 @@
   type MalformedMessages as Malformed,
   ProcessControllers,
   seeded,
+  varint,
 } from '../src/index';
 
 /** Memory of a controller at the smallest deployment, in megabytes. */
@@ -215,6 +217,25 @@
     await Promise.all(sends);
   }));
 
+test('frames that claim lists longer than themselves close the connection and end no controller', () =>
+  withDeployment(async (deployment) => {
+    const mutations = new MalformedMessages(deployment.random, 'avro');
+    const hello = frame(encodePeer({ kind: 'Hello', version: 7, node: 'node-1' }));
+    const valid: PeerMessage = { kind: 'MachineDirectives', term: 1, drain: ['m-1'], gone: [] };
+    // The message of index 4 has a term and two lists.
+    const claim = Buffer.concat([varint(4), varint(0), varint(2 ** 28)]);
+    for (const before of [[], [hello]]) {
+      await deployment.sendRaw(deployment.peerAddressOf(0), [...before, frame(claim)]);
+      await deployment.sendRaw(deployment.peerAddressOf(2), [...before, Buffer.from('7fffffff', 'hex')]);
+      for (let round = 0; round < 30; round++)
+        await deployment.sendRaw(deployment.peerAddressOf(0), [
+          ...before,
+          frame(mutations.from(encodePeer(valid), 256 * 1024)),
+          Buffer.from('7fffffff', 'hex'),
+        ]);
+    }
+  }));
+
 test('garbled answers of the state service and the cloud count as no answer and end no controller', () =>
   withDeployment(async (deployment) => {
     const mutations = malformed(deployment);
