Counts: a session number beyond 2^53 no longer stops the ticks of its owner

Cause: avsc throws on integers beyond 2^53 when the status of the machine is sent to peers.

Change: counts of reports are kept up to 2^53 - 1, sent to peers up to 2^53 - 2, and refused from 2^64 on. Revisions of the state service beyond that count as malformed.

--- a/packages/daemon/src/peers/claim-lists.ts
+++ b/packages/daemon/src/peers/claim-lists.ts
@@ -1,7 +1,7 @@
 // Claim lists: the claims on each machine, which owners publish to the leader while borrowing is on.
 import type { HeldTask, MachineClaims, PartitionClaims } from '@gingerlock/borrowing';
 import type { ClaimTable, Machine } from '@gingerlock/core';
-import type { PeerMessage, PeerMessages } from '@gingerlock/peer';
+import { type PeerMessage, type PeerMessages, reportedCount } from '@gingerlock/peer';
 import { fragmentsOf, SenderReassemblers } from './fragments';
 import { NewestByPartition } from './newest-by-partition';
 
@@ -23,7 +23,7 @@
   return [...claims.values()].map(({ name, claim }) => {
     const { attempt, stage, runningSince, stopGraceS } = claim!;
     const runMs = runningSince === null ? 0 : now - runningSince;
-    return { task: name, attempt, stage, runMs, stopping: stopGraceS !== null };
+    return { task: name, attempt: reportedCount(attempt), stage, runMs, stopping: stopGraceS !== null };
   });
 }
 
--- a/packages/daemon/src/peers/group-reports.ts
+++ b/packages/daemon/src/peers/group-reports.ts
@@ -1,6 +1,6 @@
 // Reports on the members of replica groups, which owners publish to the leader.
 import type { GroupReport, PartitionGroupReport } from '@gingerlock/replica-groups';
-import type { PeerGroupReport, PeerMessage, PeerMessages } from '@gingerlock/peer';
+import { type PeerGroupReport, type PeerMessage, type PeerMessages, reportedCount } from '@gingerlock/peer';
 import { GROUP_REASONS } from '@gingerlock/wire';
 import { fragmentsOf, SenderReassemblers } from './fragments';
 import { NewestByPartition } from './newest-by-partition';
@@ -24,6 +24,7 @@
     generation,
     members: members.map(({ reason, ...member }) => ({
       ...member,
+      attempt: reportedCount(member.attempt),
       reason: reason === null ? NO_REASON : GROUP_REASONS.indexOf(reason),
     })),
   };
--- a/packages/daemon/src/peers/status-fragments.ts
+++ b/packages/daemon/src/peers/status-fragments.ts
@@ -1,6 +1,12 @@
 // Splits partition statuses of any size into messages that each fit into a frame of the link, and reassembles them.
 import type { PartitionStatus } from '@gingerlock/core';
-import type { PeerMachineStatus, PeerMessage, PeerMessages, PeerPartitionStatus } from '@gingerlock/peer';
+import {
+  type PeerMachineStatus,
+  type PeerMessage,
+  type PeerMessages,
+  type PeerPartitionStatus,
+  reportedCount,
+} from '@gingerlock/peer';
 import { FRAME_SHARE, FragmentReassembler, splitBySize } from './fragments';
 
 /** Size of the numbers, flags and list lengths of one machine, in bytes, rounded up; a number takes eight. */
@@ -38,6 +44,7 @@
   const head = { owner, partitionId, term, revision, missing };
   const machines: PeerMachineStatus[] = status.machines.map((machine) => ({
     ...machine,
+    agentEpoch: reportedCount(machine.agentEpoch),
     byPriority: [...machine.byPriority],
     images: [...machine.images],
   }));
--- a/packages/wire/src/state.ts
+++ b/packages/wire/src/state.ts
@@ -31,7 +31,8 @@
   readonly version: number;
 }
 
-const Revision = Type.Integer({ minimum: 0 });
+/** A revision or the id of a lease. They count from 0 on, so that no larger number is one of the store's. */
+const Revision = Type.Integer({ minimum: 0, maximum: Number.MAX_SAFE_INTEGER - 1 });
 
 /** Returns the body of a transaction, before its encoding. */
 export function transactionMap(conditions: readonly Condition[], changes: readonly Change[]): unknown {
--- a/packages/wire/src/workers.ts
+++ b/packages/wire/src/workers.ts
@@ -77,7 +77,13 @@
   return Object.keys(names).find((name) => names[name] === value)!;
 }
 
-const Count = Type.Integer({ minimum: 0 });
+/** An integer below 2^64 (PROTOCOL), which a number holds rounded. */
+const Count = Type.Integer({ minimum: 0, maximum: 2 ** 64 });
+
+/** A count as the code keeps it: exact, so that it stays the same when it is passed on. */
+function exactCount(count: number): number {
+  return Math.min(count, Number.MAX_SAFE_INTEGER);
+}
 
 const checkHeartbeat = compileValidator(
   Type.Object({
@@ -111,9 +117,9 @@
     type: map.breed,
     zone: map.yard,
     spot: map.borrowed,
-    agentEpoch: map.shift,
-    sequenceNumber: map.tally,
-    fencingToken: map.baton,
+    agentEpoch: exactCount(map.shift),
+    sequenceNumber: exactCount(map.tally),
+    fencingToken: exactCount(map.baton),
     noticeS: map.recall_s ?? null,
     tasks: map.parcels.map((parcel, index) => {
       const state = STATE_BY_WIRE_NAME[parcel.status];
@@ -121,7 +127,7 @@
       if (state === undefined) throw new MalformedMessageError(`parcels.${index}.status`, 'unknown');
       return {
         task: parcel.parcel,
-        attempt: parcel.try,
+        attempt: exactCount(parcel.try),
         state,
         cause: state === 'exited' ? (CAUSE_BY_WIRE_NAME[parcel.cause ?? ''] ?? 'unrecognised') : null,
         saved: parcel.stored ?? false,
