Bodies: those that are incomplete share a bound of memory, at the server and at the client

Cause: the sum of many incomplete bodies was bounded by the number of sockets alone.

Incomplete answers share 8 MiB too.

--- a/packages/clients/src/http.ts
+++ b/packages/clients/src/http.ts
@@ -1,11 +1,14 @@
 // The HTTP port over node:http.
 import { Agent, type IncomingMessage, request } from 'node:http';
-import { ByteCollector } from '@gingerlock/wire';
+import { ByteCollector, BytePool } from '@gingerlock/wire';
 import { ResponseTooLargeError, type Http, type HttpResponse, MAX_ANSWER_BYTES, NoResponseError } from './ports';
 
 /** A host that was idle for this long may be replaced by another host for which connections are kept alive. */
 const KEEP_ALIVE_IDLE_MS = 30_000;
 
+/** Memory of all incomplete answers but lists, in bytes: many workers may answer at once. */
+const INCOMPLETE_ANSWERS_BYTES = 8 * 1024 * 1024;
+
 /** Default number of hosts to which connections are kept alive. */
 const KEEP_ALIVE_HOSTS = 72;
 
@@ -44,15 +47,24 @@
   const keepAliveAgent = new Agent({ keepAlive: true, maxSockets: 8, maxFreeSockets: 4, scheduling: 'lifo' });
   const closingAgent = new Agent({ keepAlive: false, maxSockets: 8 });
   const hosts = new KeepAliveHosts(keepAliveHosts);
+  const pool = new BytePool(INCOMPLETE_ANSWERS_BYTES);
   return (addr, method, path, body, timeoutMs, maxResponseBytes = MAX_ANSWER_BYTES) =>
     new Promise<HttpResponse>((resolve, reject) => {
       const requestLine = `${method} ${addr}${path}`;
       const onResponse = (res: IncomingMessage): void => {
         const received = new ByteCollector();
+        let pooledBytes = 0;
+        res.once('close', () => pool.give(pooledBytes));
         res.on('data', (chunk: Buffer) => {
+          const isShared = maxResponseBytes <= MAX_ANSWER_BYTES;
           if (received.length + chunk.length > maxResponseBytes)
             req.destroy(new ResponseTooLargeError(requestLine, maxResponseBytes));
-          else received.append(chunk);
+          else if (isShared && !pool.take(chunk.length))
+            req.destroy(new NoResponseError(`${requestLine}: too many incomplete answers`));
+          else {
+            received.append(chunk);
+            pooledBytes += isShared ? chunk.length : 0;
+          }
         });
         res.on('end', () => {
           clearTimeout(timer);
--- a/packages/daemon/src/api/server.ts
+++ b/packages/daemon/src/api/server.ts
@@ -5,7 +5,7 @@
 import type { Log } from '../controller/log';
 import { RefusalLog, type RefusedMessage } from '../controller/refusal-log';
 import type { Reply } from './reply';
-import { PAYLOAD_TOO_LARGE, readBody } from './request-body';
+import { BodyReader, PAYLOAD_TOO_LARGE, RefusedBodyError } from './request-body';
 
 /** Share of the sockets for users and workers. The rest is for the store, the cloud and the peers. */
 const SOCKETS_SHARE = 0.85;
@@ -21,24 +21,24 @@
   const app = fastify({ logger: false, bodyLimit: MAX_BODY_BYTES, exposeHeadRoutes: false, trustProxy: false });
   const isNearConnectionLimit = limitConnections(app, Math.floor(sockets * SOCKETS_SHARE));
   // Bodies are passed on undecoded, whatever their content type.
+  const bodies = new BodyReader(MAX_BODY_BYTES);
   app.removeAllContentTypeParsers();
-  app.addContentTypeParser('*', (request, stream, done) =>
-    readBody(stream, declaredBytes(request), MAX_BODY_BYTES, done),
-  );
+  app.addContentTypeParser('*', (request, stream, done) => bodies.read(stream, declaredBytes(request), done));
   const refusals = new RefusalLog(log, controller.clock);
   app.setErrorHandler((error: Error & { statusCode?: number }, request, reply) => {
     const status = error.statusCode ?? 500;
-    if (status < 400 || status >= 500) {
+    const isClientError = status >= 400 && status < 500;
+    if (!isClientError && !(error instanceof RefusedBodyError)) {
       log.error({ error: error.stack }, 'request failed');
       return send(reply, { status: 503, body: null });
     }
-    // Bodies that are too large or truncated count as malformed.
     const refused = refusedMessage(request, declaredBytes(request), error.message);
     if (status === PAYLOAD_TOO_LARGE) refusals.tooLarge(refused);
     else refusals.malformed(refused);
     // The rest of a body would have to be read before the next request.
     void reply.header('connection', 'close');
-    return send(reply, { status: 400, body: null });
+    // Bodies that are too large or truncated count as malformed.
+    return send(reply, { status: isClientError ? 400 : status, body: null });
   });
   addRoutes(app, controller, isNearConnectionLimit, refusals);
   return app;
--- a/packages/wire/src/byte-collector.ts
+++ b/packages/wire/src/byte-collector.ts
@@ -14,6 +14,11 @@
     return this.#length;
   }
 
+  /** The memory that the bytes take, in bytes. */
+  get capacity(): number {
+    return this.#buffer.length;
+  }
+
   /** The bytes collected so far; valid until the next call of `append`. */
   get bytes(): Buffer {
     return this.#buffer.subarray(0, this.#length);
@@ -44,3 +49,24 @@
     return bytes;
   }
 }
+
+/** Memory that several collectors share, in bytes. */
+export class BytePool {
+  #freeBytes: number;
+
+  constructor(bytes: number) {
+    this.#freeBytes = bytes;
+  }
+
+  /** Takes memory from the pool. Returns false if it has less. */
+  take(byteCount: number): boolean {
+    if (byteCount > this.#freeBytes) return false;
+    this.#freeBytes -= byteCount;
+    return true;
+  }
+
+  /** Gives memory back. */
+  give(byteCount: number): void {
+    this.#freeBytes += byteCount;
+  }
+}
