--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -10,7 +10,7 @@
 import tseslint from 'typescript-eslint';
 
 const SOURCES = ['packages/*/src/**/*.ts'];
-const TESTS = ['packages/*/test/**/*.ts', 'packages/*/fingerprint/**/*.ts'];
+const TESTS = ['packages/*/test/**/*.ts', 'packages/*/fingerprint/**/*.ts', 'packages/*/fuzz/**/*.ts'];
 
 /**
  * Turns each rule off for the files that eslint-legacy.json lists as violating it. With LINT_ALL=1 all rules stay on,
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -12,3 +12,4 @@
 export { OwnerGroups } from './owner/owner-groups';
 export type { Reply } from './api/reply';
 export { openServer } from './api/server';
+export { BodyReader, RefusedBodyError } from './api/request-body';
--- a/packages/testkit/src/faults/malformed-messages.ts
+++ b/packages/testkit/src/faults/malformed-messages.ts
@@ -44,6 +44,9 @@
   [0x81, 0xa0, 0x90],
 ];
 
+/** Beginnings of lists and maps with one value. */
+const NESTING_VALUES: readonly (readonly number[])[] = [[0x91], [0x81, 0xa1, 0x61], [0xdc, 0x00, 0x01]];
+
 /** A text of one byte that begins a character of four, so that a careless reader takes what follows for the rest. */
 const CUT_CHARACTER: readonly number[] = [0xa1, 0xf0, 0xa4];
 
@@ -71,6 +74,7 @@
       () => this.#overwritten(bytes, this.#claims()),
       () => this.#inserted(bytes, this.#repeated(Buffer.from(this.#pick(SMALL_VALUES)))),
       () => Buffer.concat([this.#repeated(this.#claim()), bytes]),
+      () => this.#nested(bytes),
       () => this.#repeated(bytes),
       () => Buffer.concat([this.#claims(), this.#noise()]),
       () => this.#noise(),
@@ -96,6 +100,12 @@
     return Buffer.concat([bytes.subarray(0, at), more, bytes.subarray(at + more.length)]);
   }
 
+  /** A list in a list in a list, or a map in a map, as deep as a message can hold. */
+  #nested(bytes: Buffer): Buffer {
+    const head = Buffer.from(this.#pick(NESTING_VALUES));
+    return Buffer.concat([Buffer.alloc(this.#below(MAX_REPEATED_BYTES), head), bytes]);
+  }
+
   /** The same bytes many times. */
   #repeated(bytes: Buffer): Buffer {
     const most = Math.max(1, Math.floor(MAX_REPEATED_BYTES / Math.max(1, bytes.length)));
