--- a/packages/testkit/src/faults/faults.ts
+++ b/packages/testkit/src/faults/faults.ts
@@ -8,6 +8,7 @@
 import { GROUP_FAULTS, type GroupFault } from './group-faults';
 import { HEARTBEAT_FAULTS, type HeartbeatFault } from './heartbeat-faults';
 import { MACHINE_FAULTS, type MachineFault } from './machine-faults';
+import { MALFORMED_FAULTS, type MalformedFault } from './malformed-faults';
 import { NETWORK_FAULTS, type NetworkFault } from './network-faults';
 import { STATE_FAULTS, type StateFault } from './state-faults';
 import { SUBMISSION_FAULTS, type SubmissionFault } from './submission-faults';
@@ -24,7 +25,8 @@
   | UserFault
   | SubmissionFault
   | BorrowingFault
-  | GroupFault;
+  | GroupFault
+  | MalformedFault;
 
 const FAULTS: FaultTable<Fault> = {
   ...NETWORK_FAULTS,
@@ -37,6 +39,7 @@
   ...SUBMISSION_FAULTS,
   ...BORROWING_FAULTS,
   ...GROUP_FAULTS,
+  ...MALFORMED_FAULTS,
 };
 
 /** The handler for the fault's kind. `FaultTable` ensures that it accepts the fault, which the compiler can't infer. */
--- a/packages/testkit/src/simulation/sim-controllers.ts
+++ b/packages/testkit/src/simulation/sim-controllers.ts
@@ -108,10 +108,11 @@
   /** Passes a worker's heartbeat to a controller, and reports a 200 answer from the partition's owner to the audit. */
   async #checkin(controller: Controller, node: string, body: Buffer): Promise<Reply> {
     const reply = await controller.checkin(body);
+    if (reply.status !== 200) return reply;
     const { machine, zone } = decodeHeartbeat(body);
     const partitionId = controller.clusterState.partitioner?.partitionOf(machine, zone);
     const owner = controller.owned().find((owned) => owned.partitionId === partitionId);
-    if (reply.status === 200 && owner !== undefined) this.world.onAnsweredByOwner(node, owner);
+    if (owner !== undefined) this.world.onAnsweredByOwner(node, owner);
     return reply;
   }
 
--- a/packages/testkit/src/simulation/sim-link.ts
+++ b/packages/testkit/src/simulation/sim-link.ts
@@ -73,6 +73,16 @@
     return true;
   }
 
+  /** Receives bytes that are no message: the connection on which they arrive is closed, and then opened again. */
+  receiveMalformed(bytes: Buffer): void {
+    try {
+      decodePeer(bytes);
+    } catch {
+      const [first] = this.#lastContacts.keys();
+      if (first !== undefined) this.#lastContacts.delete(first);
+    }
+  }
+
   sendBatch(node: string, messages: readonly PeerMessage[]): boolean {
     return messages.every((message) => this.send(node, message));
   }
--- a/packages/testkit/test/invariants.test.ts
+++ b/packages/testkit/test/invariants.test.ts
@@ -54,3 +54,40 @@
     },
   );
 });
+
+test('generated troubles violate no invariant while malformed bytes arrive from users, machines and peers', async () => {
+  const malformed = fc.record({
+    kind: fc.constant('malformed bytes' as const),
+    seed: fc.integer({ min: 1, max: 1_000_000 }),
+    perS: fc.integer({ min: 1, max: 8 }),
+    forMs: fc.constant(120_000),
+  });
+  let refused = 0;
+  await fc.assert(
+    fc.asyncProperty(
+      fc.integer({ min: 1, max: 1_000_000 }),
+      size,
+      fc.array(combination, { minLength: 1, maxLength: 3 }),
+      malformed,
+      async (seed, size, combinations, fault) => {
+        const world = new World({ seed, ...size, ...size.times, ...optionsFromEnvironment() });
+        const forMs = Math.max(200_000, size.times.cancellationBoundS * 6000);
+        await runScenario(world, { seed, forMs, faults: [{ at: 5000, fault }, ...combinations.flat()] });
+        assert.deepEqual(world.violations, []);
+        assert.deepEqual(world.users.open(), []);
+        refused += world.occurrences.get('malformed request refused') ?? 0;
+        // A request may get lost, or reach a controller that is down.
+        const unexpected = [...world.occurrences.keys()].filter((what) => what.startsWith('malformed request got'));
+        assert.deepEqual(unexpected, []);
+      },
+    ),
+    {
+      numRuns: Number(process.env.GINGERLOCK_RUNS ?? 5),
+      seed: Number(process.env.GINGERLOCK_SEED ?? 601),
+      ...(process.env.GINGERLOCK_PATH === undefined ? {} : { path: process.env.GINGERLOCK_PATH }),
+      endOnFailure: true,
+      includeErrorInReport: true,
+    },
+  );
+  assert.ok(refused > 1000, `${refused} were refused`);
+});
