--- a/packages/testkit/test/decoder-fuzz.test.ts
+++ b/packages/testkit/test/decoder-fuzz.test.ts
@@ -28,7 +28,7 @@
     encoding: 'utf8',
     timeout: TIMEOUT_MS,
   });
-  return { status, output: (stdout + stderr).slice(-1500) };
+  return { status, output: (stdout + stderr).slice(-16_000) };
 }
 
 before(() => execFileSync(process.execPath, ['build.mjs', '--fuzz']));
