--- a/packages/testkit/test/malformed-messages.test.ts
+++ b/packages/testkit/test/malformed-messages.test.ts
@@ -211,7 +211,7 @@
     const head = 'POST /submissions HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n';
     const chunks = Buffer.from('1\r\n\x80\r\n'.repeat(MAX_BODY_BYTES - 1), 'latin1');
     // None of the bodies is complete, so that all of them are held at once.
-    const sends = Array.from({ length: 20 }, () =>
+    const sends = Array.from({ length: 60 }, () =>
       deployment.sendRaw(deployment.addressOf(0), [Buffer.from(head), chunks]),
     );
     await Promise.all(sends);
